--- /dev/null
+++ b/src/burdockgap/records/__init__.py
@@ -0,0 +1,1 @@
+"""Records of the ``config`` and ``control`` streams of the log."""
--- /dev/null
+++ b/src/burdockgap/verdict/reason.py
@@ -0,0 +1,30 @@
+"""Why an attempt at a request did not bring the target's answer."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Reason(enum.Enum):
+    """The cause that is reported with a refusal or a failure."""
+
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_SERVICE = "unknown-service"
+    MISSING_KEY = "missing-key"
+    NOT_OWNER = "not-owner"
+    ACTIVATING = "activating"
+    NO_LEASE = "no-lease"
+    NO_OWNER = "no-owner"
+    DRAINING = "draining"
+    DATA_CENTRE_OUT = "data-centre-out"
+    QUEUE_FULL = "queue-full"
+    QUEUE_TIMEOUT = "queue-timeout"
+    TARGET_DOWN = "target-down"
+    TARGET_SHED = "target-shed"
+    TARGET_FAILED = "target-failed"
+    QUARANTINED = "quarantined"
+    DUPLICATE = "duplicate"
+    DEADLINE = "deadline"
+    UNREACHABLE = "unreachable"
+    CONNECTION_LOST = "connection-lost"
+    TRUNCATED = "truncated"
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
