--- /dev/null
+++ b/src/burdockgap/target/grant.py
@@ -0,0 +1,27 @@
+"""The fenced permission that a gate gives to its target."""
+
+from __future__ import annotations
+
+
+class Grant:
+    """
+    Permission to work on units until the lease ends.
+
+    :param session_id: the session that owns the units.
+    :param lease_s: seconds that the permission lasts from receipt.
+    :param epochs: epoch of each granted unit; replaces the set that
+        the target knew, ``None`` leaves that set as it is.
+    """
+
+    __slots__ = ("epochs", "lease_s", "session_id")
+
+    def __init__(
+        self,
+        *,
+        session_id: int,
+        lease_s: float,
+        epochs: dict[int, int] | None,
+    ) -> None:
+        self.session_id = session_id
+        self.lease_s = lease_s
+        self.epochs = epochs
--- /dev/null
+++ b/src/burdockgap/target/target_request.py
@@ -0,0 +1,55 @@
+"""A request as the gate gives it to its target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class TargetRequest:
+    """
+    One request for the target.
+
+    :param request_id: the caller's request id, also used to cancel.
+    :param method: HTTP method.
+    :param path: path with the query string.
+    :param headers: header names and values.
+    :param body: the body's parts as they arrive.
+    :param unit: the unit of a keyed request, else ``None``.
+    :param epoch: the unit's epoch, zero for unkeyed requests.
+    :param timeout_s: seconds that remain until the deadline.
+    """
+
+    __slots__ = (
+        "body",
+        "epoch",
+        "headers",
+        "method",
+        "path",
+        "request_id",
+        "timeout_s",
+        "unit",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: AsyncIterator[bytes],
+        unit: int | None,
+        epoch: int,
+        timeout_s: float,
+    ) -> None:
+        self.request_id = request_id
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.unit = unit
+        self.epoch = epoch
+        self.timeout_s = timeout_s
