--- /dev/null
+++ b/src/burdockgap/fold/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic folds of the log's streams into state."""
--- /dev/null
+++ b/src/burdockgap/fold/touched.py
@@ -0,0 +1,32 @@
+"""What one record changed."""
+
+from __future__ import annotations
+
+
+class Touched:
+    """
+    The effect of one record on the control state.
+
+    :param service: service of the touched units, "" if none.
+    :param units: the units whose owner, epoch or holders changed.
+    :param sessions: sessions that were admitted or ended.
+    :param counted: whether the record had an effect at all.
+    """
+
+    __slots__ = ("counted", "service", "sessions", "units")
+
+    def __init__(
+        self,
+        *,
+        service: str = "",
+        units: list[int] | None = None,
+        sessions: list[int] | None = None,
+        counted: bool = True,
+    ) -> None:
+        self.service = service
+        self.units = units or []
+        self.sessions = sessions or []
+        self.counted = counted
+
+
+VOID = Touched(counted=False)
--- /dev/null
+++ b/src/burdockgap/fold/unit_table.py
@@ -0,0 +1,151 @@
+"""The assignment of one keyed service's units."""
+
+from __future__ import annotations
+
+from array import array
+from typing import TYPE_CHECKING
+
+from burdockgap.ownership.unit import is_pin, pin_of, slice_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+_EPOCH_STEP = 2
+
+
+class UnitTable:
+    """
+    Owner, epoch and earlier holders of each unit of a service.
+
+    Slices are kept in arrays. Pins are few and kept in maps. Earlier
+    holders are kept only for units whose owner has not reported them
+    active yet.
+
+    :param slices: number of slices, a power of two.
+    """
+
+    __slots__ = (
+        "_earlier",
+        "_epochs",
+        "_owners",
+        "_pin_epochs",
+        "_pin_owners",
+        "slices",
+    )
+
+    def __init__(self, slices: int) -> None:
+        self.slices = slices
+        self._owners = array("Q", bytes(8 * slices))
+        self._epochs = array("Q", bytes(8 * slices))
+        self._pin_owners: dict[int, int] = {}
+        self._pin_epochs: dict[int, int] = {}
+        self._earlier: dict[int, tuple[int, ...]] = {}
+
+    def unit_of(self, key_hash: int) -> int:
+        """Return the unit that a key belongs to."""
+        pin = pin_of(key_hash)
+        if pin in self._pin_owners:
+            return pin
+        return slice_of(key_hash, self.slices)
+
+    def knows(self, unit: int) -> bool:
+        """Tell whether a unit exists."""
+        if is_pin(unit):
+            return unit in self._pin_owners
+        return 0 <= unit < self.slices
+
+    def owner(self, unit: int) -> int:
+        """Return the session that a unit is assigned to, or 0."""
+        if is_pin(unit):
+            return self._pin_owners.get(unit, 0)
+        return self._owners[unit]
+
+    def epoch(self, unit: int) -> int:
+        """Return a unit's epoch, 0 before the first assignment."""
+        if is_pin(unit):
+            return self._pin_epochs.get(unit, 0)
+        return self._epochs[unit]
+
+    def earlier(self, unit: int) -> tuple[int, ...]:
+        """Return the sessions that may hold a unit at a lower epoch."""
+        return self._earlier.get(unit, ())
+
+    def pins(self) -> list[int]:
+        """Return the pinned units."""
+        return list(self._pin_owners)
+
+    def units(self) -> Iterator[int]:
+        """Iterate over all units, slices first."""
+        yield from range(self.slices)
+        yield from self._pin_owners
+
+    def units_of(self, session_id: int) -> list[int]:
+        """Return the units that are assigned to a session."""
+        owned = [
+            index
+            for index, owner in enumerate(self._owners)
+            if owner == session_id
+        ]
+        owned += [
+            unit
+            for unit, owner in self._pin_owners.items()
+            if owner == session_id
+        ]
+        return owned
+
+    def assign(self, unit: int, owner: int, successor: int) -> None:
+        """
+        Give a unit to a new owner and raise its epoch by two.
+
+        :param owner: session id of the new owner.
+        :param successor: the previous owner's successor, or 0.
+        """
+        previous = self.owner(unit)
+        holders = [*self.earlier(unit), previous, successor]
+        self._earlier[unit] = tuple(
+            dict.fromkeys(holder for holder in holders if holder)
+        )
+        if not self._earlier[unit]:
+            del self._earlier[unit]
+        self._set(unit, owner, self.epoch(unit) + _EPOCH_STEP)
+
+    def activated(self, unit: int, epoch: int) -> bool:
+        """
+        Forget a unit's earlier holders after its owner's report.
+
+        :param epoch: the epoch that the owner reported.
+        :return: whether the report is about the current epoch.
+        """
+        if epoch != self.epoch(unit):
+            return False
+        self._earlier.pop(unit, None)
+        return True
+
+    def add_pin(self, unit: int) -> None:
+        """Make a key a unit that is held exactly as its slice is."""
+        parent = slice_of(unit, self.slices)
+        self._set(unit, self.owner(parent), self.epoch(parent))
+        if parent in self._earlier:
+            self._earlier[unit] = self._earlier[parent]
+
+    def remove_pin(self, unit: int) -> None:
+        """Return a pinned key to its slice."""
+        del self._pin_owners[unit]
+        del self._pin_epochs[unit]
+        self._earlier.pop(unit, None)
+
+    def restore(
+        self, unit: int, owner: int, epoch: int, earlier: tuple[int, ...]
+    ) -> None:
+        """Set a unit's whole state, as read from a snapshot."""
+        self._set(unit, owner, epoch)
+        if earlier:
+            self._earlier[unit] = earlier
+
+    def _set(self, unit: int, owner: int, epoch: int) -> None:
+        if is_pin(unit):
+            self._pin_owners[unit] = owner
+            self._pin_epochs[unit] = epoch
+        else:
+            self._owners[unit] = owner
+            self._epochs[unit] = epoch
--- /dev/null
+++ b/src/burdockgap/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Sole ownership of units through sessions."""
