--- /dev/null
+++ b/src/burdockgap/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on sessions and assignments."""
--- /dev/null
+++ b/src/burdockgap/coordinator/pinning.py
@@ -0,0 +1,71 @@
+"""Choice of the keys that become units of their own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockgap.ownership.unit import pin_of, slice_of
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from burdockgap.fold.unit_table import UnitTable
+
+_COOL_FACTOR = 0.25
+_HASH_MASK = (1 << 63) - 1
+
+
+def choose_pins(
+    table: UnitTable,
+    rates: Mapping[int, float],
+    *,
+    total: float,
+    share: float,
+    limit: int,
+) -> list[int]:
+    """
+    Return the unit ids of keys to pin, the hottest first.
+
+    :param rates: requests a second of the busiest keys, by hash.
+    :param total: requests a second of the whole service.
+    :param share: share of ``total`` from which a key is hot.
+    :param limit: largest number of pins of the service.
+    """
+    room = limit - len(table.pins())
+    hot = sorted(
+        (
+            key
+            for key, rate in rates.items()
+            if total > 0
+            and rate >= share * total
+            and not table.knows(pin_of(key))
+            and table.owner(slice_of(key, table.slices))
+        ),
+        key=lambda key: rates[key],
+        reverse=True,
+    )
+    return [pin_of(key) for key in hot[: max(room, 0)]]
+
+
+def choose_unpins(
+    table: UnitTable,
+    rates: Mapping[int, float],
+    *,
+    total: float,
+    share: float,
+) -> list[int]:
+    """
+    Return pinned units that have cooled and may join their slice.
+
+    A pin returns only while its owner also owns its slice.
+    """
+    if total <= 0:
+        return []
+    return [
+        pin
+        for pin in table.pins()
+        if rates.get(pin & _HASH_MASK, 0.0) < _COOL_FACTOR * share * total
+        and table.owner(pin) == table.owner(slice_of(pin, table.slices))
+        and not table.earlier(pin)
+        and not table.earlier(slice_of(pin, table.slices))
+    ]
--- /dev/null
+++ b/src/burdockgap/coordinator/roster.py
@@ -0,0 +1,58 @@
+"""Which sessions may be given units."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from burdockgap.fold.config_state import ConfigState
+    from burdockgap.fold.control_state import ControlState
+
+
+class Roster:
+    """
+    The sessions of one service that may own units now.
+
+    :param control: the known sessions.
+    :param config: data centres and targets that are out of service.
+    :param service: the keyed service.
+    :param leaving: sessions that gave notice.
+    :ivar eligible: sessions that may own units.
+    :ivar replacement: the newest session of the same process run, for
+        each older one.
+    """
+
+    __slots__ = ("eligible", "replacement")
+
+    def __init__(
+        self,
+        *,
+        control: ControlState,
+        config: ConfigState,
+        service: str,
+        leaving: set[int],
+    ) -> None:
+        self.eligible: list[int] = []
+        self.replacement = replacements(control)
+        for entry in control.sessions.values():
+            if (
+                entry.service == service
+                and entry.session_id not in leaving
+                and entry.session_id not in self.replacement
+                and entry.data_centre not in config.data_centres_out
+                and entry.name not in config.draining
+            ):
+                self.eligible.append(entry.session_id)
+
+
+def replacements(control: ControlState) -> dict[int, int]:
+    """Return the newest session of each older one's process run."""
+    newest = {
+        entry.incarnation: session_id
+        for session_id, entry in control.sessions.items()
+    }
+    return {
+        session_id: newest[entry.incarnation]
+        for session_id, entry in control.sessions.items()
+        if newest[entry.incarnation] != session_id
+    }
--- /dev/null
+++ b/src/burdockgap/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: its parts, put together."""
--- /dev/null
+++ b/src/burdockgap/daemon/backend.py
@@ -0,0 +1,259 @@
+"""The daemon behind the administration API."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+from returns.result import Failure
+
+import burdockgap
+from burdockgap.admin import ChangeOutcome, ChangeVerdict
+from burdockgap.admin.views import (
+    AuditView,
+    ConfigView,
+    DaemonView,
+    DataCentreView,
+    OwnerView,
+    StatusView,
+    TargetView,
+)
+from burdockgap.ownership.unit import hash_key, is_pin, slice_of
+from burdockgap.platform.write_error import WriteState
+from burdockgap.records.config_change import ConfigChange
+from burdockgap.records.end_session import EndSession
+from burdockgap.records.streams import CONFIG, CONTROL
+from burdockgap.wire.ids import new_id, show_id
+
+if TYPE_CHECKING:
+    from burdockgap.admin import Change
+    from burdockgap.daemon.core import Core
+    from burdockgap.daemon.role_tasks import RoleTasks
+    from burdockgap.fold.messages.audit_entry import AuditEntry
+    from burdockgap.platform.write_error import WriteError
+    from burdockgap.records.session_entry import SessionEntry
+    from burdockgap.target import TargetInfo
+
+_CHANGE_TIMEOUT_S = 8.0
+
+
+class Backend:
+    """
+    Answers operators from the folds and appends their changes.
+
+    :param core: the daemon's parts.
+    :param roles: the daemon's roles.
+    """
+
+    __slots__ = ("_core", "_roles")
+
+    def __init__(self, core: Core, roles: RoleTasks) -> None:
+        self._core = core
+        self._roles = roles
+
+    def readiness(self) -> str:
+        """Return why the daemon takes no requests, "" if it does."""
+        if self._core.leaving:
+            return "the daemon is stopping"
+        side = self._roles.side
+        if side is None:
+            return "no target has announced itself"
+        now = self._core.clock.now()
+        held = [s for s in side.sessions.admitted() if s.is_held(now)]
+        return "" if held else "the daemon holds no lease"
+
+    async def status(self) -> StatusView:
+        """Return the state of the daemon and of the system."""
+        core = self._core
+        reason = self.readiness()
+        claim = core.folds.control.coordinator
+        return StatusView(
+            name=core.identity.name,
+            data_centre=core.identity.data_centre,
+            region=core.identity.region,
+            program_version=burdockgap.__version__,
+            ready=not reason,
+            reason=reason,
+            log_reachable=all(tail.healthy for tail in core.tails.values()),
+            config_version=core.folds.config.version,
+            config_offset=core.folds.offset(CONFIG),
+            control_offset=core.folds.offset(CONTROL),
+            term=core.folds.control.term,
+            coordinator=claim.name if claim else "",
+            target=self._target(),
+            data_centres=self._data_centres(),
+            daemons=[
+                self._daemon(entry)
+                for entry in core.folds.control.sessions.values()
+            ],
+        )
+
+    async def owner(self, service: str, key: str) -> OwnerView | None:
+        """
+        Return who owns a key.
+
+        :return: ``None`` if no such keyed service is known.
+        """
+        control = self._core.folds.control
+        table = control.tables.get(service)
+        if table is None:
+            return None
+        unit = table.unit_of(hash_key(key))
+        owner = table.owner(unit)
+        entry = control.sessions.get(owner)
+        heir = control.sessions.get(control.successor(service, unit))
+        return OwnerView(
+            service=service,
+            key=key,
+            slice_index=slice_of(unit, table.slices),
+            pinned=is_pin(unit),
+            epoch=table.epoch(unit),
+            session_id=show_id(owner) if owner else "",
+            daemon=entry.name if entry else "",
+            peer_address=entry.peer_address if entry else "",
+            http_address=entry.http_address if entry else "",
+            successor=heir.name if heir else "",
+        )
+
+    async def audit(self, limit: int) -> list[AuditView]:
+        """Return at most ``limit`` changes, the newest first."""
+        newest = reversed(self._core.folds.audit)
+        return [_audit_view(entry) for entry in newest][:limit]
+
+    async def config(self) -> ConfigView:
+        """Return the configuration in force."""
+        config = self._core.folds.config
+        return ConfigView(version=config.version, document=config.text)
+
+    async def change(
+        self, change: Change, *, author: str, against: int | None
+    ) -> ChangeOutcome:
+        """
+        Append a change and wait until it is folded.
+
+        :param change: what to change.
+        :param author: who changes it.
+        :param against: the version it is made against, ``None`` for
+            the version that the daemon has.
+        """
+        config = self._core.folds.config
+        if isinstance(change, EndSession) and not self._knows(change):
+            return ChangeOutcome(
+                verdict=ChangeVerdict.NOT_FOUND,
+                version=config.version,
+                reason="no such session is live; see the status",
+            )
+        record = ConfigChange(
+            record_id=new_id(),
+            at=self._core.clock.wall(),
+            author=author,
+            against=config.version if against is None else against,
+            change=change,
+        )
+        written = await self._core.writer.append_once(
+            CONFIG, record, _CHANGE_TIMEOUT_S
+        )
+        if isinstance(written, Failure) or not is_successful(written):
+            return self._not_written(written.failure())
+        return self._decided(record.record_id)
+
+    async def announce(self, info: TargetInfo) -> None:
+        """Take up the target beside the daemon, or its new state."""
+        await self._roles.announce(info)
+
+    async def leaving(self) -> None:
+        """Send no new work to the target, since it is about to stop."""
+        await self._roles.target_leaving()
+
+    def _knows(self, change: EndSession) -> bool:
+        return self._core.folds.control.is_live(change.session_id)
+
+    def _not_written(self, error: WriteError) -> ChangeOutcome:
+        unknown = error.state is WriteState.UNKNOWN
+        return ChangeOutcome(
+            verdict=ChangeVerdict.UNKNOWN
+            if unknown
+            else ChangeVerdict.LOG_UNAVAILABLE,
+            version=self._core.folds.config.version,
+            reason=error.reason,
+        )
+
+    def _decided(self, record_id: int) -> ChangeOutcome:
+        config = self._core.folds.config
+        decision = config.decision_of(record_id)
+        if decision is None:
+            return ChangeOutcome(
+                verdict=ChangeVerdict.UNKNOWN,
+                version=config.version,
+                reason="the decision is not kept any more; see the audit",
+            )
+        verdict = (
+            ChangeVerdict.ACCEPTED
+            if decision.accepted
+            else ChangeVerdict.REJECTED
+        )
+        return ChangeOutcome(
+            verdict=verdict, version=decision.version, reason=decision.reason
+        )
+
+    def _target(self) -> TargetView | None:
+        side = self._roles.side
+        if side is None:
+            return None
+        info = side.slot.info
+        stats = side.gate.stats
+        return TargetView(
+            service=info.service,
+            url=info.url,
+            boot_id=info.boot_id,
+            slots=info.slots,
+            checks_grants=info.checks_grants,
+            healthy=side.gate.progressing,
+            leaving=side.target_leaves,
+            in_flight=stats.in_flight,
+            limit=stats.limit,
+        )
+
+    def _data_centres(self) -> list[DataCentreView]:
+        folds = self._core.folds
+        daemons: dict[str, set[str]] = {
+            name: set() for name in folds.config.data_centres_out
+        }
+        for entry in folds.control.sessions.values():
+            daemons.setdefault(entry.data_centre, set()).add(entry.name)
+        return [
+            DataCentreView(
+                name=name,
+                out=name in folds.config.data_centres_out,
+                daemons=len(members),
+            )
+            for name, members in sorted(daemons.items())
+        ]
+
+    def _daemon(self, entry: SessionEntry) -> DaemonView:
+        folds = self._core.folds
+        table = folds.control.tables.get(entry.service)
+        return DaemonView(
+            name=entry.name,
+            session_id=show_id(entry.session_id),
+            service=entry.service,
+            data_centre=entry.data_centre,
+            region=entry.region,
+            peer_address=entry.peer_address,
+            http_address=entry.http_address,
+            draining=entry.name in folds.config.draining,
+            units=len(table.units_of(entry.session_id)) if table else 0,
+        )
+
+
+def _audit_view(entry: AuditEntry) -> AuditView:
+    return AuditView(
+        offset=entry.offset,
+        at=entry.at,
+        author=entry.author,
+        against=entry.against,
+        change=entry.what,
+        accepted=entry.accepted,
+        version=entry.version,
+        reason=entry.reason,
+    )
--- /dev/null
+++ b/src/burdockgap/daemon/coordinator_client.py
@@ -0,0 +1,125 @@
+"""Calls to whoever is coordinator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, cast
+
+from burdockgap.peer.messages.done import Done
+from burdockgap.peer.method import ACTIVATION, JOIN, LEAVE, LOAD
+from burdockgap.peer.pool import PEER_ERRORS
+
+if TYPE_CHECKING:
+    from burdockgap.clock import Clock
+    from burdockgap.coordinator.candidacy import Candidacy
+    from burdockgap.coordinator.coordinator import Coordinator
+    from burdockgap.fold.folds import Folds
+    from burdockgap.ownership.messages.activation_report import (
+        ActivationReport,
+    )
+    from burdockgap.peer.messages.join import Join
+    from burdockgap.peer.messages.leave import Leave
+    from burdockgap.peer.messages.load_report import LoadReport
+    from burdockgap.peer.method import Method
+    from burdockgap.peer.pool import PeerPool
+    from burdockgap.wire import Message
+
+_CALL_TIMEOUT_S = 1.0
+
+
+class CoordinatorClient:
+    """
+    Tells the coordinator and notices when it does not listen.
+
+    :param folds: name the coordinator.
+    :param pool: connections to peers.
+    :param local: this daemon's own coordinator role.
+    :param candidacy: told when the coordinator is silent for long.
+    :param clock: source of elapsed time.
+    :param claim_after_s: seconds of silence that are tolerated.
+    """
+
+    __slots__ = (
+        "_candidacy",
+        "_claim_after_s",
+        "_clock",
+        "_folds",
+        "_local",
+        "_pool",
+        "_silent_since",
+    )
+
+    def __init__(
+        self,
+        *,
+        folds: Folds,
+        pool: PeerPool,
+        local: Coordinator,
+        candidacy: Candidacy,
+        clock: Clock,
+        claim_after_s: float,
+    ) -> None:
+        self._folds = folds
+        self._pool = pool
+        self._local = local
+        self._candidacy = candidacy
+        self._clock = clock
+        self._claim_after_s = claim_after_s
+        self._silent_since: float | None = None
+
+    async def join(self, msg: Join) -> bool:
+        """Ask for admission; true if the coordinator heard it."""
+        if self._local.is_elected():
+            return (await self._local.join(msg)).taken
+        return await self._call(JOIN, msg)
+
+    async def leave(self, msg: Leave) -> bool:
+        """Ask to give up a session; true if it was heard."""
+        if self._local.is_elected():
+            return (await self._local.leave(msg)).taken
+        return await self._call(LEAVE, msg)
+
+    async def load(self, msg: LoadReport) -> bool:
+        """Report load; true if it was heard."""
+        if self._local.is_elected():
+            return (await self._local.load(msg)).taken
+        return await self._call(LOAD, msg)
+
+    async def activation(self, msg: ActivationReport) -> None:
+        """
+        Report activated units.
+
+        :raises ConnectionError: if the coordinator did not hear it.
+        """
+        if self._local.is_elected():
+            await self._local.activation(msg)
+        elif not await self._call(ACTIVATION, msg):
+            raise ConnectionError("the coordinator did not answer")
+
+    async def _call(self, method: Method, msg: Message) -> bool:
+        claim = self._folds.control.coordinator
+        if claim is None:
+            self._candidacy.coordinator_silent()
+            return False
+        try:
+            reply = await self._pool.call(
+                claim.peer_address, method, msg, _CALL_TIMEOUT_S
+            )
+        except PEER_ERRORS:
+            self._note_silence()
+            return False
+        return self._note_reply(cast("Done", reply).taken)
+
+    def _note_reply(self, taken: bool) -> bool:
+        if taken:
+            self._silent_since = None
+        else:
+            self._note_silence()
+        return taken
+
+    def _note_silence(self) -> None:
+        now = self._clock.now()
+        if self._silent_since is None:
+            self._silent_since = now
+        if now - self._silent_since >= self._claim_after_s:
+            self._silent_since = None
+            self._candidacy.coordinator_silent()
--- /dev/null
+++ b/src/burdockgap/daemon/peer_releases.py
@@ -0,0 +1,46 @@
+"""Asking peers for releases."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, cast
+
+from burdockgap.ownership.release_error import ReleaseError
+from burdockgap.peer.method import RELEASE
+from burdockgap.peer.pool import PEER_ERRORS
+
+if TYPE_CHECKING:
+    from burdockgap.ownership.messages.release import Release
+    from burdockgap.ownership.messages.released import Released
+    from burdockgap.peer.pool import PeerPool
+    from burdockgap.records.session_entry import SessionEntry
+
+
+class PeerReleases:
+    """
+    Calls the releaser of other daemons.
+
+    :param pool: connections to peers.
+    :param timeout_s: seconds to wait for an answer.
+    """
+
+    __slots__ = ("_pool", "_timeout_s")
+
+    def __init__(self, pool: PeerPool, timeout_s: float) -> None:
+        self._pool = pool
+        self._timeout_s = timeout_s
+
+    async def release(
+        self, session: SessionEntry, request: Release
+    ) -> Released:
+        """
+        Ask a session's daemon for a release.
+
+        :raises ReleaseError: if there is no answer or a refusal.
+        """
+        try:
+            reply = await self._pool.call(
+                session.peer_address, RELEASE, request, self._timeout_s
+            )
+        except PEER_ERRORS as exc:
+            raise ReleaseError(f"{session.name}: {exc!r}") from exc
+        return cast("Released", reply)
--- /dev/null
+++ b/src/burdockgap/daemon/serve.py
@@ -0,0 +1,105 @@
+"""Running of a daemon from start to stop."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from burdockgap.admin import AdminApp
+from burdockgap.daemon.backend import Backend
+from burdockgap.daemon.core import open_core
+from burdockgap.daemon.listener import serve_http
+from burdockgap.daemon.role_tasks import RoleTasks
+from burdockgap.http.app import CallerApp
+from burdockgap.http.request_parser import RequestParser
+from burdockgap.peer.auth import PeerAuth
+from burdockgap.peer.method import ACTIVATION, JOIN, LEAVE, LOAD, PULL
+from burdockgap.peer.service import PeerService, serve_peers
+
+if TYPE_CHECKING:
+    from burdockgap.daemon.core import Core
+    from burdockgap.settings import Settings
+
+_ADMIN_HEADER_BYTES = 16384
+_POLL_S = 0.05
+
+
+def run_daemon(settings: Settings) -> int:
+    """
+    Run a daemon until it is told to stop.
+
+    :return: 0 if nothing was cut off, else 1.
+    """
+    return anyio.run(_run, settings)
+
+
+async def _run(settings: Settings) -> int:
+    async with open_core(settings) as core:
+        roles = RoleTasks(core)
+        callers = CallerApp(
+            parser=RequestParser(folds=core.folds, clock=core.clock),
+            router=core.router,
+            clock=core.clock,
+            metrics=core.metrics,
+        )
+        admin = AdminApp(
+            Backend(core, roles), core.metrics, token=settings.admin.token
+        )
+        service = _peer_service(core, roles)
+        async with (
+            serve_peers(service, settings.peer.bind),
+            serve_http(
+                callers,
+                settings.http.bind,
+                header_bytes=settings.http.max_header_bytes,
+            ),
+            serve_http(
+                admin,
+                settings.admin.bind,
+                header_bytes=_ADMIN_HEADER_BYTES,
+            ),
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(roles.run)
+            logger.info("daemon {} started", core.identity.name)
+            await _wait_for_stop()
+            clean = await _leave(core, roles, callers)
+            tasks.cancel_scope.cancel()
+    logger.info("daemon {} stopped", core.identity.name)
+    return 0 if clean else 1
+
+
+def _peer_service(core: Core, roles: RoleTasks) -> PeerService:
+    service = PeerService(
+        auth=PeerAuth(core.settings.peer.secret.encode()),
+        metrics=core.metrics,
+        forward=core.forward_handler,
+    )
+    service.add(JOIN, core.coordinator.join)
+    service.add(LEAVE, core.coordinator.leave)
+    service.add(ACTIVATION, core.coordinator.activation)
+    service.add(LOAD, core.coordinator.load)
+    service.add(PULL, core.catch_up.answer)
+    roles.add_calls(service)
+    return service
+
+
+async def _wait_for_stop() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logger.info("told to stop by {}", number.name)
+            return
+
+
+async def _leave(core: Core, roles: RoleTasks, callers: CallerApp) -> bool:
+    """Refuse new work, hand over, and let work in flight end."""
+    core.leaving = True
+    callers.leaving = True
+    clean = await roles.leave()
+    with anyio.move_on_after(core.settings.drain.request_timeout_s):
+        while callers.in_flight:
+            await anyio.sleep(_POLL_S)
+    return clean and not callers.in_flight
--- /dev/null
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -0,0 +1,207 @@
+"""Keeps the daemon admitted under a sound session."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from burdockgap.daemon.replacement import is_worn
+from burdockgap.peer.messages.join import Join
+from burdockgap.peer.messages.leave import Leave
+from burdockgap.wire.ids import new_id, show_id
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from burdockgap.daemon.coordinator_client import CoordinatorClient
+    from burdockgap.daemon.identity import Identity
+    from burdockgap.fold.folds import Folds
+    from burdockgap.lease.parties import Parties
+    from burdockgap.lease.sender import Sender
+    from burdockgap.ownership.grants import Grants
+    from burdockgap.ownership.own_session import OwnSession
+    from burdockgap.ownership.own_sessions import OwnSessions
+
+_JOIN_EVERY_S = 0.4
+_LEAVE_EVERY_S = 0.3
+_CHECK_EVERY_S = 0.5
+_WORN_AFTER_S = 3.0
+_WORN_SPREAD_S = 3.0
+
+
+class SessionKeeper:
+    """
+    Opens this daemon's sessions, one after another.
+
+    A new session is opened when the current one has ended or has lost a
+    witness or its successors. The coordinator then moves the units of
+    the older session to the newer one, and the older one is given up.
+
+    :param identity: who this process is.
+    :param slots: requests that the target can run at once.
+    :param sessions: this daemon's sessions.
+    :param folds: the known assignment.
+    :param client: calls to the coordinator.
+    :param grants: keeps the target's grants up to date.
+    :param parties: receivers of lease datagrams.
+    :param sender: sends lease datagrams.
+    :param witnesses: number of witnesses that a session should have.
+    """
+
+    __slots__ = (
+        "_client",
+        "_folds",
+        "_grants",
+        "_identity",
+        "_leaving",
+        "_parties",
+        "_sender",
+        "_sessions",
+        "_slots",
+        "_tasks",
+        "_witnesses",
+    )
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        slots: int,
+        sessions: OwnSessions,
+        folds: Folds,
+        client: CoordinatorClient,
+        grants: Grants,
+        parties: Parties,
+        sender: Sender,
+        witnesses: int,
+    ) -> None:
+        self._identity = identity
+        self._slots = slots
+        self._sessions = sessions
+        self._folds = folds
+        self._client = client
+        self._grants = grants
+        self._parties = parties
+        self._sender = sender
+        self._witnesses = witnesses
+        self._leaving = False
+        self._tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Keep a session until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                if self._leaving:
+                    await anyio.sleep(_CHECK_EVERY_S)
+                    continue
+                older = self._sessions.admitted()
+                session = self._open(tasks)
+                await self._join(session)
+                for replaced in older:
+                    tasks.start_soon(self._retire, replaced)
+                await self._until_due(session)
+
+    async def move_away(self, timeout_s: float) -> bool:
+        """
+        Ask for all units to be moved to other daemons and wait for it.
+
+        :return: whether the sessions hold nothing any more.
+        """
+        self._leaving = True
+        with anyio.move_on_after(timeout_s):
+            while self._holds_units():
+                for session in self._sessions.admitted():
+                    await self._leave(session, final=False)
+                await anyio.sleep(_LEAVE_EVERY_S)
+        return not self._holds_units()
+
+    async def leave(self, timeout_s: float) -> bool:
+        """
+        Give up all sessions for good and wait until that is recorded.
+
+        Call it only when no work is in flight and none is taken.
+
+        :return: whether it was recorded in time.
+        """
+        self._leaving = True
+        with anyio.move_on_after(timeout_s):
+            while sessions := self._sessions.admitted():
+                for session in sessions:
+                    session.holdings.clear()
+                    await self._leave(session, final=True)
+                await anyio.sleep(_LEAVE_EVERY_S)
+        return not self._sessions.admitted()
+
+    def come_back(self) -> None:
+        """Open sessions again after :meth:`leave`."""
+        self._leaving = False
+
+    def _open(self, tasks: TaskGroup) -> OwnSession:
+        session = self._sessions.open(new_id())
+        tasks.start_soon(session.run, self._parties, self._sender)
+        tasks.start_soon(self._grants.run, session)
+        return session
+
+    async def _join(self, session: OwnSession) -> None:
+        msg = Join(
+            session_id=session.session_id,
+            incarnation=self._identity.incarnation,
+            name=self._identity.name,
+            service=self._sessions.service,
+            data_centre=self._identity.data_centre,
+            region=self._identity.region,
+            peer_address=self._identity.peer_address,
+            http_address=self._identity.http_address,
+            slots=self._slots,
+            replaces=0,
+        )
+        while not session.admitted.is_set():
+            await self._client.join(msg)
+            with anyio.move_on_after(_JOIN_EVERY_S):
+                await session.admitted.wait()
+        logger.info("session {} is open", show_id(session.session_id))
+
+    async def _until_due(self, session: OwnSession) -> None:
+        """Wait until the session has ended or should be replaced."""
+        worn_s = 0.0
+        patience_s = _WORN_AFTER_S + random.random() * _WORN_SPREAD_S
+        while not session.ended.is_set() and worn_s < patience_s:
+            with anyio.move_on_after(_CHECK_EVERY_S):
+                await session.ended.wait()
+            worn_s = worn_s + _CHECK_EVERY_S if self._is_worn(session) else 0
+        if not session.ended.is_set():
+            logger.info("session {} is replaced", show_id(session.session_id))
+
+    def _is_worn(self, session: OwnSession) -> bool:
+        entry = self._folds.control.sessions.get(session.session_id)
+        if entry is None or self._leaving:
+            return False
+        return is_worn(self._folds.control, entry, witnesses=self._witnesses)
+
+    async def _retire(self, session: OwnSession) -> None:
+        """Give up a replaced session once it owns nothing any more."""
+        while not session.ended.is_set():
+            if not self._owns_units(session):
+                await self._leave(session, final=True)
+            with anyio.move_on_after(_LEAVE_EVERY_S):
+                await session.ended.wait()
+
+    async def _leave(self, session: OwnSession, *, final: bool) -> None:
+        msg = Leave(session_id=session.session_id, final=final)
+        await self._client.leave(msg)
+
+    def _holds_units(self) -> bool:
+        return any(
+            self._owns_units(session) for session in self._sessions.admitted()
+        )
+
+    def _owns_units(self, session: OwnSession) -> bool:
+        """Tell whether a session owns, holds or is releasing units."""
+        if session.holdings.active:
+            return True
+        table = self._sessions.table()
+        return table is not None and bool(table.units_of(session.session_id))
--- /dev/null
+++ b/src/burdockgap/http/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: HTTP in, verdicts out."""
--- /dev/null
+++ b/src/burdockgap/http/headers.py
@@ -0,0 +1,30 @@
+"""Names of the headers that callers and the system exchange."""
+
+from __future__ import annotations
+
+SERVICE = "burdockgap-service"
+KEY = "burdockgap-key"
+REQUEST_ID = "burdockgap-request-id"
+IDEMPOTENT = "burdockgap-idempotent"
+TIMEOUT_MS = "burdockgap-timeout-ms"
+VERDICT = "burdockgap-verdict"
+REASON = "burdockgap-reason"
+OWNER = "burdockgap-owner"
+OWNER_ADDRESS = "burdockgap-owner-address"
+
+PREFIX = "burdockgap-"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection and are not passed on."""
--- /dev/null
+++ b/src/burdockgap/load/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the load of units and keys."""
--- /dev/null
+++ b/src/burdockgap/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between daemons over gRPC."""
--- /dev/null
+++ b/src/burdockgap/peer/forward.py
@@ -0,0 +1,185 @@
+"""Forwarding of a request to the gate of a peer."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from grpclib.const import Cardinality
+from grpclib.exceptions import ProtocolError
+
+from burdockgap.peer.messages.body_part import BodyPart
+from burdockgap.peer.messages.forward_head import ForwardHead
+from burdockgap.peer.messages.reply_refusal import ReplyRefusal
+from burdockgap.peer.method import (
+    FORWARD_PATH,
+    FORWARD_REPLY,
+    FORWARD_REQUEST,
+)
+from burdockgap.peer.pool import PEER_ERRORS
+from burdockgap.router.route_reply import RouteReply
+from burdockgap.tasks.background import background
+from burdockgap.verdict import Reason, Refusal, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from burdockgap.gate.gate_request import GateRequest
+    from burdockgap.peer.messages.reply_head import ReplyHead
+    from burdockgap.peer.pool import PeerPool
+    from burdockgap.records.session_entry import SessionEntry
+    from burdockgap.router.server_stats import ServerStats
+
+_CONNECT_TIMEOUT_S = 0.5
+_BODY_SILENCE_S = 30.0
+
+
+@asynccontextmanager
+async def forward(
+    pool: PeerPool,
+    entry: SessionEntry,
+    req: GateRequest,
+    timeout_s: float,
+    stats: ServerStats,
+) -> AsyncIterator[RouteReply]:
+    """
+    Forward a request and receive the answer's head.
+
+    Leaving the context early cancels the request at the peer.
+
+    :param entry: the session of the peer.
+    :param timeout_s: seconds until the attempt is given up.
+    :param stats: where the load that rides on the reply is noted.
+    :raises Refusal: ``not-run`` if the peer was not reached or its gate
+        said so, else ``may-have-run``.
+    """
+    async with _open_stream(pool, entry, timeout_s) as stream:
+        await _send_head(stream, entry, req, timeout_s)
+        async with background(_send_body, stream, req):
+            head = await _receive_head(stream, entry, timeout_s)
+            stats.load(in_flight=head.in_flight, limit=head.limit)
+            if isinstance(head, ReplyRefusal):
+                raise _refusal_of(head)
+            yield RouteReply(
+                status=head.status,
+                headers=[(name, value) for name, value in head.headers],
+                body=_receive_body(stream),
+                owner=head.name,
+                owner_address=entry.http_address,
+            )
+
+
+@asynccontextmanager
+async def _open_stream(
+    pool: PeerPool, entry: SessionEntry, timeout_s: float
+) -> AsyncIterator[Any]:
+    try:
+        with anyio.fail_after(min(_CONNECT_TIMEOUT_S, timeout_s)):
+            conn = await pool.connection(entry.peer_address)
+            stream = conn.channel.request(
+                FORWARD_PATH,
+                Cardinality.STREAM_STREAM,
+                FORWARD_REQUEST,
+                FORWARD_REPLY,
+                metadata=conn.metadata,
+            )
+            await stream.__aenter__()
+            await stream.send_request()
+    except PEER_ERRORS as exc:
+        raise Refusal(
+            Verdict.NOT_RUN, Reason.UNREACHABLE, f"{entry.name}: {exc!r}"
+        ) from exc
+    try:
+        yield stream
+    finally:
+        with anyio.CancelScope(shield=True):
+            await _close_stream(stream)
+
+
+async def _close_stream(stream: Any) -> None:
+    try:
+        await stream.cancel()
+    except (*PEER_ERRORS, ProtocolError):
+        pass
+    finally:
+        await stream.__aexit__(None, None, None)
+
+
+async def _send_head(
+    stream: Any, entry: SessionEntry, req: GateRequest, timeout_s: float
+) -> None:
+    head = ForwardHead(
+        request_id=req.request_id,
+        service=req.service,
+        method=req.method,
+        path=req.path,
+        headers=[[name, value] for name, value in req.headers],
+        key_hash=req.key_hash,
+        idempotent=req.idempotent,
+        timeout_s=timeout_s,
+        fingerprint=req.fingerprint,
+    )
+    try:
+        await stream.send_message(head)
+    except PEER_ERRORS as exc:
+        raise _lost(entry, exc) from exc
+
+
+async def _send_body(stream: Any, req: GateRequest) -> None:
+    try:
+        async for data in req.body:
+            await stream.send_message(BodyPart(data=data))
+        await stream.end()
+    except (*PEER_ERRORS, ProtocolError):
+        return
+
+
+async def _receive_head(
+    stream: Any, entry: SessionEntry, timeout_s: float
+) -> ReplyHead | ReplyRefusal:
+    try:
+        with anyio.fail_after(timeout_s):
+            head: ReplyHead | ReplyRefusal | None = await stream.recv_message()
+    except TimeoutError as exc:
+        raise Refusal(
+            Verdict.MAY_HAVE_RUN,
+            Reason.DEADLINE,
+            f"{entry.name} gave no answer in {timeout_s:.3f} s",
+        ) from exc
+    except PEER_ERRORS as exc:
+        raise _lost(entry, exc) from exc
+    if head is None:
+        raise _lost(entry, None)
+    return head
+
+
+async def _receive_body(stream: Any) -> AsyncIterator[bytes]:
+    try:
+        while True:
+            with anyio.fail_after(_BODY_SILENCE_S):
+                part = await stream.recv_message()
+            if part is None:
+                await stream.recv_trailing_metadata()
+                return
+            yield part.data
+    except (*PEER_ERRORS, ProtocolError) as exc:
+        raise Refusal(
+            Verdict.MAY_HAVE_RUN,
+            Reason.TRUNCATED,
+            f"the answer ended early: {exc!r}",
+        ) from exc
+
+
+def _lost(entry: SessionEntry, exc: Exception | None) -> Refusal:
+    return Refusal(
+        Verdict.MAY_HAVE_RUN,
+        Reason.CONNECTION_LOST,
+        f"the connection to {entry.name} was lost: {exc!r}",
+    )
+
+
+def _refusal_of(msg: ReplyRefusal) -> Refusal:
+    return Refusal(
+        Verdict(msg.verdict), Reason(msg.reason), msg.detail, owner=msg.owner
+    )
--- /dev/null
+++ b/src/burdockgap/peer/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Messages of the calls between daemons."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/burdockgap/peer/messages/body_part.py
@@ -0,0 +1,25 @@
+"""A part of a body."""
+
+from __future__ import annotations
+
+from burdockgap.wire.message import Message
+
+
+class BodyPart(Message):
+    """
+    A part of a request's or an answer's body.
+
+    :param data: the bytes, not empty.
+    """
+
+    __slots__ = (
+        "data",
+    )
+    TAG = 61
+
+    def __init__(
+        self,
+        *,
+        data: bytes,
+    ) -> None:
+        self.data = data
--- /dev/null
+++ b/src/burdockgap/peer/messages/ping.py
@@ -0,0 +1,15 @@
+"""A probe of a connection."""
+
+from __future__ import annotations
+
+from burdockgap.wire.message import Message
+
+
+class Ping(Message):
+    """
+    Asks for any answer.
+
+    """
+
+    __slots__ = ()
+    TAG = 71
--- /dev/null
+++ b/src/burdockgap/router/replay_body.py
@@ -0,0 +1,56 @@
+"""A request body that can be sent again while it is short."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_REPLAY_BYTES = 64 * 1024
+
+
+class ReplayBody:
+    """
+    Hands a caller's body to one attempt after another.
+
+    The first bytes are kept for later attempts. Once more than 64 KiB
+    have been read the start is forgotten and no other attempt may be
+    made, so memory stays bounded.
+
+    :param source: the parts as the caller sends them.
+    """
+
+    __slots__ = ("_kept", "_kept_bytes", "_source", "replayable")
+
+    def __init__(self, source: AsyncIterator[bytes]) -> None:
+        self._source = source
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+        self.replayable = True
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the whole body from its start."""
+        for part in list(self._kept):
+            yield part
+        async for part in self._source:
+            self._keep(part)
+            yield part
+
+    async def peek(self, size: int) -> bytes:
+        """Read ahead and return at most the first ``size`` bytes."""
+        while self._kept_bytes < size:
+            part = await anext(self._source, None)
+            if part is None:
+                break
+            self._keep(part)
+        return b"".join(self._kept)[:size]
+
+    def _keep(self, part: bytes) -> None:
+        if not self.replayable:
+            return
+        self._kept.append(part)
+        self._kept_bytes += len(part)
+        if self._kept_bytes > _REPLAY_BYTES:
+            self.replayable = False
+            self._kept.clear()
--- /dev/null
+++ b/src/burdockgap/router/route_reply.py
@@ -0,0 +1,38 @@
+"""The answer to a routed request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class RouteReply:
+    """
+    A target's answer and who gave it.
+
+    :param status: HTTP status code.
+    :param headers: header names and values.
+    :param body: the parts as they arrive; raises ``Refusal`` if the
+        answer ends early.
+    :param owner: name of the daemon beside the target.
+    :param owner_address: its ``ip:port`` for callers.
+    """
+
+    __slots__ = ("body", "headers", "owner", "owner_address", "status")
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: AsyncIterator[bytes],
+        owner: str,
+        owner_address: str,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.owner = owner
+        self.owner_address = owner_address
--- /dev/null
+++ b/src/burdockgap/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for tasks."""
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Stand-ins for the platform's log, targets, callers and a site."""
--- /dev/null
+++ b/standins/cluster/cluster.py
@@ -0,0 +1,150 @@
+"""The site: a log, daemons and targets."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpx
+
+from standins.cluster.process import Process
+from standins.cluster.server import TOKEN, Server
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from standins.cluster.server_plan import ServerPlan
+
+_START_TIMEOUT_S = 40.0
+_POLL_S = 0.1
+_FIRST_HOST = 10
+_LOG_HOST = 1
+
+
+class Cluster:
+    """
+    Processes of one site, each server with a loopback IP of its own.
+
+    :param folder: where settings and outputs go.
+    :param plans: the servers.
+    :param extra: further settings of every daemon as TOML text.
+    :ivar log: the platform's stand-in.
+    :ivar servers: the servers by name.
+    """
+
+    __slots__ = ("_extra", "_prefix", "folder", "log", "log_url", "servers")
+
+    def __init__(
+        self, *, folder: Path, plans: Sequence[ServerPlan], extra: str = ""
+    ) -> None:
+        rng = random.SystemRandom()
+        self._prefix = f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}"
+        self._extra = extra
+        self.folder = folder
+        host = f"{self._prefix}.{_LOG_HOST}"
+        self.log_url = f"http://{host}:5050"
+        self.log = Process(
+            "log",
+            ["-m", "standins.platform_log", "--host", host, "--port", "5050"],
+            folder,
+        )
+        self.servers: dict[str, Server] = {}
+        for plan in plans:
+            self.add(plan)
+
+    def add(self, plan: ServerPlan) -> Server:
+        """Plan one more server; it is not started."""
+        server = Server(
+            plan=plan,
+            address=f"{self._prefix}.{_FIRST_HOST + len(self.servers)}",
+            log_url=self.log_url,
+            folder=self.folder,
+            extra=self._extra,
+        )
+        self.servers[plan.name] = server
+        return server
+
+    def processes(self) -> list[Process]:
+        """Return all processes, the log first."""
+        found = [self.log]
+        for server in self.servers.values():
+            found += [server.daemon, server.target]
+        return found
+
+    async def start(self) -> None:
+        """Start everything and wait until every daemon is ready."""
+        self.log.start()
+        await self.log.port()
+        for server in self.servers.values():
+            server.start()
+        await self.wait_admitted(list(self.servers.values()))
+
+    async def wait_admitted(self, servers: Sequence[Server]) -> None:
+        """
+        Wait until daemons hold a session.
+
+        :raises TimeoutError: if one of them does not get there.
+        """
+        async with self.operator() as client:
+            with anyio.fail_after(_START_TIMEOUT_S):
+                for server in servers:
+                    while not await _is_ready(client, server):
+                        await anyio.sleep(_POLL_S)
+
+    @asynccontextmanager
+    async def operator(self) -> AsyncIterator[httpx.AsyncClient]:
+        """Open a client with the operators' token."""
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        async with httpx.AsyncClient(headers=headers, timeout=5.0) as client:
+            yield client
+
+    async def status(self, server: Server) -> dict[str, Any]:
+        """Return a daemon's status."""
+        async with self.operator() as client:
+            reply = await client.get(f"{server.admin_url}/v1/status")
+            reply.raise_for_status()
+            status: dict[str, Any] = reply.json()
+            return status
+
+    async def publish(self, document: str) -> None:
+        """Publish a configuration against the current version."""
+        server = next(iter(self.servers.values()))
+        async with self.operator() as client:
+            reply = await client.post(
+                f"{server.admin_url}/v1/config",
+                json={"document": document, "author": "cluster"},
+                timeout=10.0,
+            )
+            reply.raise_for_status()
+
+    def stop(self) -> None:
+        """End all processes at once."""
+        for process in self.processes():
+            process.kill()
+
+
+async def _is_ready(client: httpx.AsyncClient, server: Server) -> bool:
+    if not server.daemon.is_running:
+        raise RuntimeError(f"{server.name} ended:\n{server.daemon.tail()}")
+    try:
+        reply = await client.get(f"{server.admin_url}/readyz")
+    except httpx.TransportError:
+        return False
+    return reply.is_success
+
+
+@asynccontextmanager
+async def open_cluster(
+    plans: Sequence[ServerPlan], *, extra: str = ""
+) -> AsyncIterator[Cluster]:
+    """Own a site; it is not started, and ended with the block."""
+    with tempfile.TemporaryDirectory(prefix="burdockgap-") as folder:
+        cluster = Cluster(folder=Path(folder), plans=plans, extra=extra)
+        try:
+            yield cluster
+        finally:
+            cluster.stop()
--- /dev/null
+++ b/standins/cluster/process.py
@@ -0,0 +1,126 @@
+"""A child process of the site."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+ROOT = Path(__file__).resolve().parents[2]
+_STOP_TIMEOUT_S = 10.0
+_POLL_S = 0.02
+_TAIL_LINES = 40
+
+
+class Process:
+    """
+    A Python program that runs with its output in a file.
+
+    :param name: name used in messages and of the output file.
+    :param args: program arguments after the interpreter.
+    :param folder: where the output file goes.
+    """
+
+    __slots__ = ("_popen", "args", "name", "output")
+
+    def __init__(self, name: str, args: Sequence[str], folder: Path) -> None:
+        self.name = name
+        self.args = list(args)
+        self.output = folder / f"{name}.log"
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id; the process must have been started."""
+        return self._running().pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, ``None`` while the process runs."""
+        return self._popen.poll() if self._popen else None
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process was started and has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        paths = [str(ROOT / "src"), str(ROOT)]
+        env = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
+        with self.output.open("ab") as output:
+            self._popen = subprocess.Popen(
+                [sys.executable, *self.args],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env=env,
+                cwd=ROOT,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._running().send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        if self.is_running:
+            self._running().kill()
+        if self._popen is not None:
+            self._popen.wait()
+
+    def freeze(self) -> None:
+        """Stop the process until :meth:`thaw`."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process run on."""
+        self.signal(signal.SIGCONT)
+
+    async def terminate(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """
+        Ask the process to stop and return its exit code.
+
+        :raises TimeoutError: if it still runs after ``timeout_s``.
+        """
+        self.signal(signal.SIGTERM)
+        return await self.wait(timeout_s)
+
+    async def wait(self, timeout_s: float) -> int:
+        """Wait for the process to end and return its exit code."""
+        with anyio.fail_after(timeout_s):
+            while (code := self.exit_code) is None:
+                await anyio.sleep(_POLL_S)
+        return code
+
+    async def port(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Return the port from the line ``listening PORT``."""
+        with anyio.fail_after(timeout_s):
+            while True:
+                for line in self.text().splitlines():
+                    if line.startswith("listening "):
+                        return int(line.split()[1])
+                if not self.is_running:
+                    raise RuntimeError(f"{self.name} ended:\n{self.tail()}")
+                await anyio.sleep(_POLL_S)
+
+    def text(self) -> str:
+        """Return the output so far."""
+        return self.output.read_text(errors="replace")
+
+    def tail(self) -> str:
+        """Return the last lines of the output."""
+        return "\n".join(self.text().splitlines()[-_TAIL_LINES:])
+
+    def _running(self) -> subprocess.Popen[bytes]:
+        if self._popen is None:
+            raise RuntimeError(f"{self.name} was not started")
+        return self._popen
--- /dev/null
+++ b/standins/cluster/server.py
@@ -0,0 +1,141 @@
+"""A daemon and its target, as two processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from standins.cluster.process import Process
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from standins.cluster.server_plan import ServerPlan
+
+HTTP_PORT = 8080
+PEER_PORT = 7070
+ADMIN_PORT = 9090
+TARGET_PORT = 6060
+TOKEN = "demo-token"
+SECRET = "demo-secret-of-sixteen-or-more"
+
+_SETTINGS = """\
+[daemon]
+name = "{name}"
+data_centre = "{data_centre}"
+region = "{region}"
+
+[http]
+bind = "{ip}:{http}"
+
+[peer]
+bind = "{ip}:{peer}"
+secret = "{secret}"
+
+[admin]
+bind = "{ip}:{admin}"
+token = "{token}"
+
+[log]
+url = "{log_url}"
+{extra}
+"""
+
+
+class Server:
+    """
+    One server of the site.
+
+    :param plan: what it is like.
+    :param address: its loopback IP address.
+    :param log_url: URL of the log.
+    :param folder: where settings and outputs go.
+    :param extra: further settings as TOML text.
+    """
+
+    __slots__ = ("daemon", "folder", "ip", "plan", "settings", "target")
+
+    def __init__(
+        self,
+        *,
+        plan: ServerPlan,
+        address: str,
+        log_url: str,
+        folder: Path,
+        extra: str = "",
+    ) -> None:
+        self.plan = plan
+        self.ip = address
+        self.folder = folder
+        self.settings = folder / f"{plan.name}.toml"
+        self.settings.write_text(
+            _SETTINGS.format(
+                name=plan.name,
+                data_centre=plan.data_centre,
+                region=plan.region,
+                ip=address,
+                http=HTTP_PORT,
+                peer=PEER_PORT,
+                admin=ADMIN_PORT,
+                secret=SECRET,
+                token=TOKEN,
+                log_url=log_url,
+                extra=extra,
+            )
+        )
+        self.daemon = Process(
+            plan.name,
+            ["-m", "burdockgap", "daemon", "--settings", str(self.settings)],
+            folder,
+        )
+        self.target = Process(
+            f"{plan.name}-target", self._target_args(), folder
+        )
+
+    @property
+    def name(self) -> str:
+        """Return the daemon's name."""
+        return self.plan.name
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for callers."""
+        return f"http://{self.ip}:{HTTP_PORT}"
+
+    @property
+    def admin_url(self) -> str:
+        """Return the base URL of the administration API."""
+        return f"http://{self.ip}:{ADMIN_PORT}"
+
+    @property
+    def target_url(self) -> str:
+        """Return the base URL of the target's stand-in."""
+        return f"http://{self.ip}:{TARGET_PORT}"
+
+    def start(self) -> None:
+        """Start the daemon and the target."""
+        self.daemon.start()
+        self.target.start()
+
+    def kill(self) -> None:
+        """End both processes at once."""
+        self.daemon.kill()
+        self.target.kill()
+
+    def _target_args(self) -> list[str]:
+        return [
+            "-m",
+            "standins.target",
+            "--service",
+            self.plan.service,
+            "--announce",
+            self.admin_url,
+            "--token",
+            TOKEN,
+            "--host",
+            self.ip,
+            "--port",
+            str(TARGET_PORT),
+            "--slots",
+            str(self.plan.slots),
+            *self.plan.target_args,
+        ]
