--- a/src/burdockgap/fold/control_state.py
+++ b/src/burdockgap/fold/control_state.py
@@ -6,6 +6,9 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from burdockgap.config.fields import MAX_SLICES
+from burdockgap.fold.audit_entries import entry_of_control
+from burdockgap.fold.audit_trail import AuditTrail
 from burdockgap.fold.touched import VOID, Touched
 from burdockgap.fold.unit_table import UnitTable
 from burdockgap.ownership.unit import choose_successor, is_pin, slice_of
@@ -36,9 +39,11 @@
     :ivar sessions: admitted sessions that have not ended, by id.
     :ivar tables: the units of each keyed service.
     :ivar seen: ids of the newest applied records, oldest first.
+    :ivar audit: one entry per cause of a change of ownership.
     """
 
     __slots__ = (
+        "audit",
         "coordinator",
         "offset",
         "seen",
@@ -54,6 +59,11 @@
         self.sessions: dict[int, SessionEntry] = {}
         self.tables: dict[str, UnitTable] = {}
         self.seen: OrderedDict[int, None] = OrderedDict()
+        self.audit = AuditTrail()
+
+    def skip(self, offset: int) -> None:
+        """Pass over a record that changes nothing."""
+        self.offset = offset + 1
 
     def apply(self, offset: int, record: ControlRecord) -> Touched:
         """
@@ -67,7 +77,10 @@
         self._remember(record.record_id)
         if not isinstance(record, Claim) and record.term != self.term:
             return VOID
-        return self._apply(record)
+        touched = self._apply(record)
+        if touched.counted:
+            self._audit(offset, record, touched)
+        return touched
 
     def is_live(self, session_id: int) -> bool:
         """Tell whether a session is admitted and has not ended."""
@@ -91,6 +104,14 @@
         if len(self.seen) > _SEEN_IDS_KEPT:
             self.seen.popitem(last=False)
 
+    def _audit(
+        self, offset: int, record: ControlRecord, touched: Touched
+    ) -> None:
+        author = self.coordinator.name if self.coordinator else ""
+        entry = entry_of_control(offset, record, touched, author)
+        if entry is not None:
+            self.audit.add(entry)
+
     @singledispatchmethod
     def _apply(self, record: object) -> Touched:
         raise TypeError(f"no such control record: {type(record)}")
@@ -135,7 +156,7 @@
 
     @_apply.register
     def _(self, record: Layout) -> Touched:
-        if record.service in self.tables:
+        if record.service in self.tables or not _is_layout(record.slices):
             return VOID
         self.tables[record.service] = UnitTable(record.slices)
         return Touched(service=record.service)
@@ -200,3 +221,7 @@
     @_apply.register
     def _(self, _record: SnapshotChunk) -> Touched:
         return Touched()
+
+
+def _is_layout(slices: int) -> bool:
+    return 1 <= slices <= MAX_SLICES and slices & (slices - 1) == 0
--- /dev/null
+++ b/src/burdockgap/fold/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that a snapshot of the folds consists of."""
--- a/src/burdockgap/fold/touched.py
+++ b/src/burdockgap/fold/touched.py
@@ -11,9 +11,10 @@
     :param units: the units whose owner, epoch or holders changed.
     :param sessions: sessions that were admitted or ended.
     :param counted: whether the record had an effect at all.
+    :param everything: whether a snapshot replaced the whole state.
     """
 
-    __slots__ = ("counted", "service", "sessions", "units")
+    __slots__ = ("counted", "everything", "service", "sessions", "units")
 
     def __init__(
         self,
@@ -22,11 +23,13 @@
         units: list[int] | None = None,
         sessions: list[int] | None = None,
         counted: bool = True,
+        everything: bool = False,
     ) -> None:
         self.service = service
         self.units = units or []
         self.sessions = sessions or []
         self.counted = counted
+        self.everything = everything
 
 
 VOID = Touched(counted=False)
--- a/src/burdockgap/fold/unit_table.py
+++ b/src/burdockgap/fold/unit_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from array import array
 from typing import TYPE_CHECKING
 
@@ -142,6 +143,29 @@
         if earlier:
             self._earlier[unit] = earlier
 
+    def owners_as_bytes(self) -> bytes:
+        """Return the slices' owners, 8 bytes little-endian each."""
+        return _to_bytes(self._owners)
+
+    def epochs_as_bytes(self) -> bytes:
+        """Return the slices' epochs, 8 bytes little-endian each."""
+        return _to_bytes(self._epochs)
+
+    def units_with_earlier(self) -> list[int]:
+        """Return the units that have earlier holders."""
+        return list(self._earlier)
+
+    def restore_slices(self, owners: bytes, epochs: bytes) -> None:
+        """
+        Set owner and epoch of all slices, as read from a snapshot.
+
+        :raises ValueError: if the lengths are not those of the slices.
+        """
+        if len(owners) != len(epochs) or len(owners) != 8 * self.slices:
+            raise ValueError("owners and epochs must cover all slices")
+        self._owners = _from_bytes(owners)
+        self._epochs = _from_bytes(epochs)
+
     def _set(self, unit: int, owner: int, epoch: int) -> None:
         if is_pin(unit):
             self._pin_owners[unit] = owner
@@ -149,3 +173,17 @@
         else:
             self._owners[unit] = owner
             self._epochs[unit] = epoch
+
+
+def _to_bytes(values: array[int]) -> bytes:
+    if sys.byteorder == "big":
+        values = values[:]
+        values.byteswap()
+    return values.tobytes()
+
+
+def _from_bytes(data: bytes) -> array[int]:
+    values = array("Q", data)
+    if sys.byteorder == "big":
+        values.byteswap()
+    return values
