--- a/src/burdockgap/fold/folds.py
+++ b/src/burdockgap/fold/folds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, cast
 
 import anyio
@@ -11,6 +12,7 @@
 from burdockgap.fold.messages.decision import Decision
 from burdockgap.fold.metrics import RECORDS, SNAPSHOTS, UNDECODABLE
 from burdockgap.fold.recent_records import RecentRecords
+from burdockgap.fold.sighting import Sighting
 from burdockgap.fold.touched import Touched
 from burdockgap.records.config_change import ConfigChange
 from burdockgap.records.streams import (
@@ -22,7 +24,7 @@
 from burdockgap.wire import DecodeError, unpack
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from burdockgap.fold.messages.audit_entry import AuditEntry
     from burdockgap.records.streams import ControlRecord
@@ -47,6 +49,7 @@
         "_config_listeners",
         "_listeners",
         "_recent",
+        "_watched",
         "config",
         "control",
         "installs",
@@ -64,6 +67,7 @@
         self._listeners: list[Callable[[Touched], None]] = []
         self._config_listeners: list[Callable[[Decision], None]] = []
         self._changed: anyio.Event | None = None
+        self._watched: dict[int, Sighting] = {}
 
     @property
     def audit(self) -> list[AuditEntry]:
@@ -147,6 +151,18 @@
         """Call back after each decision on a configuration change."""
         self._config_listeners.append(callback)
 
+    @contextmanager
+    def watch(self, stream: str, record_id: int) -> Iterator[Sighting]:
+        """Watch for a record; one that is applied already counts."""
+        sighting = Sighting()
+        if self.was_applied(stream, record_id):
+            sighting.offset = self.offset(stream) - 1
+        self._watched[record_id] = sighting
+        try:
+            yield sighting
+        finally:
+            del self._watched[record_id]
+
     async def wait_beyond(self, version: int) -> int:
         """Wait until ``version`` is exceeded and return the new one."""
         while self.version <= version:
@@ -176,6 +192,7 @@
         if not isinstance(record, ConfigChange):
             self.config.skip(offset)
             return None
+        self._note(offset, record.record_id)
         repeated = record.record_id in self.config.seen
         decision = self.config.apply(offset, record)
         return None if repeated else decision
@@ -187,9 +204,15 @@
             self._count_undecodable(CONTROL)
             self.control.skip(offset)
             return None
+        self._note(offset, record.record_id)
         touched = self.control.apply(offset, record)
         return touched if touched.counted else None
 
+    def _note(self, offset: int, record_id: int) -> None:
+        sighting = self._watched.get(record_id)
+        if sighting is not None and sighting.offset is None:
+            sighting.offset = offset
+
     def _count_undecodable(self, stream: str) -> None:
         self.undecodable += 1
         UNDECODABLE.labels(stream).inc()
--- /dev/null
+++ b/src/burdockgap/fold/snapshot.py
@@ -0,0 +1,114 @@
+"""
+Encoding of the states of both folds into snapshot chunks.
+
+The chunks are records of the ``control`` stream. Each carries, as
+``upto``, the offset of that stream's first record not included. The
+offset of the ``config`` stream is inside. So the log may forget the
+``config`` stream up to that offset as well.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from burdockgap.fold.messages.config_snapshot import ConfigSnapshot
+from burdockgap.fold.messages.control_snapshot import ControlSnapshot
+from burdockgap.fold.messages.fold_snapshot import FoldSnapshot
+from burdockgap.fold.messages.table_entry import TableEntry
+from burdockgap.records.snapshot_chunk import SnapshotChunk
+from burdockgap.wire import pack
+from burdockgap.wire.ids import new_id
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from burdockgap.fold.config_state import ConfigState
+    from burdockgap.fold.control_state import ControlState
+    from burdockgap.fold.folds import Folds
+    from burdockgap.fold.unit_table import UnitTable
+
+_CHUNK_BYTES = 60 * 1024
+_COMPRESSION_LEVEL = 1
+
+
+def make_chunks(folds: Folds, *, term: int) -> list[SnapshotChunk]:
+    """
+    Return a snapshot of both folds as records to append in order.
+
+    :param term: the writing coordinator's term.
+    """
+    data = encode_states(folds.control, folds.config)
+    snapshot_id = new_id()
+    starts = range(0, len(data), _CHUNK_BYTES)
+    return [
+        SnapshotChunk(
+            record_id=new_id(),
+            term=term,
+            snapshot_id=snapshot_id,
+            upto=folds.control.offset,
+            index=index,
+            count=len(starts),
+            data=data[start : start + _CHUNK_BYTES],
+        )
+        for index, start in enumerate(starts)
+    ]
+
+
+def encode_states(control: ControlState, config: ConfigState) -> bytes:
+    """Return both states, compressed; equal states, equal bytes."""
+    snapshot = FoldSnapshot(
+        control=_snapshot_control(control), config=_snapshot_config(config)
+    )
+    return zlib.compress(pack(snapshot), _COMPRESSION_LEVEL)
+
+
+def pack_ids(ids: Iterable[int]) -> bytes:
+    """Return ids as 8 bytes little-endian each."""
+    return b"".join(value.to_bytes(8, "little") for value in ids)
+
+
+def _snapshot_control(state: ControlState) -> ControlSnapshot:
+    return ControlSnapshot(
+        offset=state.offset,
+        term=state.term,
+        coordinator=state.coordinator,
+        sessions=list(state.sessions.values()),
+        tables=[
+            _snapshot_table(service, table)
+            for service, table in state.tables.items()
+        ],
+        seen=pack_ids(state.seen),
+        audit=state.audit.entries(),
+    )
+
+
+def _snapshot_table(service: str, table: UnitTable) -> TableEntry:
+    pins = table.pins()
+    earlier = table.units_with_earlier()
+    return TableEntry(
+        service=service,
+        slices=table.slices,
+        owners=table.owners_as_bytes(),
+        epochs=table.epochs_as_bytes(),
+        pin_units=pins,
+        pin_owners=[table.owner(unit) for unit in pins],
+        pin_epochs=[table.epoch(unit) for unit in pins],
+        earlier_units=earlier,
+        earlier_holders=[list(table.earlier(unit)) for unit in earlier],
+    )
+
+
+def _snapshot_config(state: ConfigState) -> ConfigSnapshot:
+    return ConfigSnapshot(
+        offset=state.offset,
+        version=state.version,
+        document=state.text,
+        data_centres_out=sorted(state.data_centres_out),
+        draining=sorted(state.draining),
+        ended_sessions=list(state.ended_sessions),
+        seen=pack_ids(state.seen),
+        decided_ids=pack_ids(state.decisions),
+        decisions=list(state.decisions.values()),
+        audit=state.audit.entries(),
+    )
--- a/src/burdockgap/platform/errors.py
+++ b/src/burdockgap/platform/errors.py
@@ -13,3 +13,7 @@
 
 class LogUncertain(LogError):  # noqa: N818 - a state, not a fault
     """No reply to an append; it may or may not have taken effect."""
+
+
+class LogTrimmed(LogError):  # noqa: N818 - a state, not a fault
+    """The log has forgotten records that are needed to go on."""
--- /dev/null
+++ b/src/burdockgap/platform/http_log.py
@@ -0,0 +1,170 @@
+"""The platform's log over HTTP."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpx
+import msgpack
+
+from burdockgap.platform.client_slot import ClientSlot
+from burdockgap.platform.errors import LogUnavailable, LogUncertain
+from burdockgap.platform.metrics import APPENDS, READ_FAILURES
+from burdockgap.platform.page import Page
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_READ_MARGIN_S = 2.0
+_DEFAULT_TIMEOUT_S = 2.0
+_CONNECT_ERRORS = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+)
+
+
+class HttpLog:
+    """
+    A client of the log's HTTP interface.
+
+    Each stream is read over a connection of its own, and appends have
+    one more. A call that fails, times out or is cancelled drops its
+    connection.
+
+    :param url: base URL of the log.
+    :param timeout_s: time for an append and for opening a connection.
+    """
+
+    __slots__ = ("_appends", "_reads", "_timeout_s", "_url")
+
+    def __init__(
+        self, url: str, timeout_s: float = _DEFAULT_TIMEOUT_S
+    ) -> None:
+        self._url = url
+        self._timeout_s = timeout_s
+        self._appends = ClientSlot(url, httpx.Timeout(timeout_s))
+        self._reads: dict[str, ClientSlot] = {}
+
+    async def append(self, stream: str, record: bytes) -> int:
+        """
+        Append a record.
+
+        :return: the record's offset.
+        :raises LogUnavailable: if it certainly had no effect.
+        :raises LogUncertain: if it may have had an effect.
+        """
+        try:
+            offset = await self._append(stream, record)
+        except LogUnavailable:
+            APPENDS.labels(stream, "unavailable").inc()
+            raise
+        except LogUncertain:
+            APPENDS.labels(stream, "uncertain").inc()
+            raise
+        APPENDS.labels(stream, "written").inc()
+        return offset
+
+    async def read(
+        self, stream: str, from_offset: int, *, wait: float, limit: int
+    ) -> Page:
+        """
+        Read records from an offset on.
+
+        :param wait: seconds to wait for a record if there is none.
+        :param limit: largest number of records.
+        :raises LogUnavailable: if the log does not answer in time.
+        """
+        try:
+            return await self._read(stream, from_offset, wait, limit)
+        except LogUnavailable:
+            READ_FAILURES.labels(stream).inc()
+            raise
+
+    async def close(self) -> None:
+        """Close the connections that no call is using."""
+        for slot in (self._appends, *self._reads.values()):
+            await slot.close()
+
+    async def _append(self, stream: str, record: bytes) -> int:
+        try:
+            with anyio.fail_after(self._timeout_s):
+                async with self._appends.use() as client:
+                    reply = await client.post(
+                        f"/streams/{stream}", content=record
+                    )
+        except _CONNECT_ERRORS as exc:
+            raise LogUnavailable(f"cannot connect: {exc!r}") from exc
+        except (httpx.HTTPError, TimeoutError) as exc:
+            raise LogUncertain(f"no reply to an append: {exc!r}") from exc
+        _check_append_status(reply)
+        return _offset_of(reply)
+
+    async def _read(
+        self, stream: str, from_offset: int, wait: float, limit: int
+    ) -> Page:
+        slot = self._reads.get(stream)
+        if slot is None:
+            timeout = httpx.Timeout(self._timeout_s, read=None)
+            slot = self._reads[stream] = ClientSlot(self._url, timeout)
+        query = {"from": from_offset, "wait": wait, "limit": limit}
+        try:
+            with anyio.fail_after(wait + _READ_MARGIN_S):
+                async with slot.use() as client:
+                    reply = await client.get(
+                        f"/streams/{stream}", params=query
+                    )
+        except (httpx.HTTPError, TimeoutError) as exc:
+            raise LogUnavailable(f"no answer to a read: {exc!r}") from exc
+        if reply.status_code != httpx.codes.OK:
+            raise LogUnavailable(f"the log answered {reply.status_code}")
+        return _page_of(reply.content)
+
+
+@asynccontextmanager
+async def open_http_log(
+    url: str, timeout_s: float = _DEFAULT_TIMEOUT_S
+) -> AsyncIterator[HttpLog]:
+    """Open a client of the log and close its connections at the end."""
+    log = HttpLog(url, timeout_s)
+    try:
+        yield log
+    finally:
+        await log.close()
+
+
+def _check_append_status(reply: httpx.Response) -> None:
+    status = reply.status_code
+    if status == httpx.codes.OK:
+        return
+    refused = status == httpx.codes.SERVICE_UNAVAILABLE
+    if refused or reply.is_client_error:
+        raise LogUnavailable(f"the log refused an append with {status}")
+    raise LogUncertain(f"the log answered an append with {status}")
+
+
+def _offset_of(reply: httpx.Response) -> int:
+    try:
+        return int(reply.json()["offset"])
+    except (ValueError, KeyError, TypeError) as exc:
+        raise LogUncertain(f"not an offset: {exc!r}") from exc
+
+
+def _page_of(content: bytes) -> Page:
+    try:
+        first, earliest, end, records = msgpack.unpackb(content)
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise LogUnavailable(f"not a page: {exc!r}") from exc
+    if not _is_page(first, earliest, end, records):
+        raise LogUnavailable("not a page: unexpected types")
+    return Page(first=first, records=records, earliest=earliest, end=end)
+
+
+def _is_page(first: Any, earliest: Any, end: Any, records: Any) -> bool:
+    return (
+        all(type(offset) is int for offset in (first, earliest, end))
+        and isinstance(records, list)
+        and all(type(record) is bytes for record in records)
+    )
--- /dev/null
+++ b/src/burdockgap/platform/metrics.py
@@ -0,0 +1,16 @@
+"""Counters of the calls to the platform's log."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter
+
+APPENDS = Counter(
+    "burdockgap_log_appends", "Appends to the log.", ["stream", "outcome"]
+)
+READ_FAILURES = Counter(
+    "burdockgap_log_read_failures", "Reads that the log failed.", ["stream"]
+)
+TRIMS = Counter(
+    "burdockgap_log_trims", "Offsets found to be trimmed.", ["stream"]
+)
+POKES = Counter("burdockgap_log_pokes", "Reads restarted early.", ["stream"])
--- /dev/null
+++ b/standins/memory_log.py
@@ -0,0 +1,62 @@
+"""An in-process log for unit tests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from burdockgap.platform.errors import LogUnavailable, LogUncertain
+from standins.log_faults import LogFaults
+from standins.log_store import LogStore
+
+if TYPE_CHECKING:
+    from burdockgap.platform.page import Page
+
+
+class MemoryLog:
+    """
+    A log in memory with the same faults as the stand-in server.
+
+    :ivar store: the records.
+    :ivar faults: what goes wrong at present.
+    :ivar appends: number of appends that took effect.
+    """
+
+    __slots__ = ("appends", "faults", "store")
+
+    def __init__(self, retain: int = 0) -> None:
+        self.store = LogStore(retain)
+        self.faults = LogFaults()
+        self.appends = 0
+
+    async def append(self, stream: str, record: bytes) -> int:
+        """Append a record, see :class:`burdockgap.platform.Log`."""
+        await self._enter()
+        offset = self.store.append(stream, record)
+        self.appends += 1
+        if self.faults.lose_reply():
+            raise LogUncertain("the reply was lost")
+        return offset
+
+    async def read(
+        self, stream: str, from_offset: int, *, wait: float, limit: int
+    ) -> Page:
+        """Read records, see :class:`burdockgap.platform.Log`."""
+        await self._enter()
+        await self.store.wait_past(stream, from_offset, wait)
+        self._check_up()
+        return self.store.page(stream, from_offset, limit)
+
+    def set_down(self, down: bool) -> None:
+        """Start or end an outage; waiting reads fail at once."""
+        self.faults.down = down
+        self.store.wake()
+
+    async def _enter(self) -> None:
+        await anyio.sleep(self.faults.delay_s)
+        self._check_up()
+
+    def _check_up(self) -> None:
+        if self.faults.down:
+            raise LogUnavailable("the log is down")
