--- a/src/burdockgap/fold/snapshot.py
+++ b/src/burdockgap/fold/snapshot.py
@@ -57,13 +57,20 @@
 
 def encode_states(control: ControlState, config: ConfigState) -> bytes:
     """Return both states, compressed; equal states, equal bytes."""
-    snapshot = FoldSnapshot(
+    snapshot = snapshot_states(control, config)
+    return zlib.compress(pack(snapshot), _COMPRESSION_LEVEL)
+
+
+def snapshot_states(
+    control: ControlState, config: ConfigState
+) -> FoldSnapshot:
+    """Return both states as one message."""
+    return FoldSnapshot(
         control=_snapshot_control(control), config=_snapshot_config(config)
     )
-    return zlib.compress(pack(snapshot), _COMPRESSION_LEVEL)
 
 
-def pack_ids(ids: Iterable[int]) -> bytes:
+def _pack_ids(ids: Iterable[int]) -> bytes:
     """Return ids as 8 bytes little-endian each."""
     return b"".join(value.to_bytes(8, "little") for value in ids)
 
@@ -78,7 +85,7 @@
             _snapshot_table(service, table)
             for service, table in state.tables.items()
         ],
-        seen=pack_ids(state.seen),
+        seen=_pack_ids(state.seen),
         audit=state.audit.entries(),
     )
 
@@ -107,8 +114,8 @@
         data_centres_out=sorted(state.data_centres_out),
         draining=sorted(state.draining),
         ended_sessions=list(state.ended_sessions),
-        seen=pack_ids(state.seen),
-        decided_ids=pack_ids(state.decisions),
+        seen=_pack_ids(state.seen),
+        decided_ids=_pack_ids(state.decisions),
         decisions=list(state.decisions.values()),
         audit=state.audit.entries(),
     )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,7 +4,10 @@
 
 from typing import Any
 
+from burdockgap.records.claim import Claim
+from burdockgap.records.config_change import ConfigChange
 from burdockgap.records.session_entry import SessionEntry
+from burdockgap.wire.ids import new_id
 
 
 def make_session(**fields: Any) -> SessionEntry:
@@ -23,3 +26,28 @@
         "successors": [],
     }
     return SessionEntry(**{**defaults, **fields})
+
+
+def make_change(change: Any, **fields: Any) -> ConfigChange:
+    """Return a configuration change with a new id by default."""
+    defaults = {
+        "record_id": new_id(),
+        "at": 1.0,
+        "author": "operator",
+        "against": 0,
+        "change": change,
+    }
+    return ConfigChange(**{**defaults, **fields})
+
+
+def make_claim(**fields: Any) -> Claim:
+    """Return a claim of the first term by default."""
+    defaults = {
+        "record_id": new_id(),
+        "term": 1,
+        "incarnation": 9,
+        "name": "records-9",
+        "peer_address": "127.0.0.1:9",
+        "at": 1.0,
+    }
+    return Claim(**{**defaults, **fields})
