--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from burdockgap.records.session_entry import SessionEntry
+from burdockgap.settings.reader import Reader
+
+if TYPE_CHECKING:
+    from burdockgap.settings.settings import Settings
 
 
 def make_session(**fields: Any) -> SessionEntry:
@@ -23,3 +27,18 @@
         "successors": [],
     }
     return SessionEntry(**{**defaults, **fields})
+
+
+def make_settings(**sections: dict[str, Any]) -> Settings:
+    """Return default settings, overridden by the given sections."""
+    document: dict[str, dict[str, Any]] = {
+        "daemon": {"name": "d1", "data_centre": "dc1", "region": "r1"},
+        "peer": {"secret": "sixteen-letters!"},
+        "log": {"url": "http://127.0.0.1:1"},
+    }
+    for name, values in sections.items():
+        document[name] = {**document.get(name, {}), **values}
+    reader = Reader("test")
+    settings = reader.read(document)
+    assert not reader.problems
+    return settings
