--- /dev/null
+++ b/src/burdockgap/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Leases of sessions: holders, witnesses and proofs of expiry."""
--- /dev/null
+++ b/src/burdockgap/lease/dispatch.py
@@ -0,0 +1,53 @@
+"""Handling of each type of lease datagram."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from burdockgap.lease.counters import IGNORED
+from burdockgap.lease.messages.ack import Ack
+from burdockgap.lease.messages.promise import Promise
+from burdockgap.lease.messages.renew import Renew
+
+if TYPE_CHECKING:
+    from burdockgap.lease.parties import Parties
+    from burdockgap.wire import Message
+
+KINDS = (Renew, Ack, Promise)
+
+
+@singledispatch
+def handle(msg: object, _parties: Parties, _source: str) -> Message | None:
+    """
+    Pass a datagram to its receiver.
+
+    :param msg: the decoded datagram.
+    :param parties: the possible receivers.
+    :param source: the sender's ``ip:port``.
+    :return: the answer to the sender, if any.
+    """
+    raise TypeError(f"no handler for {type(msg)}")
+
+
+@handle.register
+def _(msg: Renew, parties: Parties, source: str) -> Message | None:
+    parties.on_offsets(source, msg.config_offset, msg.control_offset)
+    return parties.witness.on_renew(msg)
+
+
+@handle.register
+def _(msg: Ack, parties: Parties, source: str) -> Message | None:
+    parties.on_offsets(source, msg.config_offset, msg.control_offset)
+    holder = parties.holders.get(msg.session_id)
+    if holder is None:
+        IGNORED.labels("ack-session").inc()
+        return None
+    holder.on_ack(msg)
+    return None
+
+
+@handle.register
+def _(msg: Promise, parties: Parties, _source: str) -> Message | None:
+    parties.certificates.add(msg)
+    return None
--- /dev/null
+++ b/src/burdockgap/lease/fold_view.py
@@ -0,0 +1,34 @@
+"""What leases and ownership need of the folds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.fold.control_state import ControlState
+    from burdockgap.fold.touched import Touched
+
+
+class FoldView(Protocol):
+    """The folded state and news of its changes."""
+
+    @property
+    def control(self) -> ControlState:
+        """The fold of the ``control`` stream."""
+        ...
+
+    def listen(self, callback: Callable[[Touched], None]) -> None:
+        """Call back after each applied record, before any other task."""
+        ...
+
+    def offset(self, stream: str) -> int:
+        """Return the offset of a stream's next record to apply."""
+        ...
+
+    async def wait_offset(
+        self, stream: str, offset: int, timeout_s: float
+    ) -> bool:
+        """Wait until a stream is folded up to an offset."""
+        ...
--- /dev/null
+++ b/src/burdockgap/lease/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between lease holders, witnesses and successors."""
--- /dev/null
+++ b/src/burdockgap/lease/parties.py
@@ -0,0 +1,38 @@
+"""The roles that share a daemon's datagram socket."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.lease.certificates import Certificates
+    from burdockgap.lease.holder import LeaseHolder
+    from burdockgap.lease.witness import Witness
+
+
+class Parties:
+    """
+    Who receives which datagrams.
+
+    :param witness: answers renewals.
+    :param certificates: collects promises.
+    :param on_offsets: called with a peer's address and its offsets of
+        ``config`` and ``control``.
+    :ivar holders: the leases of this daemon's sessions, by session.
+    """
+
+    __slots__ = ("certificates", "holders", "on_offsets", "witness")
+
+    def __init__(
+        self,
+        *,
+        witness: Witness,
+        certificates: Certificates,
+        on_offsets: Callable[[str, int, int], None],
+    ) -> None:
+        self.witness = witness
+        self.certificates = certificates
+        self.on_offsets = on_offsets
+        self.holders: dict[int, LeaseHolder] = {}
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,7 +4,17 @@
 
 from typing import Any
 
+import anyio
+
+from burdockgap.fold.control_state import ControlState
+from burdockgap.fold.touched import Touched
+from burdockgap.records.admit import Admit
+from burdockgap.records.assign import Assign
+from burdockgap.records.claim import Claim
+from burdockgap.records.ended import Ended
+from burdockgap.records.layout import Layout
 from burdockgap.records.session_entry import SessionEntry
+from burdockgap.records.streams import CONTROL
 
 
 def make_session(**fields: Any) -> SessionEntry:
@@ -23,3 +33,79 @@
         "successors": [],
     }
     return SessionEntry(**{**defaults, **fields})
+
+
+class FakeClock:
+    """A clock that a test sets."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        self.time = now
+
+    def now(self) -> float:
+        return self.time
+
+    def wall(self) -> float:
+        return self.time
+
+
+class FakeFolds:
+    """A fold of the control stream that a test feeds."""
+
+    def __init__(self) -> None:
+        self.control = ControlState()
+        self.callbacks: list[Any] = []
+        self._next_id = 0
+
+    def listen(self, callback: Any) -> None:
+        self.callbacks.append(callback)
+
+    def offset(self, stream: str) -> int:
+        return self.control.offset if stream == CONTROL else 0
+
+    async def wait_offset(
+        self, stream: str, offset: int, timeout_s: float
+    ) -> bool:
+        with anyio.move_on_after(timeout_s):
+            while self.offset(stream) < offset:
+                await anyio.sleep(0.005)
+        return self.offset(stream) >= offset
+
+    def fold(self, record: Any) -> Touched:
+        touched = self.control.apply(self.control.offset, record)
+        for callback in self.callbacks:
+            callback(touched)
+        return touched
+
+    def add(self, kind: Any, **fields: Any) -> Touched:
+        """Fold a new record, with defaults for its common fields."""
+        self._next_id += 1
+        common = {"record_id": self._next_id, "term": self.control.term}
+        common |= {"at": 0.0, "service": "records", "cause": "test"}
+        common |= {"promised_by": []}
+        chosen = {
+            name: value
+            for name, value in common.items()
+            if name in kind.__slots__
+        }
+        return self.fold(kind(**{**chosen, **fields}))
+
+    def claim(self, term: int = 1, peer_address: str = "") -> Touched:
+        return self.add(
+            Claim,
+            term=term,
+            incarnation=1,
+            name="d",
+            peer_address=peer_address,
+        )
+
+    def admit(self, *entries: SessionEntry) -> Touched:
+        return self.add(Admit, sessions=list(entries))
+
+    def layout(self, slices: int = 4) -> Touched:
+        return self.add(Layout, slices=slices)
+
+    def assign(self, units: list[int], owner: int) -> Touched:
+        return self.add(Assign, units=units, owners=[owner] * len(units))
+
+    def end(self, session_id: int) -> Touched:
+        return self.add(Ended, session_id=session_id)
