--- a/src/burdockgap/lease/certificates.py
+++ b/src/burdockgap/lease/certificates.py
@@ -23,7 +23,7 @@
 
 class Certificates:
     """
-    Collects promises until a majority of a session's witnesses made one.
+    Collects promises up to a majority of a session's witnesses.
 
     :param folds: the folds that name the sessions' witnesses.
     """
@@ -39,11 +39,11 @@
         folds.listen(self.on_touched)
 
     def listen(self, callback: Callable[[int], None]) -> None:
-        """Call back with the session id when a certificate completes."""
+        """Call back with the session id of a new certificate."""
         self._callbacks.append(callback)
 
     def is_complete(self, session_id: int) -> bool:
-        """Tell whether a live session's holder is proved to have stopped."""
+        """Tell whether a live session has a certificate."""
         return session_id in self._complete
 
     def completed(self) -> list[int]:
--- a/src/burdockgap/lease/dispatch.py
+++ b/src/burdockgap/lease/dispatch.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import TYPE_CHECKING
 
 from burdockgap.lease.counters import IGNORED
 from burdockgap.lease.messages.ack import Ack
 from burdockgap.lease.messages.promise import Promise
 from burdockgap.lease.messages.renew import Renew
-
-if TYPE_CHECKING:
-    from burdockgap.lease.parties import Parties
-    from burdockgap.wire import Message
+from burdockgap.lease.parties import Parties
+from burdockgap.wire import Message
 
 KINDS = (Renew, Ack, Promise)
 
--- a/src/burdockgap/lease/fold_view.py
+++ b/src/burdockgap/lease/fold_view.py
@@ -20,7 +20,7 @@
         ...
 
     def listen(self, callback: Callable[[Touched], None]) -> None:
-        """Call back after each applied record, before any other task."""
+        """Call back after each record, before any task runs."""
         ...
 
     def offset(self, stream: str) -> int:
--- a/src/burdockgap/lease/renewals.py
+++ b/src/burdockgap/lease/renewals.py
@@ -36,7 +36,7 @@
         return self._seq
 
     def acked(self, seq: int) -> bool:
-        """Note an acknowledgement; ``False`` if its number is unknown."""
+        """Note an answer; ``False`` if its number is unknown."""
         sent_at = self._sent.pop(seq, None)
         if sent_at is None:
             return False
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
 from burdockgap.fold.control_state import ControlState
-from burdockgap.fold.touched import Touched
 from burdockgap.records.admit import Admit
 from burdockgap.records.assign import Assign
 from burdockgap.records.claim import Claim
@@ -16,6 +15,9 @@
 from burdockgap.records.session_entry import SessionEntry
 from burdockgap.records.streams import CONTROL
 
+if TYPE_CHECKING:
+    from burdockgap.fold.touched import Touched
+
 
 def make_session(**fields: Any) -> SessionEntry:
     """Return a session entry with defaults for what is not given."""
@@ -54,6 +56,7 @@
     def __init__(self) -> None:
         self.control = ControlState()
         self.callbacks: list[Any] = []
+        self.changed = anyio.Event()
         self._next_id = 0
 
     def listen(self, callback: Any) -> None:
@@ -67,13 +70,15 @@
     ) -> bool:
         with anyio.move_on_after(timeout_s):
             while self.offset(stream) < offset:
-                await anyio.sleep(0.005)
+                await self.changed.wait()
         return self.offset(stream) >= offset
 
     def fold(self, record: Any) -> Touched:
         touched = self.control.apply(self.control.offset, record)
         for callback in self.callbacks:
             callback(touched)
+        self.changed.set()
+        self.changed = anyio.Event()
         return touched
 
     def add(self, kind: Any, **fields: Any) -> Touched:
