--- /dev/null
+++ b/src/burdockgap/ownership/grants.py
@@ -0,0 +1,134 @@
+"""Keeps the fenced grants of the target up to date."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from burdockgap.ownership.session_grants import SessionGrants
+from burdockgap.target import Grant
+
+if TYPE_CHECKING:
+    from burdockgap.clock import Clock
+    from burdockgap.lease.timing import LeaseTiming
+    from burdockgap.ownership.own_session import OwnSession
+    from burdockgap.target import Target
+
+_CALL_TIMEOUT_S = 0.5
+_RETRY_S = 0.05
+
+
+class Grants:
+    """
+    Gives the target the epochs of a session's units, and its lease.
+
+    The epochs go to the target when they change, the lease alone each
+    time it is renewed.
+
+    :param target: the target beside the daemon.
+    :param clock: the source of elapsed time.
+    :param timing: the times of the lease protocol.
+    :param margin_s: how much earlier than the lease a grant ends.
+    :param checks_grants: whether the target takes grants at all.
+    """
+
+    __slots__ = (
+        "_by_session",
+        "_clock",
+        "_margin_s",
+        "_target",
+        "_timing",
+        "checks_grants",
+    )
+
+    def __init__(
+        self,
+        target: Target,
+        *,
+        clock: Clock,
+        timing: LeaseTiming,
+        margin_s: float,
+        checks_grants: bool,
+    ) -> None:
+        self._target = target
+        self._clock = clock
+        self._timing = timing
+        self._margin_s = margin_s
+        self.checks_grants = checks_grants
+        self._by_session: dict[int, SessionGrants] = {}
+
+    def changed(self, session: OwnSession) -> None:
+        """Note that a session's units changed."""
+        self._grants(session).changed.set()
+
+    def target_restarted(self) -> None:
+        """Note that the target knows no grants any more."""
+        for grants in self._by_session.values():
+            grants.changed.set()
+
+    async def run(self, session: OwnSession) -> None:
+        """Give and renew the grants of a session until it ends."""
+        await session.admitted.wait()
+        grants = self._grants(session)
+        while not session.ended.is_set():
+            if not await self._send(session, grants):
+                await anyio.sleep(_RETRY_S)
+                continue
+            with anyio.move_on_after(self._timing.renew_s):
+                await grants.changed.wait()
+        del self._by_session[session.session_id]
+
+    async def withdraw(self, session: OwnSession) -> None:
+        """
+        Take back what a session no longer holds.
+
+        Returns when the target confirmed it or its grant has ended.
+        """
+        grants = self._grants(session)
+        grants.changed.set()
+        async with grants.lock:
+            ends_at = grants.valid_until
+        while self._clock.now() < ends_at:
+            if not grants.changed.is_set() or await self._send(
+                session, grants
+            ):
+                return
+            await anyio.sleep(_RETRY_S)
+
+    def _grants(self, session: OwnSession) -> SessionGrants:
+        return self._by_session.setdefault(session.session_id, SessionGrants())
+
+    async def _send(self, session: OwnSession, grants: SessionGrants) -> bool:
+        async with grants.lock:
+            lease_s = self._lease_s(session)
+            if not self.checks_grants or lease_s <= 0:
+                return not self.checks_grants
+            changed = grants.changed.is_set()
+            grants.changed = anyio.Event()
+            epochs = dict(session.holdings.active) if changed else None
+            given = await self._give(
+                Grant(
+                    session_id=session.session_id,
+                    lease_s=lease_s,
+                    epochs=epochs,
+                )
+            )
+            grants.valid_until = self._clock.now() + lease_s
+            if not given:
+                grants.changed.set()
+            return given
+
+    async def _give(self, grant: Grant) -> bool:
+        with anyio.move_on_after(_CALL_TIMEOUT_S):
+            try:
+                return await self._target.grant(grant)
+            except OSError:
+                return False
+        return False
+
+    def _lease_s(self, session: OwnSession) -> float:
+        if session.lease is None:
+            return 0.0
+        left = session.lease.expires_at() - self._clock.now()
+        return min(left, self._timing.duration_s) - self._margin_s
--- /dev/null
+++ b/src/burdockgap/ownership/guard.py
@@ -0,0 +1,138 @@
+"""The gate's permissions, decided by leases and ownership."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, NoReturn
+
+from burdockgap.gate.permit import Permit
+from burdockgap.ownership.activation_rule import expected_holder
+from burdockgap.verdict import Reason, Refusal, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from burdockgap.clock import Clock
+    from burdockgap.lease.certificates import Certificates
+    from burdockgap.lease.fold_view import FoldView
+    from burdockgap.ownership.own_session import OwnSession
+    from burdockgap.ownership.own_sessions import OwnSessions
+
+
+class Guard:
+    """
+    Permits a dispatch under a lease, a keyed one only as owner.
+
+    :param sessions: this daemon's sessions.
+    :param folds: the folds, to say who owns what is refused.
+    :param certificates: proofs that owners have stopped.
+    :param clock: the source of elapsed time.
+    :param margin_s: how much earlier permits end; above zero for
+        targets that do not check grants.
+    """
+
+    __slots__ = ("_certificates", "_clock", "_folds", "_sessions", "margin_s")
+
+    def __init__(
+        self,
+        *,
+        sessions: OwnSessions,
+        folds: FoldView,
+        certificates: Certificates,
+        clock: Clock,
+        margin_s: float,
+    ) -> None:
+        self._sessions = sessions
+        self._folds = folds
+        self._certificates = certificates
+        self._clock = clock
+        self.margin_s = margin_s
+
+    def check(self, key_hash: int | None) -> None:
+        """
+        Refuse early what :meth:`enter` would refuse now.
+
+        :param key_hash: hash of the key, ``None`` for unkeyed requests.
+        :raises Refusal: with ``not-run``.
+        """
+        if key_hash is None:
+            self._leased()
+        else:
+            self._holder(self._unit(key_hash))
+
+    @contextmanager
+    def enter(self, key_hash: int | None) -> Iterator[Permit]:
+        """
+        Permit one dispatch; the context lasts until the work has ended.
+
+        :param key_hash: hash of the key, ``None`` for unkeyed requests.
+        :raises Refusal: with ``not-run``.
+        """
+        if key_hash is None:
+            yield self._permit(self._leased(), None)
+            return
+        unit = self._unit(key_hash)
+        session = self._holder(unit)
+        permit = self._permit(session, unit)
+        item = session.holdings.enter(key_hash, permit)
+        try:
+            yield permit
+        finally:
+            session.holdings.leave(item)
+
+    def _permit(self, session: OwnSession, unit: int | None) -> Permit:
+        if session.lease is None:
+            raise _refusal(Reason.NO_LEASE, "the session has ended")
+        epoch = 0 if unit is None else session.holdings.epoch(unit)
+        expires_at = session.lease.expires_at() - self.margin_s
+        return Permit(unit=unit, epoch=epoch, expires_at=expires_at)
+
+    def _leased(self) -> OwnSession:
+        now = self._clock.now()
+        for session in self._sessions.admitted():
+            if session.is_held(now, self.margin_s):
+                return session
+        raise _refusal(Reason.NO_LEASE, "this daemon holds no lease now")
+
+    def _unit(self, key_hash: int) -> int:
+        table = self._sessions.table()
+        if table is None:
+            raise _refusal(Reason.NO_OWNER, "the service has no slices yet")
+        return table.unit_of(key_hash)
+
+    def _holder(self, unit: int) -> OwnSession:
+        now = self._clock.now()
+        lapsed = False
+        for session in self._sessions.admitted():
+            if not session.holdings.epoch(unit):
+                continue
+            if session.is_held(now, self.margin_s):
+                return session
+            lapsed = True
+        if lapsed:
+            raise _refusal(Reason.NO_LEASE, "the owner's lease has lapsed")
+        self._refuse(unit)
+        return None
+
+    def _refuse(self, unit: int) -> NoReturn:
+        control = self._folds.control
+        holder = expected_holder(
+            control, self._certificates, self._sessions.service, unit
+        )
+        entry = control.sessions.get(holder)
+        if entry is None:
+            raise _refusal(Reason.NO_OWNER, "nobody owns the key now")
+        if self._sessions.find(holder) is not None:
+            raise _refusal(
+                Reason.ACTIVATING, "the key is being taken over; try again"
+            )
+        raise Refusal(
+            Verdict.NOT_RUN,
+            Reason.NOT_OWNER,
+            f"the key belongs to {entry.name}",
+            owner=entry.peer_address,
+        )
+
+
+def _refusal(reason: Reason, detail: str) -> Refusal:
+    return Refusal(Verdict.NOT_RUN, reason, detail)
--- /dev/null
+++ b/src/burdockgap/ownership/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages about holding units."""
--- /dev/null
+++ b/src/burdockgap/ownership/messages/release.py
@@ -0,0 +1,35 @@
+"""A request to release units."""
+
+from __future__ import annotations
+
+from burdockgap.wire.message import Message
+
+
+class Release(Message):
+    """
+    Asks a session to stop holding units below an epoch, for good.
+
+    :param session_id: the session that may hold the units.
+    :param service: the keyed service.
+    :param units: unit ids.
+    :param epochs: the floor of each unit.
+    :param control_offset: how far the asking daemon has folded.
+    """
+
+    __slots__ = ("session_id", "service", "units", "epochs", "control_offset")
+    TAG = 50
+
+    def __init__(
+        self,
+        *,
+        session_id: int,
+        service: str,
+        units: list[int],
+        epochs: list[int],
+        control_offset: int,
+    ) -> None:
+        self.session_id = session_id
+        self.service = service
+        self.units = units
+        self.epochs = epochs
+        self.control_offset = control_offset
--- /dev/null
+++ b/src/burdockgap/ownership/own_session.py
@@ -0,0 +1,75 @@
+"""A session of this daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from burdockgap.ownership.holdings import Holdings
+
+if TYPE_CHECKING:
+    from burdockgap.lease.holder import LeaseHolder
+    from burdockgap.lease.parties import Parties
+    from burdockgap.lease.sender import Sender
+    from burdockgap.ownership.pending_unit import PendingUnit
+
+
+class OwnSession:
+    """
+    One session from before its admission to its end.
+
+    :param session_id: the session.
+    :ivar lease: its lease; ``None`` until it is admitted.
+    :ivar holdings: what it holds.
+    :ivar pending: the units that it is about to activate.
+    :ivar admitted: set when the session is admitted.
+    :ivar ended: set when the session has ended.
+    """
+
+    __slots__ = (
+        "admitted",
+        "ended",
+        "holdings",
+        "lease",
+        "pending",
+        "session_id",
+    )
+
+    def __init__(self, session_id: int) -> None:
+        self.session_id = session_id
+        self.lease: LeaseHolder | None = None
+        self.holdings = Holdings()
+        self.pending: dict[int, PendingUnit] = {}
+        self.admitted = anyio.Event()
+        self.ended = anyio.Event()
+
+    def is_held(self, now: float, margin_s: float = 0.0) -> bool:
+        """Tell whether the lease lasts beyond a time and a margin."""
+        return self.lease is not None and self.lease.is_held(now + margin_s)
+
+    def admit(self, lease: LeaseHolder) -> None:
+        """Take in the admission."""
+        self.lease = lease
+        self.admitted.set()
+
+    def end(self) -> None:
+        """Take in the end."""
+        self.lease = None
+        self.holdings.clear()
+        self.pending.clear()
+        self.ended.set()
+
+    async def run(self, parties: Parties, sender: Sender) -> None:
+        """Keep the lease from the admission to the end."""
+        await self.admitted.wait()
+        if self.lease is None:
+            return
+        parties.holders[self.session_id] = self.lease
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.lease.run, sender)
+                await self.ended.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            parties.holders.pop(self.session_id, None)
--- /dev/null
+++ b/src/burdockgap/ownership/pending_unit.py
@@ -0,0 +1,26 @@
+"""A unit that a session is about to activate."""
+
+from __future__ import annotations
+
+
+class PendingUnit:
+    """
+    A unit that waits for releases of earlier holders.
+
+    :param epoch: the epoch at which it will be active.
+    :ivar floors: the floor that each holder has released it with.
+    """
+
+    __slots__ = ("epoch", "floors")
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.floors: dict[int, int] = {}
+
+    def released(self, holder: int, floor: int) -> None:
+        """Note an earlier holder's release."""
+        self.floors[holder] = max(floor, self.floors.get(holder, 0))
+
+    def is_released_by(self, holder: int) -> bool:
+        """Tell whether a holder's floor allows the activation."""
+        return self.floors.get(holder, 0) >= self.epoch
--- /dev/null
+++ b/src/burdockgap/ownership/releaser.py
@@ -0,0 +1,151 @@
+"""Answers to releases that other sessions ask for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from burdockgap.ownership.messages.released import Released
+from burdockgap.ownership.release_error import ReleaseError
+from burdockgap.ownership.unit import is_pin
+from burdockgap.records.streams import CONTROL
+from burdockgap.wire.ids import show_id
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from burdockgap.fold.unit_table import UnitTable
+    from burdockgap.gate.permit import Permit
+    from burdockgap.lease.fold_view import FoldView
+    from burdockgap.ownership.holdings import Holdings
+    from burdockgap.ownership.messages.release import Release
+    from burdockgap.ownership.own_session import OwnSession
+    from burdockgap.ownership.own_sessions import OwnSessions
+    from burdockgap.ownership.work_item import WorkItem
+
+_OFFSET_WAIT_S = 1.0
+
+
+class Releaser:
+    """
+    Gives units up for good when another session may take them.
+
+    :param sessions: this daemon's sessions.
+    :param folds: the folds.
+    :param withdraw: takes released units back from the target.
+    :param cancel: asks the gate to cancel requests in flight.
+    :param release_timeout_s: how long work in flight may go on before
+        it is cancelled.
+    """
+
+    __slots__ = (
+        "_cancel",
+        "_folds",
+        "_release_timeout_s",
+        "_sessions",
+        "_withdraw",
+    )
+
+    def __init__(
+        self,
+        *,
+        sessions: OwnSessions,
+        folds: FoldView,
+        withdraw: Callable[[OwnSession], Awaitable[None]],
+        cancel: Callable[[list[Permit]], None],
+        release_timeout_s: float,
+    ) -> None:
+        self._sessions = sessions
+        self._folds = folds
+        self._withdraw = withdraw
+        self._cancel = cancel
+        self._release_timeout_s = release_timeout_s
+
+    async def release(self, request: Release) -> Released:
+        """
+        Release units and answer when nothing runs under them any more.
+
+        :raises ReleaseError: if the session is unknown here, or this
+            daemon can't fold far enough now.
+        """
+        folded = await self._folds.wait_offset(
+            CONTROL, request.control_offset, _OFFSET_WAIT_S
+        )
+        if not folded:
+            raise ReleaseError("the fold is behind the request; ask again")
+        session = self.find(request)
+        work = self.begin(session, request)
+        await self._drain(work)
+        await self._withdraw(session)
+        return self.make_answer(request)
+
+    def find(self, request: Release) -> OwnSession:
+        """
+        Return the session that a release is for.
+
+        :raises ReleaseError: if this process run did not open it.
+        """
+        session = self._sessions.find(request.session_id)
+        if session is None:
+            raise ReleaseError(
+                f"session {show_id(request.session_id)} is not of this "
+                "process; wait for its certificate or its end"
+            )
+        return session
+
+    def begin(self, session: OwnSession, request: Release) -> list[WorkItem]:
+        """
+        Set the floors and stop taking work.
+
+        Call it only when folded up to the request's offset.
+
+        :return: the requests in flight to wait for.
+        """
+        table = self._sessions.table()
+        if table is None or request.service != self._sessions.service:
+            raise ReleaseError("the service has no units here; ask again")
+        offset = request.control_offset
+        units = set(request.units)
+        for unit, floor in zip(request.units, request.epochs, strict=False):
+            session.holdings.release(unit, floor)
+            if not is_pin(unit):
+                self._release_pins(
+                    session.holdings, table, unit, floor, offset
+                )
+        return session.holdings.work_in(units, table.slices)
+
+    def _release_pins(
+        self,
+        holdings: Holdings,
+        table: UnitTable,
+        unit: int,
+        floor: int,
+        offset: int,
+    ) -> None:
+        # A daemon that has not folded a pin yet takes its key, too.
+        for pin in holdings.active_pins(unit, table.slices):
+            if offset < self._sessions.pinned_at(pin):
+                holdings.release(pin, min(floor, table.epoch(pin)))
+
+    def make_answer(self, request: Release) -> Released:
+        """Return the answer once the work in flight has ended."""
+        return Released(
+            session_id=request.session_id,
+            service=request.service,
+            units=request.units,
+            floors=request.epochs,
+        )
+
+    async def _drain(self, work: list[WorkItem]) -> None:
+        with anyio.move_on_after(self._release_timeout_s):
+            await _wait_ended(work)
+            return
+        running = [item for item in work if not item.ended.is_set()]
+        self._cancel([item.permit for item in running])
+        await _wait_ended(running)
+
+
+async def _wait_ended(work: list[WorkItem]) -> None:
+    for item in work:
+        await item.ended.wait()
--- /dev/null
+++ b/src/burdockgap/ownership/session_grants.py
@@ -0,0 +1,23 @@
+"""What the target was granted for one session."""
+
+from __future__ import annotations
+
+import anyio
+
+
+class SessionGrants:
+    """
+    The state of the grants of one session.
+
+    :ivar changed: set when the target must learn the epochs anew.
+    :ivar valid_until: clock time until which the target may hold a
+        grant that it received.
+    :ivar lock: keeps grants in order.
+    """
+
+    __slots__ = ("changed", "lock", "valid_until")
+
+    def __init__(self) -> None:
+        self.changed = anyio.Event()
+        self.valid_until = float("-inf")
+        self.lock = anyio.Lock()
--- /dev/null
+++ b/src/burdockgap/ownership/takeover.py
@@ -0,0 +1,153 @@
+"""The tasks that ask for releases and report activations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from burdockgap.ownership.activator import Activator
+from burdockgap.ownership.release_error import ReleaseError
+from burdockgap.wire.ids import show_id
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from anyio.abc import TaskGroup
+
+    from burdockgap.lease.certificates import Certificates
+    from burdockgap.lease.fold_view import FoldView
+    from burdockgap.ownership.messages.activation_report import (
+        ActivationReport,
+    )
+    from burdockgap.ownership.messages.release import Release
+    from burdockgap.ownership.messages.released import Released
+    from burdockgap.ownership.own_session import OwnSession
+    from burdockgap.ownership.own_sessions import OwnSessions
+    from burdockgap.ownership.release_client import ReleaseClient
+    from burdockgap.ownership.releaser import Releaser
+
+_RETRY_S = 0.2
+_REPORT_RETRY_S = 1.0
+_REPORT_DELAY_S = 0.02
+
+
+class Takeover:
+    """
+    Runs one task per earlier holder and one for the reports.
+
+    :param sessions: this daemon's sessions.
+    :param folds: the folds.
+    :param certificates: proofs that holders have stopped.
+    :param client: asks other daemons for a release.
+    :param releaser: releases units of this daemon's own sessions.
+    :param on_active: called with a session that activated units.
+    :param report: gives a report to the coordinator; what it raises as
+        ``OSError`` is tried again.
+    :ivar activator: decides what to activate.
+    """
+
+    __slots__ = (
+        "_asked",
+        "_client",
+        "_folds",
+        "_on_active",
+        "_releaser",
+        "_report",
+        "_sessions",
+        "_tasks",
+        "_to_report",
+        "activator",
+    )
+
+    def __init__(
+        self,
+        *,
+        sessions: OwnSessions,
+        folds: FoldView,
+        certificates: Certificates,
+        client: ReleaseClient,
+        releaser: Releaser,
+        on_active: Callable[[OwnSession], None],
+        report: Callable[[ActivationReport], Awaitable[None]],
+    ) -> None:
+        self._sessions = sessions
+        self._folds = folds
+        self._client = client
+        self._releaser = releaser
+        self._on_active = on_active
+        self._report = report
+        self._asked: set[int] = set()
+        self._tasks: TaskGroup | None = None
+        self._to_report = anyio.Event()
+        self.activator = Activator(
+            sessions=sessions,
+            folds=folds,
+            certificates=certificates,
+            on_active=self._activated,
+            on_asking=self._start_asking,
+        )
+
+    async def run(self) -> None:
+        """Ask and report until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self.activator.resync()
+            try:
+                await self._report_all()
+            finally:
+                self._tasks = None
+
+    def _activated(self, session: OwnSession) -> None:
+        self._on_active(session)
+        self._to_report.set()
+
+    def _start_asking(self, holder: int) -> None:
+        if self._tasks is None or holder in self._asked:
+            return
+        self._asked.add(holder)
+        self._tasks.start_soon(self._ask, holder)
+
+    async def _ask(self, holder: int) -> None:
+        try:
+            while request := self.activator.next_request(holder):
+                await self._ask_once(request)
+        finally:
+            self._asked.discard(holder)
+
+    async def _ask_once(self, request: Release) -> None:
+        try:
+            released = await self._call(request)
+        except (ReleaseError, OSError) as exc:
+            logger.debug(
+                "session {} released nothing: {}",
+                show_id(request.session_id),
+                exc,
+            )
+            await anyio.sleep(_RETRY_S)
+            return
+        self.activator.on_released(released)
+
+    async def _call(self, request: Release) -> Released:
+        if self._sessions.find(request.session_id) is not None:
+            return await self._releaser.release(request)
+        entry = self._folds.control.sessions.get(request.session_id)
+        if entry is None:
+            raise ReleaseError("the session has ended")
+        return await self._client.release(entry, request)
+
+    async def _report_all(self) -> None:
+        while True:
+            await self._to_report.wait()
+            self._to_report = anyio.Event()
+            await anyio.sleep(_REPORT_DELAY_S)
+            while report := self.activator.next_report():
+                await self._report_once(report)
+
+    async def _report_once(self, report: ActivationReport) -> None:
+        try:
+            await self._report(report)
+        except OSError as exc:
+            logger.debug("the report of activations failed: {}", exc)
+        await anyio.sleep(_REPORT_RETRY_S)
--- /dev/null
+++ b/src/burdockgap/ownership/work_item.py
@@ -0,0 +1,35 @@
+"""A request in flight under a session."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from burdockgap.ownership.unit import pin_of, slice_of
+
+if TYPE_CHECKING:
+    from burdockgap.gate.permit import Permit
+
+
+class WorkItem:
+    """
+    One keyed request between its dispatch and its end.
+
+    :param key_hash: hash of the request's key.
+    :param permit: what the gate was given for it.
+    :ivar ended: set when the work has ended.
+    """
+
+    __slots__ = ("ended", "key_hash", "permit")
+
+    def __init__(self, key_hash: int, permit: Permit) -> None:
+        self.key_hash = key_hash
+        self.permit = permit
+        self.ended = anyio.Event()
+
+    def belongs_to(self, units: set[int], slices: int) -> bool:
+        """Tell whether the key, pinned or not, falls into the units."""
+        if pin_of(self.key_hash) in units:
+            return True
+        return slice_of(self.key_hash, slices) in units
