--- a/src/burdockgap/ownership/activator.py
+++ b/src/burdockgap/ownership/activator.py
@@ -104,7 +104,7 @@
         self._consider(released.units)
 
     def next_request(self, holder: int) -> Release | None:
-        """Return what to ask a holder for, ``None`` if there is nothing."""
+        """Return what to ask a holder for, ``None`` if nothing."""
         epochs = self._wanted_of(holder)
         if not epochs:
             self._waiting.pop(holder, None)
--- a/src/burdockgap/ownership/own_sessions.py
+++ b/src/burdockgap/ownership/own_sessions.py
@@ -50,7 +50,7 @@
         return session
 
     def find(self, session_id: int) -> OwnSession | None:
-        """Return a session that this process run opened, if not ended."""
+        """Return a session of this process run that has not ended."""
         return self._by_id.get(session_id)
 
     def admitted(self) -> list[OwnSession]:
@@ -62,7 +62,7 @@
         ]
 
     def table(self) -> UnitTable | None:
-        """Return the units of the service; ``None`` if it is unkeyed."""
+        """Return the service's units; ``None`` if it is unkeyed."""
         return self._folds.control.tables.get(self.service)
 
     def pinned_at(self, pin: int) -> int:
--- a/src/burdockgap/ownership/work_item.py
+++ b/src/burdockgap/ownership/work_item.py
@@ -28,8 +28,6 @@
         self.permit = permit
         self.ended = anyio.Event()
 
-    def belongs_to(self, units: set[int], slices: int) -> bool:
-        """Tell whether the key, pinned or not, falls into the units."""
-        if pin_of(self.key_hash) in units:
-            return True
-        return slice_of(self.key_hash, slices) in units
+    def units(self, slices: int) -> set[int]:
+        """Return the units that the key has, pinned and not pinned."""
+        return {pin_of(self.key_hash), slice_of(self.key_hash, slices)}
