--- a/src/burdockgap/fold/unit_table.py
+++ b/src/burdockgap/fold/unit_table.py
@@ -129,7 +129,15 @@
             self._earlier[unit] = self._earlier[parent]
 
     def remove_pin(self, unit: int) -> None:
-        """Return a pinned key to its slice."""
+        """
+        Return a pinned key to its slice.
+
+        The slice goes on at the higher of both epochs, so that no pair
+        of a pin and an epoch ever comes up for two different owners.
+        """
+        parent = slice_of(unit, self.slices)
+        epoch = max(self.epoch(parent), self.epoch(unit))
+        self._set(parent, self.owner(parent), epoch)
         del self._pin_owners[unit]
         del self._pin_epochs[unit]
         self._earlier.pop(unit, None)
--- a/src/burdockgap/lease/witness.py
+++ b/src/burdockgap/lease/witness.py
@@ -15,6 +15,8 @@
 from burdockgap.wire.ids import show_id
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.clock import Clock
     from burdockgap.fold.touched import Touched
     from burdockgap.lease.fold_view import FoldView
@@ -42,6 +44,7 @@
     """
 
     __slots__ = (
+        "_callbacks",
         "_clock",
         "_folds",
         "_joined",
@@ -67,12 +70,17 @@
         self._timing = timing
         self._folds = folds
         self._started_at = clock.now()
+        self._callbacks: list[Callable[[int], None]] = []
         self._joined = False
         self._timed: dict[int, TimedSession] = {}
         for entry in folds.control.sessions.values():
             self._admitted(entry)
         folds.listen(self.on_touched)
 
+    def listen(self, callback: Callable[[int], None]) -> None:
+        """Call back with the id of a session that expired here."""
+        self._callbacks.append(callback)
+
     def on_touched(self, touched: Touched) -> None:
         """Take in what a record changed."""
         for session_id in touched.sessions:
@@ -165,6 +173,8 @@
             return
         PROMISES.inc()
         logger.info("session {} expired", show_id(timed.session_id))
+        for callback in self._callbacks:
+            callback(timed.session_id)
 
     def due_promises(self) -> list[Promise]:
         """Return the promises to push now and count them as pushed."""
--- a/src/burdockgap/ownership/holdings.py
+++ b/src/burdockgap/ownership/holdings.py
@@ -87,7 +87,7 @@
 
     def work_in(self, units: set[int], slices: int) -> list[WorkItem]:
         """Return the requests in flight whose keys fall into units."""
-        return [item for item in self._work if item.belongs_to(units, slices)]
+        return [item for item in self._work if item.units(slices) & units]
 
     def _drop(self, unit: int) -> None:
         self.active.pop(unit, None)
--- a/src/burdockgap/ownership/releaser.py
+++ b/src/burdockgap/ownership/releaser.py
@@ -66,6 +66,10 @@
         """
         Release units and answer when nothing runs under them any more.
 
+        Units with work in flight hold up no others: as long as there
+        are others, the answer leaves them out, and the asking daemon
+        asks for them again.
+
         :raises ReleaseError: if the session is unknown here, or this
             daemon can't fold far enough now.
         """
@@ -76,9 +80,12 @@
             raise ReleaseError("the fold is behind the request; ask again")
         session = self.find(request)
         work = self.begin(session, request)
-        await self._drain(work)
+        answer = self.make_answer(request, work)
+        if not answer.units:
+            await self._drain(work)
+            answer = self.make_answer(request, [])
         await self._withdraw(session)
-        return self.make_answer(request)
+        return answer
 
     def find(self, request: Release) -> OwnSession:
         """
@@ -113,7 +120,11 @@
                 self._release_pins(
                     session.holdings, table, unit, floor, offset
                 )
-        return session.holdings.work_in(units, table.slices)
+        return [
+            item
+            for item in session.holdings.work_in(units, table.slices)
+            if not session.holdings.epoch(table.unit_of(item.key_hash))
+        ]
 
     def _release_pins(
         self,
@@ -128,15 +139,30 @@
             if offset < self._sessions.pinned_at(pin):
                 holdings.release(pin, min(floor, table.epoch(pin)))
 
-    def make_answer(self, request: Release) -> Released:
-        """Return the answer once the work in flight has ended."""
+    def make_answer(self, request: Release, work: list[WorkItem]) -> Released:
+        """
+        Return the answer to a release.
+
+        :param work: requests in flight whose units are left out.
+        """
+        slices = self._slices()
+        busy = {unit for item in work for unit in item.units(slices)}
+        floors = {
+            unit: floor
+            for unit, floor in zip(request.units, request.epochs, strict=False)
+            if unit not in busy
+        }
         return Released(
             session_id=request.session_id,
             service=request.service,
-            units=request.units,
-            floors=request.epochs,
+            units=list(floors),
+            floors=list(floors.values()),
         )
 
+    def _slices(self) -> int:
+        table = self._sessions.table()
+        return 1 if table is None else table.slices
+
     async def _drain(self, work: list[WorkItem]) -> None:
         with anyio.move_on_after(self._release_timeout_s):
             await _wait_ended(work)
