Add the gate, the HTTP target and the stand-in target

The gate is the only way in to a target. A slot and a permit are held until the target confirms that the work has ended, since a request whose caller has gone may still run. Grants and deadlines carry the end on CLOCK_BOOTTIME besides the remaining time: a target that was frozen with them in its sockets would otherwise count from the moment it wakes.

--- /dev/null
+++ b/src/burdockgap/gate/__init__.py
@@ -0,0 +1,1 @@
+"""The only way in to the daemon's own target."""
--- /dev/null
+++ b/src/burdockgap/gate/gate.py
@@ -0,0 +1,423 @@
+"""The only way in to the daemon's own target."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager, contextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from burdockgap.gate import metrics
+from burdockgap.gate.flight import Flight
+from burdockgap.gate.gate_stats import GateStats
+from burdockgap.gate.limiter import Limiter
+from burdockgap.gate.quarantine import Quarantine
+from burdockgap.gate.request_log import RequestLog
+from burdockgap.gate.target_state import TargetState
+from burdockgap.target import TargetReply, TargetRequest
+from burdockgap.verdict import Reason, Refusal, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+    from anyio.abc import TaskGroup
+
+    from burdockgap.clock import Clock
+    from burdockgap.gate.gate_policy import GatePolicy
+    from burdockgap.gate.gate_request import GateRequest
+    from burdockgap.gate.logged_request import LoggedRequest
+    from burdockgap.gate.permit import Permit
+    from burdockgap.gate.permits import Permits
+    from burdockgap.target import Target, TargetInfo
+
+STALL_S = 1.0
+_STATUS_INTERVAL_S = 0.25
+_LEASE_WATCH_INTERVAL_S = 0.05
+_REAP_INTERVAL_S = 0.1
+_REAP_LIMIT_S = 30.0
+_REFUSING_DETAIL = "This daemon takes no new work; retry elsewhere."
+
+
+class Gate:
+    """
+    Admits requests to the target, one slot each.
+
+    Use :func:`burdockgap.gate.open_gate.open_gate`. No target is known
+    until :meth:`announced`.
+
+    :param service: the target's service.
+    :param permits: decides on each dispatch.
+    :param policy: the service's profile.
+    :param clock: the time source.
+    :param tasks: runs the gate's own tasks.
+    :param stall_s: seconds without a sign of life of the target after
+        which it counts as stalled.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_flights",
+        "_limiter",
+        "_log",
+        "_permits",
+        "_policy",
+        "_refusing",
+        "_state",
+        "_tasks",
+        "quarantine",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        permits: Permits,
+        policy: GatePolicy,
+        clock: Clock,
+        tasks: TaskGroup,
+        stall_s: float = STALL_S,
+    ) -> None:
+        self._clock = clock
+        self._permits = permits
+        self._policy = policy
+        self._tasks = tasks
+        self._refusing: Reason | None = None
+        self._flights: set[Flight] = set()
+        self._log = RequestLog(clock=clock)
+        self._state = TargetState(policy=policy, clock=clock, stall_s=stall_s)
+        self._limiter = Limiter(
+            clock=clock,
+            limit=self._state.limit,
+            queue_length=policy.queue_length,
+        )
+        self.quarantine = Quarantine(service=service, clock=clock)
+
+    @property
+    def stats(self) -> GateStats:
+        """The load now."""
+        return GateStats(
+            in_flight=self._limiter.in_flight,
+            limit=self._limiter.limit,
+            queue_length=self._limiter.waiting,
+            service_ewma_s=self._state.times.ewma_s,
+            completions=self._state.times.completions,
+        )
+
+    @property
+    def progressing(self) -> bool:
+        """Whether the daemon may go on renewing its lease."""
+        return not self._state.progress.stalled(self._limiter.in_flight)
+
+    def announced(self, info: TargetInfo, target: Target) -> None:
+        """
+        Take a target's announcement.
+
+        Another boot id than before means that the target restarted:
+        the work of the earlier process has ended and the ramp begins
+        again.
+
+        :param info: the announcement.
+        :param target: the endpoints to use from now on.
+        """
+        before = self._state.boot_id
+        if before not in ("", info.boot_id):
+            self._process_replaced(before)
+        self._state.announced(info, target)
+        self._limiter.set_limit(self._state.limit)
+
+    def set_policy(self, policy: GatePolicy) -> None:
+        """Follow another profile from now on."""
+        self._policy = policy
+        self._state.configure(policy)
+        self._limiter.queue_length = policy.queue_length
+        self._limiter.set_limit(self._state.limit)
+
+    def refuse_new(self, reason: Reason | None) -> None:
+        """
+        Refuse all new work, that in the queue included.
+
+        :param reason: given to the callers; ``None`` takes work again.
+        """
+        if reason is not self._refusing:
+            logger.info("gate refuses new work: {}", reason)
+        self._refusing = reason
+        if reason is not None:
+            self._limiter.refuse_waiting(reason, _REFUSING_DETAIL)
+
+    async def drained(self, timeout_s: float) -> bool:
+        """
+        Wait until no work is in flight.
+
+        :return: ``False`` if work was left after ``timeout_s``.
+        """
+        with anyio.move_on_after(timeout_s):
+            await self._limiter.wait_idle()
+        return self._limiter.in_flight == 0
+
+    @asynccontextmanager
+    async def serve(self, req: GateRequest) -> AsyncIterator[TargetReply]:
+        """
+        Give a request to the target and its answer to the caller.
+
+        Leaving the context before the end of the body cancels the work.
+
+        :raises Refusal: with ``not-run`` before the target gets the
+            request. The reply's body raises it too.
+        """
+        try:
+            async with self._serve(req) as reply:
+                yield reply
+        except Refusal as exc:
+            metrics.refusals.labels(exc.verdict.value, exc.reason.value).inc()
+            raise
+
+    def start(self) -> None:
+        """Start to watch the target and the leases."""
+        self._tasks.start_soon(self._watch_target)
+        self._tasks.start_soon(self._watch_leases)
+
+    @asynccontextmanager
+    async def _serve(self, req: GateRequest) -> AsyncIterator[TargetReply]:
+        self._check_open()
+        if req.idempotent:
+            self._check_not_in_flight(req.request_id)
+            async with self._dispatch(req, None) as reply:
+                yield reply
+            return
+        earlier = await self._log.find(
+            req.request_id, req.fingerprint, req.deadline
+        )
+        if earlier is not None:
+            yield earlier.replay()
+            metrics.replays.inc()
+            return
+        with self._log.recording(req.request_id, req.fingerprint) as entry:
+            async with self._dispatch(req, entry) as reply:
+                yield entry.capture(reply)
+
+    @asynccontextmanager
+    async def _dispatch(
+        self, req: GateRequest, entry: LoggedRequest | None
+    ) -> AsyncIterator[TargetReply]:
+        self.quarantine.check(req.fingerprint)
+        self._permits.check(req.key_hash)
+        self._state.check()
+        await self._limiter.acquire(
+            deadline=req.deadline, wait_s=self._policy.queue_wait_s
+        )
+        with self._in_flight(req, entry) as flight:
+            permit = self._enter(flight)
+            async with self._exchange(flight, permit) as reply:
+                yield reply
+
+    @contextmanager
+    def _in_flight(
+        self, req: GateRequest, entry: LoggedRequest | None
+    ) -> Iterator[Flight]:
+        """Own the slot; abandoned work leaves it to the reaper."""
+        try:
+            target = self._state.check()
+        except Refusal:
+            self._limiter.release()
+            raise
+        flight = Flight(
+            req=req,
+            entry=entry,
+            target=target,
+            boot_id=self._state.boot_id,
+        )
+        flight.held.callback(self._limiter.release)
+        self._flights.add(flight)
+        try:
+            yield flight
+        finally:
+            if flight.is_running:
+                metrics.abandoned.inc()
+                self._tasks.start_soon(self._reap, flight)
+            else:
+                self._close(flight)
+
+    def _enter(self, flight: Flight) -> Permit:
+        # The wait for the slot may have changed any of the answers.
+        self._check_open()
+        self.quarantine.check(flight.req.fingerprint)
+        if flight.req.deadline <= self._clock.now():
+            detail = "The deadline passed in the queue; allow more time."
+            raise Refusal(Verdict.NOT_RUN, Reason.DEADLINE, detail)
+        permit = flight.held.enter_context(
+            self._permits.enter(flight.req.key_hash)
+        )
+        flight.permit = permit
+        return permit
+
+    @asynccontextmanager
+    async def _exchange(
+        self, flight: Flight, permit: Permit
+    ) -> AsyncIterator[TargetReply]:
+        now = self._clock.now()
+        request = self._target_request(flight, permit, now)
+        flight.dispatched(now)
+        flight.extend(now)
+        self._state.progress.dispatched(self._limiter.in_flight)
+        metrics.dispatches.inc()
+        with flight.scope:
+            try:
+                async with flight.target.send(request) as reply:
+                    self._answered(flight)
+                    yield self._watched(flight, reply)
+            except Refusal as exc:
+                self._failed(flight, exc)
+                raise
+        if flight.scope.cancelled_caught:
+            detail = "The lease ended while the request was running."
+            raise Refusal(Verdict.MAY_HAVE_RUN, Reason.NO_LEASE, detail)
+
+    def _target_request(
+        self, flight: Flight, permit: Permit, now: float
+    ) -> TargetRequest:
+        req = flight.req
+        deadline = req.deadline
+        if permit.unit is not None and not self._state.checks_grants:
+            # This target cannot notice that the lease has ended.
+            deadline = min(deadline, permit.expires_at)
+        return TargetRequest(
+            request_id=req.request_id,
+            method=req.method,
+            path=req.path,
+            headers=req.headers,
+            body=req.body,
+            unit=permit.unit,
+            epoch=permit.epoch,
+            timeout_s=deadline - now,
+        )
+
+    def _watched(self, flight: Flight, reply: TargetReply) -> TargetReply:
+        return TargetReply(
+            status=reply.status,
+            headers=reply.headers,
+            body=self._watched_body(flight, reply.body),
+        )
+
+    async def _watched_body(
+        self, flight: Flight, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        try:
+            async for part in body:
+                self._state.progress.worked()
+                yield part
+        except Refusal as exc:
+            self._failed(flight, exc)
+            raise
+        flight.ended = True
+        self._state.completed(flight.boot_id, flight.service_s)
+        self._limiter.set_limit(self._state.limit)
+
+    def _answered(self, flight: Flight) -> None:
+        flight.answered = True
+        flight.service_s = self._clock.now() - flight.dispatched_at
+        self._state.answered(flight.service_s)
+        self._limiter.least_service_s = self._state.times.least_s
+
+    def _failed(self, flight: Flight, refusal: Refusal) -> None:
+        if flight.failed:
+            return
+        if refusal.verdict is Verdict.NOT_RUN:
+            if flight.answered:
+                # Raised by the caller's own code, it proves nothing.
+                return
+            flight.refused()
+        flight.failed = True
+        self._state.failed(flight.boot_id, refusal)
+        self._limiter.set_limit(self._state.limit)
+
+    async def _reap(self, flight: Flight) -> None:
+        """Hold the slot until the target has ended abandoned work."""
+        give_up_at = self._clock.now() + _REAP_LIMIT_S
+        while not flight.ended and self._clock.now() < give_up_at:
+            if await self._is_over(flight):
+                break
+            await anyio.sleep(_REAP_INTERVAL_S)
+        self._close(flight)
+
+    async def _is_over(self, flight: Flight) -> bool:
+        if flight.failed:
+            await self._check_health(flight.target, flight.boot_id)
+        if flight.ended:
+            return True
+        try:
+            return await flight.target.cancel(flight.req.request_id)
+        except ConnectionRefusedError:
+            self._process_gone(flight.boot_id)
+            return True
+
+    def _close(self, flight: Flight) -> None:
+        flight.ended = True
+        self._flights.discard(flight)
+        flight.held.close()
+
+    def _process_gone(self, boot_id: str) -> None:
+        """
+        Take a refused connection.
+
+        A target that is shutting down may still work on requests whose
+        connections are up; those that are lost have ended with it.
+        """
+        self._state.ended(boot_id)
+        self._limiter.set_limit(self._state.limit)
+        self._end_flights(boot_id, [fl for fl in self._flights if fl.failed])
+
+    def _process_replaced(self, boot_id: str) -> None:
+        """Take the proof that a process and its work have ended."""
+        self._state.ended(boot_id)
+        self._limiter.set_limit(self._state.limit)
+        self._end_flights(boot_id, list(self._flights))
+
+    def _end_flights(self, boot_id: str, flights: list[Flight]) -> None:
+        running = [
+            flight
+            for flight in flights
+            if flight.boot_id == boot_id and flight.is_running
+        ]
+        fingerprints = [flight.req.fingerprint for flight in running]
+        self.quarantine.crashed(boot_id, fingerprints)
+        for flight in running:
+            flight.ended = True
+
+    def _check_open(self) -> None:
+        if self._refusing is not None:
+            raise Refusal(Verdict.NOT_RUN, self._refusing, _REFUSING_DETAIL)
+
+    def _check_not_in_flight(self, request_id: str) -> None:
+        # The target cancels by this id, which must mean one request.
+        for flight in self._flights:
+            if flight.req.request_id == request_id:
+                detail = "The same request id is in flight; wait for it."
+                raise Refusal(Verdict.NOT_RUN, Reason.DUPLICATE, detail)
+
+    async def _watch_leases(self) -> None:
+        while True:
+            now = self._clock.now()
+            for flight in self._flights:
+                flight.extend(now)
+            await anyio.sleep(_LEASE_WATCH_INTERVAL_S)
+
+    async def _watch_target(self) -> None:
+        while True:
+            target = self._state.target
+            if target is not None:
+                await self._check_health(target, self._state.boot_id)
+            await anyio.sleep(_STATUS_INTERVAL_S)
+
+    async def _check_health(self, target: Target, boot_id: str) -> None:
+        try:
+            status = await target.status()
+        except ConnectionRefusedError:
+            self._process_gone(boot_id)
+            return
+        except ConnectionError:
+            return
+        if status.boot_id != boot_id:
+            self._process_replaced(boot_id)
+        elif boot_id == self._state.boot_id:
+            self._state.reported(status)
--- /dev/null
+++ b/src/burdockgap/gate/logged_request.py
@@ -0,0 +1,106 @@
+"""What is known about one request that went to the target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from burdockgap.target import TargetReply
+from burdockgap.verdict import Reason, Refusal, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_BODY_LIMIT_BYTES = 64 * 1024
+
+
+class LoggedRequest:
+    """
+    The record of a request and, if small, of its answer.
+
+    ``body`` is ``None`` unless the answer is whole and kept.
+
+    :param request_id: the caller's request id.
+    :param fingerprint: the request's fingerprint.
+    """
+
+    __slots__ = (
+        "_ended",
+        "_parts",
+        "body",
+        "dispatched",
+        "ended_at",
+        "fingerprint",
+        "headers",
+        "request_id",
+        "status",
+        "verdict",
+    )
+
+    def __init__(self, *, request_id: str, fingerprint: int) -> None:
+        self.request_id = request_id
+        self.fingerprint = fingerprint
+        self.dispatched = False
+        self.verdict = Verdict.MAY_HAVE_RUN
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self.body: bytes | None = None
+        self.ended_at: float | None = None
+        self._ended = anyio.Event()
+        self._parts: list[bytes] | None = []
+
+    async def wait(self) -> None:
+        """Wait until the request has ended."""
+        await self._ended.wait()
+
+    def end(self, at: float) -> None:
+        """Mark the request as ended."""
+        self.ended_at = at
+        self._parts = None
+        self._ended.set()
+
+    def capture(self, reply: TargetReply) -> TargetReply:
+        """Return the reply; its body is recorded as it passes."""
+        self.status = reply.status
+        self.headers = list(reply.headers)
+        return TargetReply(
+            status=reply.status,
+            headers=reply.headers,
+            body=self._captured(reply.body),
+        )
+
+    def replay(self) -> TargetReply:
+        """
+        Return the recorded answer again.
+
+        :raises Refusal: with the verdict of the request if its answer
+            is not kept.
+        """
+        if self.body is None:
+            detail = "The request was sent before; its answer is not kept."
+            raise Refusal(self.verdict, Reason.DUPLICATE, detail)
+        return TargetReply(
+            status=self.status,
+            headers=list(self.headers),
+            body=_one_part(self.body),
+        )
+
+    async def _captured(
+        self, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        size = 0
+        async for part in body:
+            size += len(part)
+            if size > _BODY_LIMIT_BYTES:
+                self._parts = None
+            elif self._parts is not None:
+                self._parts.append(part)
+            yield part
+        self.verdict = Verdict.RAN
+        if self._parts is not None:
+            self.body = b"".join(self._parts)
+
+
+async def _one_part(body: bytes) -> AsyncIterator[bytes]:
+    yield body
--- /dev/null
+++ b/src/burdockgap/gate/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that gates exchange."""
--- /dev/null
+++ b/src/burdockgap/gate/messages/suspects.py
@@ -0,0 +1,22 @@
+"""The suspects that a daemon tells to the others of its service."""
+
+from __future__ import annotations
+
+from burdockgap.gate.messages.suspect import Suspect
+from burdockgap.wire.message import Message
+
+
+class Suspects(Message):
+    """
+    Fingerprints that were in flight at recent crashes.
+
+    :param service: the service of the crashed targets.
+    :param entries: the newest suspects.
+    """
+
+    __slots__ = ("service", "entries")
+    TAG = 61
+
+    def __init__(self, *, service: str, entries: list[Suspect]) -> None:
+        self.service = service
+        self.entries = entries
--- /dev/null
+++ b/src/burdockgap/gate/metrics.py
@@ -0,0 +1,29 @@
+"""Counters of the gate."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter
+
+refusals = Counter(
+    "burdockgap_gate_refusals",
+    "Attempts without an answer of the target",
+    ["verdict", "reason"],
+)
+dispatches = Counter(
+    "burdockgap_gate_dispatches", "Requests given to the target"
+)
+completions = Counter(
+    "burdockgap_gate_completions", "Whole answers of the target"
+)
+replays = Counter(
+    "burdockgap_gate_replays", "Resends answered from the request log"
+)
+abandoned = Counter(
+    "burdockgap_gate_abandoned", "Requests whose work outlived its caller"
+)
+ramp_falls = Counter(
+    "burdockgap_gate_ramp_falls", "Returns to the limit of a cold start"
+)
+target_ends = Counter(
+    "burdockgap_gate_target_ends", "Target processes that ended"
+)
--- /dev/null
+++ b/src/burdockgap/gate/peeked_body.py
@@ -0,0 +1,44 @@
+"""A request body whose start is known before it is passed on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockgap.gate.fingerprint import BODY_START_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class PeekedBody:
+    """
+    A body that gives its start in advance.
+
+    :param body: the body's parts as they arrive.
+    """
+
+    __slots__ = ("_body", "_parts", "start")
+
+    def __init__(self, body: AsyncIterator[bytes]) -> None:
+        self._body = body
+        self._parts: list[bytes] = []
+        self.start = b""
+
+    async def peek(self) -> bytes:
+        """Read up to ``BODY_START_BYTES`` and return them."""
+        size = 0
+        async for part in self._body:
+            self._parts.append(part)
+            size += len(part)
+            if size >= BODY_START_BYTES:
+                break
+        self.start = b"".join(self._parts)[:BODY_START_BYTES]
+        return self.start
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Give the whole body, the part that was read included."""
+        for part in self._parts:
+            yield part
+        self._parts.clear()
+        async for part in self._body:
+            yield part
--- a/src/burdockgap/target/__init__.py
+++ b/src/burdockgap/target/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from burdockgap.target.grant import Grant
+from burdockgap.target.http_target import HttpTarget
 from burdockgap.target.target import Target
 from burdockgap.target.target_info import TargetInfo
 from burdockgap.target.target_reply import TargetReply
@@ -11,6 +12,7 @@
 
 __all__ = [
     "Grant",
+    "HttpTarget",
     "Target",
     "TargetInfo",
     "TargetReply",
--- /dev/null
+++ b/src/burdockgap/target/http_target.py
@@ -0,0 +1,321 @@
+"""A target that is reached over HTTP."""
+
+from __future__ import annotations
+
+import math
+import posixpath
+from contextlib import asynccontextmanager
+from http.cookiejar import CookieJar, DefaultCookiePolicy
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+
+import anyio
+import httpx
+
+from burdockgap.target import http_headers
+from burdockgap.target.exchange import Exchange
+from burdockgap.target.target_reply import TargetReply
+from burdockgap.target.target_status import TargetStatus
+from burdockgap.verdict import Reason, Refusal, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from burdockgap.clock import Clock
+    from burdockgap.target.grant import Grant
+    from burdockgap.target.target_info import TargetInfo
+    from burdockgap.target.target_request import TargetRequest
+
+_CONTROL_PATH = "/_burdockgap"
+_CONTROL_CONNECTIONS = 4
+_CONNECT_TIMEOUT_S = 1.0
+_CONTROL_TIMEOUT_S = 0.5
+_KEEPALIVE_EXPIRY_S = 2.0
+_MS_PER_S = 1000
+_SHED_STATUS = 503
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+
+class HttpTarget:
+    """
+    The endpoints of one target process.
+
+    :param info: the target's announcement.
+    :param clock: the time source for deadlines.
+    """
+
+    __slots__ = ("_base", "_client", "_clock", "info")
+
+    def __init__(self, info: TargetInfo, clock: Clock) -> None:
+        self.info = info
+        self._clock = clock
+        self._base = httpx.URL(info.url)
+        self._client = _new_client(info.slots + _CONTROL_CONNECTIONS)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    @asynccontextmanager
+    async def send(self, req: TargetRequest) -> AsyncIterator[TargetReply]:
+        """
+        Give a request to the target.
+
+        A request is never sent twice, not even if a connection from the
+        pool turns out to be closed. Leaving the context before the
+        answer's end cancels the request at the target.
+
+        :raises Refusal: with ``not-run`` if the target was not reached
+            or refused the request unrun, else ``may-have-run``. The
+            reply's body raises it too.
+        """
+        _check_path(req.path)
+        exchange = Exchange()
+        scope = anyio.CancelScope()
+        scope.deadline = anyio.current_time() + req.timeout_s
+        with scope:
+            try:
+                async with self._exchange(req, exchange) as reply:
+                    yield reply
+            finally:
+                await self._cancel_unfinished(req, exchange)
+        if scope.cancelled_caught:
+            detail = "The deadline passed; retry with a longer one."
+            raise Refusal(_verdict(exchange), Reason.DEADLINE, detail)
+
+    async def status(self) -> TargetStatus:
+        """
+        Ask for health and load.
+
+        :raises ConnectionRefusedError: if no process listens.
+        :raises ConnectionError: if the target does not answer.
+        """
+        resp = await self._control("GET", "status", None)
+        try:
+            fields = resp.json()
+            return TargetStatus(
+                boot_id=str(fields["boot_id"]),
+                healthy=bool(fields["healthy"]),
+                load=int(fields["load"]),
+                leaving=bool(fields["leaving"]),
+            )
+        except (ValueError, TypeError, KeyError) as exc:
+            raise ConnectionError("target's status is unreadable") from exc
+
+    async def grant(self, grant: Grant) -> bool:
+        """Give or renew permission; ``False`` if it was refused."""
+        payload: dict[str, Any] = {
+            "session_id": grant.session_id,
+            "lease_s": grant.lease_s,
+            # A target that was paused must not count from receipt.
+            "expires_at": self._clock.now() + grant.lease_s,
+            "epochs": _epochs_payload(grant),
+        }
+        try:
+            resp = await self._control("POST", "grant", payload)
+        except ConnectionError:
+            return False
+        return resp.is_success
+
+    async def drain(self) -> None:
+        """
+        Tell the target that it gets no new work.
+
+        :raises ConnectionError: if the target does not answer.
+        """
+        await self._control("POST", "drain", {})
+
+    async def cancel(self, request_id: str) -> bool:
+        """
+        Tell the target that nobody waits for a request any more.
+
+        :return: whether the target says that it does not run the
+            request any more.
+        :raises ConnectionRefusedError: if no process listens.
+        """
+        payload = {"request_id": request_id}
+        try:
+            resp = await self._control("POST", "cancel", payload)
+            return resp.json().get("ended") is True
+        except ConnectionRefusedError:
+            raise
+        except (ConnectionError, ValueError, AttributeError):
+            return False
+
+    @asynccontextmanager
+    async def _exchange(
+        self, req: TargetRequest, exchange: Exchange
+    ) -> AsyncIterator[TargetReply]:
+        request = await self._request(req, exchange)
+        try:
+            resp = await self._client.send(request, stream=True)
+        except httpx.TransportError as exc:
+            raise _send_failure(exchange, exc) from exc
+        try:
+            _check_not_run(resp, exchange)
+            yield TargetReply(
+                status=resp.status_code,
+                headers=http_headers.end_to_end(_header_list(resp)),
+                body=_read_body(req.method, resp, exchange),
+            )
+        finally:
+            with anyio.CancelScope(shield=True):
+                await resp.aclose()
+
+    async def _request(
+        self, req: TargetRequest, exchange: Exchange
+    ) -> httpx.Request:
+        headers = http_headers.end_to_end(req.headers)
+        headers += self._own_headers(req)
+        return httpx.Request(
+            req.method,
+            self._base.copy_with(raw_path=req.path.encode("ascii")),
+            headers=headers,
+            content=await _content(req),
+            extensions={
+                "trace": exchange.trace,
+                "timeout": _send_timeout().as_dict(),
+            },
+        )
+
+    def _own_headers(self, req: TargetRequest) -> list[tuple[str, str]]:
+        remaining_ms = math.floor(max(req.timeout_s, 0) * _MS_PER_S)
+        now_ms = math.floor(self._clock.now() * _MS_PER_S)
+        headers = [
+            (http_headers.REQUEST_ID, req.request_id),
+            (http_headers.DEADLINE_MS, str(remaining_ms)),
+            (http_headers.DEADLINE_AT_MS, str(now_ms + remaining_ms)),
+        ]
+        if req.unit is not None:
+            headers.append((http_headers.UNIT, str(req.unit)))
+            headers.append((http_headers.EPOCH, str(req.epoch)))
+        return headers
+
+    async def _cancel_unfinished(
+        self, req: TargetRequest, exchange: Exchange
+    ) -> None:
+        if exchange.whole or not exchange.sent:
+            return
+        with anyio.CancelScope(shield=True):
+            try:
+                await self.cancel(req.request_id)
+            except ConnectionRefusedError:
+                return
+
+    async def _control(
+        self, method: str, name: str, payload: dict[str, Any] | None
+    ) -> httpx.Response:
+        url = self._base.copy_with(path=f"{_CONTROL_PATH}/{name}")
+        try:
+            with anyio.fail_after(_CONTROL_TIMEOUT_S):
+                return await self._client.request(method, url, json=payload)
+        except httpx.ConnectError as exc:
+            raise ConnectionRefusedError(f"target: {exc}") from exc
+        except (httpx.HTTPError, TimeoutError) as exc:
+            raise ConnectionError(f"target: {exc!r}") from exc
+
+
+def _new_client(connections: int) -> httpx.AsyncClient:
+    no_cookies = DefaultCookiePolicy(allowed_domains=[])
+    return httpx.AsyncClient(
+        trust_env=False,
+        cookies=CookieJar(policy=no_cookies),
+        timeout=_send_timeout(),
+        limits=httpx.Limits(
+            max_connections=connections,
+            max_keepalive_connections=connections,
+            keepalive_expiry=_KEEPALIVE_EXPIRY_S,
+        ),
+    )
+
+
+def _send_timeout() -> httpx.Timeout:
+    # Reads and writes end with the request's own deadline.
+    return httpx.Timeout(
+        None, connect=_CONNECT_TIMEOUT_S, pool=_CONNECT_TIMEOUT_S
+    )
+
+
+def _check_path(path: str) -> None:
+    plain = posixpath.normpath("/" + unquote(path.partition("?")[0]))
+    segments = [segment for segment in plain.split("/") if segment]
+    inner = bool(segments) and segments[0].lower() == _CONTROL_PATH[1:]
+    if inner or not path.startswith("/") or not path.isascii():
+        detail = "Use a path outside the target's control endpoints."
+        raise Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail)
+
+
+async def _content(req: TargetRequest) -> AsyncIterator[bytes] | None:
+    # A request without a body must not be sent with an empty chunk.
+    async for part in req.body:
+        if part:
+            return _chain(part, req.body)
+    return None
+
+
+async def _chain(
+    first: bytes, rest: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    yield first
+    async for part in rest:
+        if part:
+            yield part
+
+
+def _header_list(resp: httpx.Response) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in resp.headers.raw
+    ]
+
+
+def _epochs_payload(grant: Grant) -> dict[str, int] | None:
+    if grant.epochs is None:
+        return None
+    return {str(unit): epoch for unit, epoch in grant.epochs.items()}
+
+
+def _verdict(exchange: Exchange) -> Verdict:
+    return Verdict.MAY_HAVE_RUN if exchange.sent else Verdict.NOT_RUN
+
+
+def _send_failure(exchange: Exchange, exc: httpx.TransportError) -> Refusal:
+    if not exchange.sent:
+        detail = "The target takes no connections; it may be starting."
+        return Refusal(Verdict.NOT_RUN, Reason.TARGET_DOWN, detail)
+    detail = f"The connection to the target was lost: {exc!r}"
+    return Refusal(Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST, detail)
+
+
+def _check_not_run(resp: httpx.Response, exchange: Exchange) -> None:
+    if resp.status_code != _SHED_STATUS:
+        return
+    if resp.headers.get(http_headers.NOT_RUN) != "1":
+        return
+    exchange.whole = True
+    detail = "The target refused the request unrun; retry elsewhere."
+    raise Refusal(Verdict.NOT_RUN, Reason.TARGET_SHED, detail)
+
+
+async def _read_body(
+    method: str, resp: httpx.Response, exchange: Exchange
+) -> AsyncIterator[bytes]:
+    try:
+        async for part in resp.aiter_raw():
+            yield part
+    except httpx.TransportError as exc:
+        detail = "The target's answer ended early; it is not whole."
+        raise Refusal(Verdict.MAY_HAVE_RUN, Reason.TRUNCATED, detail) from exc
+    if not _has_framing(method, resp):
+        detail = "Let the target send Content-Length or chunks."
+        raise Refusal(Verdict.MAY_HAVE_RUN, Reason.TRUNCATED, detail)
+    exchange.whole = True
+
+
+def _has_framing(method: str, resp: httpx.Response) -> bool:
+    # The end of a body that ends with its connection proves nothing.
+    if method == "HEAD" or resp.status_code in _BODYLESS_STATUSES:
+        return True
+    return (
+        "content-length" in resp.headers or "transfer-encoding" in resp.headers
+    )
--- a/src/burdockgap/target/target.py
+++ b/src/burdockgap/target/target.py
@@ -33,6 +33,7 @@
         """
         Ask for health and load.
 
+        :raises ConnectionRefusedError: if no process listens.
         :raises ConnectionError: if the target does not answer.
         """
         ...
@@ -45,6 +46,14 @@
         """Tell the target that it gets no new work."""
         ...
 
-    async def cancel(self, request_id: str) -> None:
-        """Tell the target that nobody waits for a request any more."""
+    async def cancel(self, request_id: str) -> bool:
+        """
+        Tell the target that nobody waits for a request any more.
+
+        A target refuses a cancelled request that it gets afterwards.
+
+        :return: whether the target says that it does not run the
+            request any more.
+        :raises ConnectionRefusedError: if no process listens.
+        """
         ...
--- /dev/null
+++ b/standins/target_announcer.py
@@ -0,0 +1,66 @@
+"""The announcements of a stand-in target to its daemon."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import httpx
+
+_RETRY_S = 0.1
+_REPEAT_S = 5.0
+_TIMEOUT_S = 1.0
+
+
+class TargetAnnouncer:
+    """
+    Tells the daemon that a target is there, and that it leaves.
+
+    :param admin_url: base URL of the daemon's administration API.
+    :param token: bearer token, "" for none.
+    :param announcement: the target's own fields.
+    """
+
+    __slots__ = ("_admin_url", "_announcement", "_headers", "_leaving")
+
+    def __init__(
+        self, *, admin_url: str, token: str, announcement: dict[str, Any]
+    ) -> None:
+        self._admin_url = admin_url.rstrip("/")
+        self._announcement = announcement
+        self._leaving = False
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+
+    async def announce(self) -> None:
+        """Announce the target again and again."""
+        async with self._client() as client:
+            while not self._leaving:
+                await self._post_until_accepted(client, "announce")
+                await anyio.sleep(_REPEAT_S)
+
+    async def leave(self) -> None:
+        """Say that the target is about to stop."""
+        self._leaving = True
+        async with self._client() as client:
+            await self._post_until_accepted(client, "leaving")
+
+    def _client(self) -> httpx.AsyncClient:
+        return httpx.AsyncClient(
+            trust_env=False, timeout=_TIMEOUT_S, headers=self._headers
+        )
+
+    async def _post_until_accepted(
+        self, client: httpx.AsyncClient, name: str
+    ) -> None:
+        url = f"{self._admin_url}/v1/target/{name}"
+        while True:
+            if await self._post(client, url):
+                return
+            await anyio.sleep(_RETRY_S)
+
+    async def _post(self, client: httpx.AsyncClient, url: str) -> bool:
+        try:
+            resp = await client.post(url, json=self._announcement)
+        except httpx.HTTPError:
+            return False
+        return resp.is_success
--- /dev/null
+++ b/tests/target/test_http_target.py
@@ -0,0 +1,225 @@
+from __future__ import annotations
+
+import signal
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from burdockgap.clock import BootClock
+from burdockgap.target import Grant, HttpTarget
+from burdockgap.verdict import Reason, Refusal, Verdict
+from tests.builders import (
+    make_body,
+    make_target_info,
+    make_target_request,
+)
+from tests.target_process import running_target
+
+
+@pytest.fixture(scope="module")
+def shared_process():
+    with running_target("--slots", "8", "--cold-slots", "8") as process:
+        yield process
+
+
+@pytest.fixture
+def process(shared_process):
+    yield shared_process
+    shared_process.fault(
+        slow=1, shed=0, truncate=0, hang=False, ignore_cancel=False
+    )
+
+
+@asynccontextmanager
+async def connected(info):
+    target = HttpTarget(info, BootClock())
+    try:
+        yield target
+    finally:
+        await target.aclose()
+
+
+async def exchange(target, req):
+    async with target.send(req) as reply:
+        parts = [part async for part in reply.body]
+        return reply, b"".join(parts)
+
+
+def refusal_of(info, req):
+    async def run():
+        async with connected(info) as target:
+            with pytest.raises(Refusal) as caught:
+                await exchange(target, req)
+            return caught.value.verdict, caught.value.reason
+
+    return anyio.run(run)
+
+
+def test_send_passes_body_and_headers(process):
+    async def run():
+        req = make_target_request(
+            "whole",
+            method="POST",
+            headers=[
+                ("Connection", "X-Hop"),
+                ("X-Hop", "1"),
+                ("Burdockgap-Epoch", "99"),
+                ("Burdockgap-Key", "pump-1"),
+            ],
+            body=make_body(b"ab", b"", b"c" * 100_000),
+        )
+        async with connected(process.info()) as target:
+            return await exchange(target, req)
+
+    reply, body = anyio.run(run)
+    assert reply.status == 200
+    for part in (
+        b'"body_length": 100002',
+        b'"epoch": 0',
+        b'"key": "pump-1"',
+        b'"request_id": "whole"',
+    ):
+        assert part in body
+
+
+def test_send_to_closed_port():
+    verdict = refusal_of(make_target_info(), make_target_request())
+    assert verdict == (Verdict.NOT_RUN, Reason.TARGET_DOWN)
+
+
+def test_send_shed(process):
+    """Point 6: what is refused as not run did not run."""
+    process.fault(shed=1)
+    verdict = refusal_of(process.info(), make_target_request("shed-1"))
+    assert verdict == (Verdict.NOT_RUN, Reason.TARGET_SHED)
+    assert "shed-1" not in process.effects()
+
+
+def test_send_truncated(process):
+    """Point 5: an answer that ends early is an error."""
+    process.fault(truncate=1)
+    verdict = refusal_of(process.info(), make_target_request())
+    assert verdict == (Verdict.MAY_HAVE_RUN, Reason.TRUNCATED)
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        pytest.param(b"", Reason.CONNECTION_LOST, id="none"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\n\r\nabc", Reason.TRUNCATED, id="unframed"
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc",
+            Reason.TRUNCATED,
+            id="chunk-missing",
+        ),
+    ],
+)
+def test_send_closed_after_bytes(answer, reason):
+    """Points 5 and 7: nothing is sent again by itself."""
+    connections = []
+
+    async def handle(stream):
+        async with stream:
+            connections.append(await stream.receive())
+            if answer:
+                await stream.send(answer)
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        info = make_target_info(url=f"http://127.0.0.1:{port}")
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, handle)
+            async with connected(info) as target:
+                with pytest.raises(Refusal) as caught:
+                    await exchange(target, make_target_request())
+            tasks.cancel_scope.cancel()
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        assert caught.value.reason is reason
+
+    anyio.run(run)
+    work = [data for data in connections if b"GET /work" in data]
+    assert len(work) == 1
+
+
+def test_send_deadline_cancels(process):
+    process.fault(hang=True)
+    verdict = refusal_of(
+        process.info(), make_target_request("late", timeout_s=0.2)
+    )
+    assert verdict == (Verdict.MAY_HAVE_RUN, Reason.DEADLINE)
+    process.fault(hang=False)
+    assert "late" not in process.effects()
+
+
+def test_send_cancelled_by_caller(process):
+    process.fault(hang=True)
+
+    async def run():
+        async with connected(process.info()) as target:
+            with anyio.move_on_after(0.2):
+                await exchange(target, make_target_request("gone"))
+
+    anyio.run(run)
+    process.fault(hang=False)
+    assert "gone" not in process.effects()
+
+
+@pytest.mark.parametrize(
+    "path", ["/_burdockgap/drain", "/x/../_burdockgap/drain", "/%5fburdockgap"]
+)
+def test_send_to_control_endpoint(path):
+    verdict = refusal_of(make_target_info(), make_target_request(path=path))
+    assert verdict == (Verdict.NOT_RUN, Reason.BAD_REQUEST)
+
+
+def test_grant_fences_epochs(process):
+    """Point 1: an outdated owner's work has no effect."""
+
+    async def send(target, request_id, epoch):
+        req = make_target_request(request_id, unit=3, epoch=epoch)
+        try:
+            return (await exchange(target, req))[0].status
+        except Refusal as exc:
+            return exc.verdict
+
+    async def run():
+        async with connected(process.info()) as target:
+            new = Grant(session_id=2, lease_s=5.0, epochs={3: 4})
+            old = Grant(session_id=1, lease_s=5.0, epochs={3: 2})
+            assert await send(target, "g0", 4) is Verdict.NOT_RUN
+            assert await target.grant(new)
+            assert not await target.grant(old)
+            assert await send(target, "g1", 2) is Verdict.NOT_RUN
+            assert await send(target, "g2", 4) == 200
+
+    anyio.run(run)
+
+
+def test_grant_frozen_target_past_lease():
+    """Point 1: work in a frozen target's sockets has no effect."""
+    with running_target() as process:
+
+        async def run():
+            info = process.info()
+            async with connected(info) as target:
+                grant = Grant(session_id=1, lease_s=0.6, epochs={3: 2})
+                assert await target.grant(grant)
+                process.signal(signal.SIGSTOP)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(target.grant, grant)
+                    req = make_target_request("f", unit=3, epoch=2)
+                    with anyio.move_on_after(1.0):
+                        await exchange(target, req)
+                process.signal(signal.SIGCONT)
+                await target.cancel("f")
+                # The grant itself was taken late, too.
+                req = make_target_request("g", unit=3, epoch=2)
+                with pytest.raises(Refusal):
+                    await exchange(target, req)
+
+        anyio.run(run)
+        assert process.effects() == []
