--- a/tests/builders.py
+++ b/tests/builders.py
@@ -25,6 +25,14 @@
 
 if TYPE_CHECKING:
     from burdockgap.fold.touched import Touched
+from burdockgap.clock import BootClock
+from burdockgap.gate.fingerprint import fingerprint_of
+from burdockgap.gate.gate_request import GateRequest
+from burdockgap.records.session_entry import SessionEntry
+from burdockgap.target import TargetInfo, TargetRequest
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
 
 
 def make_session(**fields: Any) -> SessionEntry:
@@ -158,3 +166,59 @@
 
     def end(self, session_id: int) -> Touched:
         return self.add(Ended, session_id=session_id)
+def make_gate_request(request_id: str = "r1", **fields: Any) -> GateRequest:
+    """Return a gate request that is idempotent and has no key."""
+    body = fields.pop("content", b"")
+    defaults = {
+        "request_id": request_id,
+        "service": "records",
+        "method": "POST" if body else "GET",
+        "path": "/work",
+        "headers": [],
+        "body": make_body(body),
+        "key_hash": None,
+        "idempotent": True,
+        "deadline": BootClock().now() + 5.0,
+    }
+    merged = {**defaults, **fields}
+    merged.setdefault(
+        "fingerprint",
+        fingerprint_of(merged["method"], merged["path"], body),
+    )
+    return GateRequest(**merged)
+
+
+def make_target_request(
+    request_id: str = "r1", **fields: Any
+) -> TargetRequest:
+    """Return a target request without a unit."""
+    defaults = {
+        "request_id": request_id,
+        "method": "GET",
+        "path": "/work",
+        "headers": [],
+        "body": make_body(b""),
+        "unit": None,
+        "epoch": 0,
+        "timeout_s": 5.0,
+    }
+    return TargetRequest(**{**defaults, **fields})
+
+
+def make_target_info(**fields: Any) -> TargetInfo:
+    """Return a warm target's announcement."""
+    defaults = {
+        "service": "records",
+        "url": "http://127.0.0.1:1",
+        "boot_id": "boot-1",
+        "slots": 4,
+        "cold_slots": 4,
+        "checks_grants": True,
+    }
+    return TargetInfo(**{**defaults, **fields})
+
+
+async def make_body(*parts: bytes) -> AsyncIterator[bytes]:
+    """Give the parts of a body."""
+    for part in parts:
+        yield part
