--- a/src/burdockgap/ownership/releaser.py
+++ b/src/burdockgap/ownership/releaser.py
@@ -73,11 +73,9 @@
         :raises ReleaseError: if the session is unknown here, or this
             daemon can't fold far enough now.
         """
-        folded = await self._folds.wait_offset(
+        await self._folds.wait_offset(
             CONTROL, request.control_offset, _OFFSET_WAIT_S
         )
-        if not folded:
-            raise ReleaseError("the fold is behind the request; ask again")
         session = self.find(request)
         work = self.begin(session, request)
         answer = self.make_answer(request, work)
@@ -105,10 +103,10 @@
         """
         Set the floors and stop taking work.
 
-        Call it only when folded up to the request's offset.
-
         :return: the requests in flight to wait for.
+        :raises ReleaseError: if the fold is behind the request.
         """
+        self._check_folded(request.control_offset)
         table = self._sessions.table()
         if table is None or request.service != self._sessions.service:
             raise ReleaseError("the service has no units here; ask again")
@@ -126,6 +124,11 @@
             if not session.holdings.epoch(table.unit_of(item.key_hash))
         ]
 
+    def _check_folded(self, offset: int) -> None:
+        # What is not folded yet may be a pin of a key that is served.
+        if self._folds.offset(CONTROL) < offset:
+            raise ReleaseError("the fold is behind the request; ask again")
+
     def _release_pins(
         self,
         holdings: Holdings,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -57,6 +57,7 @@
         self.control = ControlState()
         self.callbacks: list[Any] = []
         self.changed = anyio.Event()
+        self.last: Any = None
         self._next_id = 0
 
     def listen(self, callback: Any) -> None:
@@ -74,6 +75,7 @@
         return self.offset(stream) >= offset
 
     def fold(self, record: Any) -> Touched:
+        self.last = record
         touched = self.control.apply(self.control.offset, record)
         for callback in self.callbacks:
             callback(touched)
