--- /dev/null
+++ b/tests/platform/test_tail.py
@@ -0,0 +1,133 @@
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+import anyio
+import anyio.lowlevel
+
+from burdockgap.fold.folds import Folds
+from burdockgap.fold.loader import Loader
+from burdockgap.fold.snapshot import make_chunks
+from burdockgap.platform.tail import Tail
+from burdockgap.records.streams import CONTROL
+from burdockgap.wire import pack
+from standins.memory_log import MemoryLog
+from tests.builders import make_claim
+
+
+class SilentLog(MemoryLog):
+    """A log whose reads never end while ``silent`` is set."""
+
+    silent = False
+    reads = 0
+
+    async def read(self, stream, from_offset, *, wait, limit):
+        self.reads += 1
+        if self.silent:
+            await anyio.sleep_forever()
+        return await super().read(stream, from_offset, wait=wait, limit=limit)
+
+
+@asynccontextmanager
+async def run_tail(log, wait_s=5):
+    folds = Folds()
+    loader = Loader(log, folds)
+    tail = Tail(log, folds, CONTROL, loader, wait_s=wait_s)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tail.run)
+        with anyio.fail_after(5):
+            yield folds, tail
+        tasks.cancel_scope.cancel()
+
+
+async def settle(condition):
+    while not condition():  # noqa: ASYNC110 - no event to wait for
+        await anyio.sleep(0.01)
+
+
+def append_claims(log, terms):
+    for term in terms:
+        log.store.append(CONTROL, pack(make_claim(term=term)))
+
+
+def test_tail_follows_and_recovers():
+    async def main():
+        log = MemoryLog()
+        append_claims(log, [1])
+        async with run_tail(log) as (folds, tail):
+            assert not tail.healthy
+            await settle(lambda: tail.caught_up)
+            assert folds.control.term == 1
+            log.set_down(True)
+            await settle(lambda: not tail.healthy)
+            append_claims(log, [2, 3])
+            log.set_down(False)
+            assert await folds.wait_offset(CONTROL, 3, 2)
+            assert tail.healthy
+            assert folds.control.term == 3
+
+    anyio.run(main)
+
+
+def test_tail_loads_snapshot_after_trim():
+    async def main():
+        log = MemoryLog()
+        append_claims(log, [1])
+        async with run_tail(log) as (folds, tail):
+            await settle(lambda: tail.caught_up)
+            log.set_down(True)
+            append_claims(log, [2, 3])
+            other = Folds()
+            page = log.store.page(CONTROL, 0, 9)
+            for offset, data in enumerate(page.records):
+                other.apply(CONTROL, offset, data)
+            for chunk in make_chunks(other, term=3):
+                log.store.append(CONTROL, pack(chunk))
+            log.store.trim(CONTROL, 3)
+            log.set_down(False)
+            assert await folds.wait_offset(CONTROL, 4, 2)
+            assert (folds.installs, folds.control.term) == (1, 3)
+
+    anyio.run(main)
+
+
+def test_tail_refuses_shorter_log():
+    async def main():
+        log = MemoryLog()
+        append_claims(log, [1, 2])
+        async with run_tail(log, wait_s=0.1) as (folds, tail):
+            await settle(lambda: tail.caught_up)
+            log.store = MemoryLog().store
+            await settle(lambda: not tail.healthy)
+            assert folds.control.term == 2
+
+    anyio.run(main)
+
+
+def test_poke_replaces_silent_read():
+    async def main():
+        log = SilentLog()
+        log.silent = True
+        async with run_tail(log) as (folds, tail):
+            await settle(lambda: log.reads == 1)
+            append_claims(log, [1])
+            log.silent = False
+            tail.poke()
+            assert await folds.wait_offset(CONTROL, 1, 1)
+
+    anyio.run(main)
+
+
+def test_poke_often_counts_once():
+    async def main():
+        log = SilentLog()
+        log.silent = True
+        async with run_tail(log) as (_folds, tail):
+            await settle(lambda: log.reads == 1)
+            for _ in range(20):
+                tail.poke()
+                await anyio.lowlevel.checkpoint()
+            await anyio.sleep(0.05)
+            assert log.reads == 2
+
+    anyio.run(main)
--- /dev/null
+++ b/tests/platform/test_writer.py
@@ -0,0 +1,173 @@
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from returns.pipeline import is_successful
+
+from burdockgap.fold.folds import Folds
+from burdockgap.fold.loader import Loader
+from burdockgap.platform import LogUncertain
+from burdockgap.platform.http_log import open_http_log
+from burdockgap.platform.tail import Tail
+from burdockgap.platform.write_error import WriteState
+from burdockgap.platform.writer import Writer
+from burdockgap.records.set_data_centre import SetDataCentre
+from burdockgap.records.streams import CONFIG
+from standins.memory_log import MemoryLog
+from tests.builders import make_change
+
+
+@asynccontextmanager
+async def run_writer(log, wait_s=1.0):
+    folds = Folds()
+    tail = Tail(log, folds, CONFIG, Loader(log, folds), wait_s=wait_s)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tail.run)
+        with anyio.fail_after(10):
+            yield folds, Writer(log, folds, lambda _stream: tail.poke())
+        tasks.cancel_scope.cancel()
+
+
+def make_out(name="dc1", **fields):
+    return make_change(SetDataCentre(name=name, out=True), **fields)
+
+
+class VanishingLog(MemoryLog):
+    """A log whose first appends vanish on the way without an error."""
+
+    vanish = 1
+
+    async def append(self, stream, record):
+        if self.vanish:
+            self.vanish -= 1
+            raise LogUncertain("the connection was lost")
+        return await super().append(stream, record)
+
+
+class FallingLog(MemoryLog):
+    """A log that goes down at its first append, written or not."""
+
+    falls = True
+    written = True
+
+    async def append(self, stream, record):
+        if not self.falls:
+            return await super().append(stream, record)
+        self.falls = False
+        if self.written:
+            self.store.append(stream, record)
+        self.set_down(True)
+        raise LogUncertain("the connection was lost")
+
+
+@pytest.mark.parametrize("lost", [0, 1, 3])
+def test_append_once_reply_lost(lost):
+    async def main():
+        log = MemoryLog()
+        log.faults.lose_replies = lost
+        change = make_out()
+        async with run_writer(log) as (folds, writer):
+            result = await writer.append_once(CONFIG, change, 3)
+            assert result.unwrap() == 1
+            assert folds.config.decision_of(change.record_id).accepted
+        assert log.appends == 1
+
+    anyio.run(main)
+
+
+def test_append_once_record_lost():
+    async def main():
+        log = VanishingLog()
+        async with run_writer(log) as (folds, writer):
+            assert is_successful(
+                await writer.append_once(CONFIG, make_out(), 3)
+            )
+            assert folds.config.version == 1
+        assert log.appends == 1
+
+    anyio.run(main)
+
+
+def test_append_once_down():
+    async def main():
+        log = MemoryLog()
+        log.faults.down = True
+        async with run_writer(log) as (_folds, writer):
+            result = await writer.append_once(CONFIG, make_out(), 3)
+            assert result.failure().state is WriteState.NOT_WRITTEN
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize("written", [True, False])
+def test_append_once_down_after_doubt(written):
+    async def main():
+        log = FallingLog()
+        log.written = written
+        change = make_out()
+        async with run_writer(log) as (folds, writer):
+            result = await writer.append_once(CONFIG, change, 0.5)
+            assert result.failure().state is WriteState.UNKNOWN
+            log.set_down(False)
+            assert is_successful(await writer.append_once(CONFIG, change, 3))
+            assert folds.config.version == 1
+
+    anyio.run(main)
+
+
+def test_append_once_not_read_back():
+    async def main():
+        log = MemoryLog()
+        writer = Writer(log, Folds())
+        result = await writer.append_once(CONFIG, make_out(), 0.1)
+        assert result.failure().state is WriteState.UNKNOWN
+
+    anyio.run(main)
+
+
+def test_append_once_concurrent_changes():
+    async def main():
+        log = MemoryLog()
+        changes = [make_out(f"dc{number}") for number in range(5)]
+        async with run_writer(log) as (folds, writer):
+            async with anyio.create_task_group() as tasks:
+                for change in changes:
+                    tasks.start_soon(writer.append_once, CONFIG, change, 3)
+            decisions = [
+                folds.config.decision_of(change.record_id)
+                for change in changes
+            ]
+            assert sum(each.accepted for each in decisions) == 1
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("fault", "appends"),
+    [
+        pytest.param({"lose_replies": 1}, 1, id="reply-lost"),
+        pytest.param({"delay_s": 0.4}, None, id="slow"),
+    ],
+)
+def test_append_once_over_http(server, fault, appends):
+    async def main():
+        before = server.stats()["appends"]
+        async with (
+            open_http_log(server.url, 0.3) as log,
+            run_writer(log) as (folds, writer),
+        ):
+            page = await log.read(CONFIG, 0, wait=0, limit=1)
+            assert await folds.wait_offset(CONFIG, page.end, 2)
+            server.control(**fault)
+            version = folds.config.version
+            change = make_out(against=version)
+            result = await writer.append_once(CONFIG, change, 8)
+            assert is_successful(result)
+            assert folds.config.decision_of(change.record_id).accepted
+            assert folds.config.version == version + 1
+        if appends is not None:
+            assert server.stats()["appends"] == before + appends
+
+    anyio.run(main)
