--- /dev/null
+++ b/src/burdockgap/admin/api_error.py
@@ -0,0 +1,17 @@
+"""A request that is answered with an error."""
+
+from __future__ import annotations
+
+
+class ApiError(Exception):
+    """
+    An error answer.
+
+    :param status: HTTP status code.
+    :param text: what is wrong and what to do.
+    """
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+        self.text = text
--- /dev/null
+++ b/src/burdockgap/admin/backend.py
@@ -0,0 +1,72 @@
+"""What the administration API needs of the daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+from burdockgap.records.end_session import EndSession
+from burdockgap.records.publish import Publish
+from burdockgap.records.set_data_centre import SetDataCentre
+from burdockgap.records.set_target import SetTarget
+
+if TYPE_CHECKING:
+    from burdockgap.admin.change_outcome import ChangeOutcome
+    from burdockgap.admin.views import (
+        AuditView,
+        ConfigView,
+        OwnerView,
+        StatusView,
+    )
+    from burdockgap.target import TargetInfo
+
+Change: TypeAlias = Publish | SetDataCentre | SetTarget | EndSession
+"""What an operator can change."""
+
+
+class AdminBackend(Protocol):
+    """The daemon behind the administration API."""
+
+    def readiness(self) -> str:
+        """Return why the daemon takes no requests, "" if it does."""
+        ...
+
+    async def status(self) -> StatusView:
+        """Return the state of the daemon and of the system."""
+        ...
+
+    async def owner(self, service: str, key: str) -> OwnerView | None:
+        """
+        Return who owns a key.
+
+        :return: ``None`` if no such keyed service is known.
+        """
+        ...
+
+    async def audit(self, limit: int) -> list[AuditView]:
+        """Return at most ``limit`` changes, the newest first."""
+        ...
+
+    async def config(self) -> ConfigView:
+        """Return the configuration in force."""
+        ...
+
+    async def change(
+        self, change: Change, *, author: str, against: int | None
+    ) -> ChangeOutcome:
+        """
+        Append a change and wait until it is folded.
+
+        :param change: what to change.
+        :param author: who changes it.
+        :param against: the version it is made against, ``None`` for
+            the version that the daemon has.
+        """
+        ...
+
+    async def announce(self, info: TargetInfo) -> None:
+        """Take up the target beside the daemon, or its new state."""
+        ...
+
+    async def leaving(self) -> None:
+        """Send no new work to the target, since it is about to stop."""
+        ...
--- /dev/null
+++ b/src/burdockgap/admin/health_handlers.py
@@ -0,0 +1,45 @@
+"""Handlers for monitoring, open to all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from burdockgap.admin.response import Response
+
+if TYPE_CHECKING:
+    from burdockgap.admin.backend import AdminBackend
+    from burdockgap.admin.request import Request
+    from burdockgap.metrics import Metrics
+
+
+class HealthHandlers:
+    """
+    Answers monitoring systems.
+
+    :param backend: the daemon.
+    :param metrics: its metrics.
+    """
+
+    __slots__ = ("_backend", "_metrics")
+
+    def __init__(self, backend: AdminBackend, metrics: Metrics) -> None:
+        self._backend = backend
+        self._metrics = metrics
+
+    async def metrics(self, _req: Request) -> Response:
+        """Render the metrics."""
+        text = generate_latest(self._metrics.registry)
+        return Response(200, text, CONTENT_TYPE_LATEST)
+
+    async def alive(self, _req: Request) -> Response:
+        """Answer as long as the process runs."""
+        return Response.text("alive")
+
+    async def ready(self, _req: Request) -> Response:
+        """Tell whether the daemon takes requests, else why not."""
+        reason = self._backend.readiness()
+        if reason:
+            return Response.text(reason, 503)
+        return Response.text("ready")
--- /dev/null
+++ b/src/burdockgap/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module for each command."""
--- /dev/null
+++ b/src/burdockgap/cli/daemon.py
@@ -0,0 +1,34 @@
+"""The command ``daemon``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockgap.cli.settings_file import read_settings
+
+if TYPE_CHECKING:
+    import argparse
+
+    from burdockgap.cli.types import Subparsers
+
+
+def register(commands: Subparsers) -> None:
+    """Register the command's parser."""
+    text = "run the daemon beside a target"
+    parser = commands.add_parser("daemon", help=text, description=text)
+    parser.add_argument(
+        "--settings", metavar="FILE", required=True, help="settings file"
+    )
+    parser.set_defaults(command=_run)
+
+
+def _run(args: argparse.Namespace) -> int:
+    """Load the settings, set up the logger and run the daemon."""
+    settings = read_settings(args.settings)
+    # Imported here, since only this command needs its libraries.
+    from burdockgap.daemon.serve import run_daemon
+    from burdockgap.logs import set_up_logs
+
+    set_up_logs(settings.logging)
+    code: int = run_daemon(settings)
+    return code
--- /dev/null
+++ b/src/burdockgap/cli/failure.py
@@ -0,0 +1,21 @@
+"""A command that cannot go on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from burdockgap.cli.exit_code import ExitCode
+
+
+class CliFailure(Exception):  # noqa: N818 - not always a fault
+    """
+    Ends a command with a message.
+
+    :param code: the exit code.
+    :param text: what is wrong and what to do.
+    """
+
+    def __init__(self, code: ExitCode, text: str) -> None:
+        super().__init__(text)
+        self.code = code
--- /dev/null
+++ b/src/burdockgap/cli/types.py
@@ -0,0 +1,10 @@
+"""Names for types of argparse that it keeps private."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    import argparse
+
+    Subparsers: TypeAlias = argparse._SubParsersAction[argparse.ArgumentParser]
--- /dev/null
+++ b/src/burdockgap/run.py
@@ -0,0 +1,35 @@
+"""Entry point of the program."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from burdockgap.cli.exit_code import ExitCode
+from burdockgap.cli.failure import CliFailure
+from burdockgap.cli.parser import make_parser
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_CODE_OF_INTERRUPT = 130
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """
+    Parse the command line and hand over to its command.
+
+    :param argv: the arguments, those of the process by default.
+    :return: the exit code.
+    """
+    try:
+        args = make_parser().parse_args(argv)
+    except SystemExit as exc:
+        return int(exc.code or ExitCode.OK)
+    try:
+        return int(args.command(args))
+    except CliFailure as exc:
+        print(f"burdockgap: {exc}", file=sys.stderr)
+        return int(exc.code)
+    except KeyboardInterrupt:
+        return _CODE_OF_INTERRUPT
