--- a/src/burdockgap/admin/change_handlers.py
+++ b/src/burdockgap/admin/change_handlers.py
@@ -18,7 +18,7 @@
     from burdockgap.admin.fields import Fields
     from burdockgap.admin.request import Request
 
-_STATUS_CODES = {
+STATUS_CODES = {
     ChangeVerdict.ACCEPTED: 200,
     ChangeVerdict.INVALID: 400,
     ChangeVerdict.NOT_FOUND: 404,
@@ -26,6 +26,7 @@
     ChangeVerdict.LOG_UNAVAILABLE: 503,
     ChangeVerdict.UNKNOWN: 504,
 }
+"""The HTTP status code for each fate of a change."""
 
 
 class ChangeHandlers:
@@ -73,7 +74,7 @@
         outcome = await self._backend.change(
             change, author=author, against=against
         )
-        return Response.json(outcome, _STATUS_CODES[outcome.verdict])
+        return Response.json(outcome, STATUS_CODES[outcome.verdict])
 
 
 def _read_session_id(text: str) -> int:
--- a/src/burdockgap/admin/fields.py
+++ b/src/burdockgap/admin/fields.py
@@ -8,6 +8,7 @@
 from burdockgap.admin.api_error import ApiError
 
 _MISSING = object()
+_MAX_INTEGER = (1 << 63) - 1
 
 
 class Fields:
@@ -42,6 +43,8 @@
         value = self._take(name, str, "a text")
         if not value:
             raise ApiError(400, f"the field {name!r} must not be empty")
+        if not _is_unicode(value):
+            raise ApiError(400, f"the field {name!r} has lone surrogates")
         return str(value)
 
     def boolean(self, name: str) -> bool:
@@ -49,10 +52,10 @@
         return bool(self._take(name, bool, "true or false"))
 
     def integer(self, name: str) -> int:
-        """Take an integer that is not negative."""
+        """Take an integer from 0 to the largest of 63 bits."""
         value = int(self._take(name, int, "an integer"))
-        if value < 0:
-            raise ApiError(400, f"the field {name!r} must not be negative")
+        if not 0 <= value <= _MAX_INTEGER:
+            raise ApiError(400, f"the field {name!r} is out of range")
         return value
 
     def optional_integer(self, name: str) -> int | None:
@@ -78,3 +81,12 @@
         if type(value) is not kind:
             raise ApiError(400, f"the field {name!r} must be {wording}")
         return value
+
+
+def _is_unicode(text: str) -> bool:
+    """Tell whether a text can be encoded."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/src/burdockgap/admin/response.py
+++ b/src/burdockgap/admin/response.py
@@ -34,7 +34,7 @@
     def json(cls, view: View, status: int = 200) -> Response:
         """Return an answer that shows a view."""
         text = json.dumps(encode(view), ensure_ascii=False)
-        return cls(status, text.encode() + b"\n", JSON_TYPE)
+        return cls(status, text.encode(errors="replace") + b"\n", JSON_TYPE)
 
     @classmethod
     def text(cls, text: str, status: int = 200) -> Response:
--- a/src/burdockgap/cli/admin_client.py
+++ b/src/burdockgap/cli/admin_client.py
@@ -9,6 +9,9 @@
 
 from burdockgap.cli.exit_code import ExitCode
 from burdockgap.cli.failure import CliFailure
+from burdockgap.settings.ranges import Url
+from burdockgap.settings.ranges.admits import admits
+from burdockgap.settings.ranges.describe import describe
 
 if TYPE_CHECKING:
     import argparse
@@ -30,6 +33,7 @@
 
 _BAD_ARGUMENTS = (
     httpx.InvalidURL,
+    httpx.LocalProtocolError,
     httpx.UnsupportedProtocol,
     UnicodeEncodeError,
 )
@@ -45,13 +49,21 @@
     Calls the administration API that the command line names.
 
     :param args: the parsed command line.
+    :raises CliFailure: if the URL is malformed.
     """
 
     __slots__ = ("_headers", "_timeout_s", "_url")
 
     def __init__(self, args: argparse.Namespace) -> None:
+        if not admits(Url(), args.admin):
+            raise CliFailure(
+                ExitCode.BAD_INPUT, f"--admin: expected {describe(Url())}"
+            )
         token = args.token or os.environ.get(_TOKEN_VARIABLE, "")
-        self._headers = {"authorization": f"Bearer {token}"} if token else {}
+        self._headers: dict[bytes, bytes] = {}
+        if token:
+            bearer = b"Bearer " + os.fsencode(token)
+            self._headers[b"authorization"] = bearer
         self._url: str = args.admin.rstrip("/")
         self._timeout_s: float = args.timeout
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,33 +4,30 @@
 
 from typing import TYPE_CHECKING, Any
 
-from burdockgap.records.claim import Claim
-from burdockgap.records.config_change import ConfigChange
-from burdockgap.records.session_entry import SessionEntry
-from burdockgap.settings.reader import Reader
-from burdockgap.wire.ids import new_id
-
-if TYPE_CHECKING:
-    from burdockgap.settings.settings import Settings
 import anyio
 
+from burdockgap.clock import BootClock
 from burdockgap.fold.control_state import ControlState
+from burdockgap.gate.fingerprint import fingerprint_of
+from burdockgap.gate.gate_request import GateRequest
 from burdockgap.records.admit import Admit
 from burdockgap.records.assign import Assign
+from burdockgap.records.claim import Claim
+from burdockgap.records.config_change import ConfigChange
 from burdockgap.records.ended import Ended
 from burdockgap.records.layout import Layout
+from burdockgap.records.session_entry import SessionEntry
 from burdockgap.records.streams import CONTROL
-
-if TYPE_CHECKING:
-    from burdockgap.fold.touched import Touched
-from burdockgap.clock import BootClock
-from burdockgap.gate.fingerprint import fingerprint_of
-from burdockgap.gate.gate_request import GateRequest
+from burdockgap.settings.reader import Reader
 from burdockgap.target import TargetInfo, TargetRequest
+from burdockgap.wire.ids import new_id
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from burdockgap.fold.touched import Touched
+    from burdockgap.settings.settings import Settings
+
 
 def make_session(**fields: Any) -> SessionEntry:
     """Return a session entry with defaults for what is not given."""
