--- /dev/null
+++ b/tests/gate/fakes.py
@@ -0,0 +1,95 @@
+"""Stand-ins for the gate's neighbours."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager, contextmanager
+
+import anyio
+
+from burdockgap.gate.permit import Permit
+from burdockgap.target import TargetReply, TargetStatus
+from burdockgap.verdict import Reason, Refusal, Verdict
+from tests.builders import make_body
+
+
+class FakeClock:
+    def __init__(self):
+        self.seconds = 1000.0
+
+    def now(self):
+        return self.seconds
+
+    def wall(self):
+        return self.seconds
+
+
+class FakePermits:
+    """Permits of a lease that can be ended."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.lease_ends_at = clock.now() + 3600
+        self.entered = 0
+        self.unit = None
+        self.permit = None
+
+    def check(self, _key_hash):
+        if self.clock.now() >= self.lease_ends_at:
+            raise Refusal(Verdict.NOT_RUN, Reason.NO_LEASE)
+
+    @contextmanager
+    def enter(self, key_hash):
+        self.check(key_hash)
+        self.entered += 1
+        self.permit = Permit(
+            unit=self.unit, epoch=2, expires_at=self.lease_ends_at
+        )
+        try:
+            yield self.permit
+        finally:
+            self.entered -= 1
+
+
+class FakeTarget:
+    """A target whose work ends when the test says so."""
+
+    def __init__(self, boot_id="boot-1"):
+        self.boot_id = boot_id
+        self.open = anyio.Event()
+        self.sent = []
+        self.running = 0
+        self.most_running = 0
+        self.cancel_ends = True
+        self.leaving = False
+        self.refusal = None
+        self.silent = False
+
+    def release(self):
+        self.open.set()
+
+    @asynccontextmanager
+    async def send(self, req):
+        self.sent.append(req)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await self.open.wait()
+            if self.refusal is not None:
+                raise self.refusal
+            yield TargetReply(
+                status=200,
+                headers=[("x", "1")],
+                body=make_body(b"a", req.request_id.encode()),
+            )
+        finally:
+            self.running -= 1
+
+    async def status(self):
+        if self.silent:
+            raise ConnectionError
+        return TargetStatus(
+            boot_id=self.boot_id, healthy=True, load=0, leaving=self.leaving
+        )
+
+    async def cancel(self, _request_id):
+        return self.cancel_ends
