--- a/src/burdockgap/ownership/grants.py
+++ b/src/burdockgap/ownership/grants.py
@@ -69,10 +69,9 @@
 
     async def run(self, session: OwnSession) -> None:
         """Give and renew the grants of a session until it ends."""
+        session.granted = {} if self.checks_grants else None
         await session.admitted.wait()
         grants = self._grants(session)
-        if not self.checks_grants:
-            session.granted = None
         while not session.ended.is_set():
             if not await self._send(session, grants):
                 await anyio.sleep(_RETRY_S)
--- a/src/burdockgap/ownership/own_session.py
+++ b/src/burdockgap/ownership/own_session.py
@@ -43,7 +43,7 @@
         self.session_id = session_id
         self.lease: LeaseHolder | None = None
         self.holdings = Holdings()
-        self.granted: dict[int, int] | None = {}
+        self.granted: dict[int, int] | None = None
         self.pending: dict[int, PendingUnit] = {}
         self.admitted = anyio.Event()
         self.ended = anyio.Event()
--- a/tests/admin/fake_backend.py
+++ b/tests/admin/fake_backend.py
@@ -65,14 +65,15 @@
 
     async def audit(self, limit):
         view = AuditView(
+            stream="config",
             offset=5,
             at=1.0,
             author="jan",
             against=6,
             change="data centre dc1 out",
+            count=1,
             accepted=True,
-            version=7,
-            reason="",
+            decision="accepted",
         )
         return [view] * min(limit, 2)
 
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -41,7 +41,7 @@
 
 
 async def settle(condition):
-    while not condition():  # noqa: ASYNC110 - no event to wait for
+    while not condition():
         await anyio.sleep(0.01)
 
 
