--- a/src/burdockgap/lease/witness.py
+++ b/src/burdockgap/lease/witness.py
@@ -180,7 +180,7 @@
         """Return the promises to push now and count them as pushed."""
         now = self._clock.now()
         due = []
-        for timed in self._timed.values():
+        for timed in list(self._timed.values()):
             self._expire(timed, now)
             if not timed.promised or now < timed.next_push_at:
                 continue
--- a/src/burdockgap/ownership/grants.py
+++ b/src/burdockgap/ownership/grants.py
@@ -77,7 +77,7 @@
                 continue
             with anyio.move_on_after(self._timing.renew_s):
                 await grants.changed.wait()
-        del self._by_session[session.session_id]
+        self._by_session.pop(session.session_id, None)
 
     async def withdraw(self, session: OwnSession) -> None:
         """
--- a/tests/ownership/test_machine.py
+++ b/tests/ownership/test_machine.py
@@ -149,6 +149,34 @@
     def settle(self):
         self.world.settle()
 
+    @rule(behind=st.sets(_DAEMONS, max_size=2))
+    def settle_some(self, behind):
+        self.world.settle(*[i for i in range(4) if i not in behind])
+
+    @rule(unit=st.sampled_from(UNITS), index=_DAEMONS)
+    def move(self, unit, index):
+        self.world.assign(unit, index)
+        self.fold(index, 1000)
+        self.ask_and_answer(index)
+
+    @rule(index=_DAEMONS, told=st.sets(_DAEMONS, max_size=3))
+    def lose(self, index, told):
+        """Freeze a daemon until its lease has expired."""
+        self.world.daemon(index).frozen = True
+        self.pass_time({index})
+        for witness in range(4):
+            self.push(witness)
+        for envelope in list(self.world.bag):
+            if isinstance(envelope.msg, Promise):
+                self.world.bag.remove(envelope)
+                if int(envelope.receiver[-1]) - 1 not in told:
+                    self.world.deliver(envelope)
+
+    @rule(index=_DAEMONS)
+    def thaw_and_renew(self, index):
+        self.world.daemon(index).frozen = False
+        self.renew(index)
+
     @rule(index=_DAEMONS, key=_KEYS)
     def start_work(self, index, key):
         daemon = self._live(index)
