--- a/tests/builders.py
+++ b/tests/builders.py
@@ -116,3 +116,30 @@
 
     def end(self, session_id: int) -> Touched:
         return self.add(Ended, session_id=session_id)
+
+
+class FakeTarget:
+    """A target that notes its grants; ``refusing`` makes it fail."""
+
+    def __init__(self) -> None:
+        self.grants: list[Any] = []
+        self.refusing = False
+
+    async def grant(self, grant: Any) -> bool:
+        if self.refusing:
+            raise ConnectionError("refused")
+        self.grants.append(grant)
+        return True
+
+
+class FixedLease:
+    """A lease whose end a test sets."""
+
+    def __init__(self, ends_at: float) -> None:
+        self.ends_at = ends_at
+
+    def expires_at(self) -> float:
+        return self.ends_at
+
+    def is_held(self, now: float) -> bool:
+        return now < self.ends_at
--- /dev/null
+++ b/tests/ownership/test_grants.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from burdockgap.clock import BootClock
+from burdockgap.lease.timing import LeaseTiming
+from burdockgap.ownership.grants import Grants
+from burdockgap.ownership.own_session import OwnSession
+from tests.builders import FakeTarget, FixedLease
+
+_MARGIN_S = 0.05
+_TIMING = LeaseTiming(renew_s=0.02)
+
+
+class Setting:
+    """A session with one active unit and the grants of its target."""
+
+    def __init__(self, lease_s=1.0):
+        clock = BootClock()
+        self.clock = clock
+        self.target = FakeTarget()
+        self.session = OwnSession(1)
+        self.session.admit(FixedLease(clock.now() + lease_s))
+        self.session.holdings.activate(0, 2)
+        self.grants = Grants(
+            self.target,
+            clock=clock,
+            timing=_TIMING,
+            margin_s=_MARGIN_S,
+            checks_grants=True,
+        )
+        self.grants.changed(self.session)
+
+
+def _run(scenario, **options: float):
+    async def main():
+        setting = Setting(**options)
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(setting.grants.run, setting.session)
+                await anyio.sleep(0.07)
+                await scenario(setting)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_epochs_once_then_lease_only():
+    async def scenario(setting):
+        first, *later = setting.target.grants
+        assert first.epochs == {0: 2}
+        assert first.lease_s <= 1.0 - _MARGIN_S
+        assert later
+        assert [grant.epochs for grant in later] == [None] * len(later)
+
+    _run(scenario)
+
+
+def test_withdraw_sends_epochs_left():
+    async def scenario(setting):
+        setting.session.holdings.release(0, 4)
+        await setting.grants.withdraw(setting.session)
+        sets = [grant.epochs for grant in setting.target.grants]
+        assert [epochs for epochs in sets if epochs is not None][-1] == {}
+
+    _run(scenario)
+
+
+def test_withdraw_waits_for_end_of_grant_if_target_is_silent():
+    async def scenario(setting):
+        setting.target.refusing = True
+        setting.session.holdings.release(0, 4)
+        last = setting.target.grants[-1].lease_s
+        start = setting.clock.now()
+        await setting.grants.withdraw(setting.session)
+        assert setting.clock.now() - start == pytest.approx(last, abs=0.1)
+        assert last > 0.1
+
+    _run(scenario, lease_s=0.3)
+
+
+def test_epochs_again_after_restart_of_target():
+    async def scenario(setting):
+        setting.target.grants.clear()
+        setting.grants.target_restarted()
+        await anyio.sleep(0.05)
+        assert setting.target.grants[0].epochs == {0: 2}
+
+    _run(scenario)
+
+
+def test_no_grant_without_lease():
+    async def scenario(setting):
+        assert setting.target.grants == []
+
+    _run(scenario, lease_s=0.0)
