--- a/tests/builders.py
+++ b/tests/builders.py
@@ -224,3 +224,28 @@
     """Give the parts of a body."""
     for part in parts:
         yield part
+class FakeTarget:
+    """A target that notes its grants; ``refusing`` makes it fail."""
+
+    def __init__(self) -> None:
+        self.grants: list[Any] = []
+        self.refusing = False
+
+    async def grant(self, grant: Any) -> bool:
+        if self.refusing:
+            raise ConnectionError("refused")
+        self.grants.append(grant)
+        return True
+
+
+class FixedLease:
+    """A lease whose end a test sets."""
+
+    def __init__(self, ends_at: float) -> None:
+        self.ends_at = ends_at
+
+    def expires_at(self) -> float:
+        return self.ends_at
+
+    def is_held(self, now: float) -> bool:
+        return now < self.ends_at
