--- a/tests/builders.py
+++ b/tests/builders.py
@@ -224,6 +224,8 @@
     """Give the parts of a body."""
     for part in parts:
         yield part
+
+
 class FakeTarget:
     """A target that notes its grants; ``refusing`` makes it fail."""
 
--- a/tests/lease/test_socket.py
+++ b/tests/lease/test_socket.py
@@ -43,7 +43,7 @@
 
 async def _until(condition):
     with anyio.fail_after(3):
-        while not condition():  # noqa: ASYNC110 - no event to wait for
+        while not condition():
             await anyio.sleep(0.005)
 
 
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -108,7 +108,7 @@
 
 
 async def _until(condition):
-    while not condition():  # noqa: ASYNC110 - no event to wait for
+    while not condition():
         await anyio.sleep(0.005)
 
 
