Render the counters of all modules at /metrics

The counters of leases, folds, gate and log client live on the library's default registry, which the page left out. One name stood twice and is renamed.

--- a/measure/__init__.py
+++ b/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Measurements of what the daemons cost, and slopes over their size."""
--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,55 @@
+"""Runs measurements: ``python -m measure``."""
+
+from __future__ import annotations
+
+import argparse
+
+import anyio
+
+from measure.baseline import measure_baseline
+from measure.control import STEPS, measure_control
+from measure.recorder import Recorder
+
+_SIZES = (4, 8, 16, 32, 64)
+_SLICES = 1024
+_SEED = 1
+
+
+def main() -> None:
+    """Parse the arguments and run what they name."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=_SEED)
+    parts = parser.add_subparsers(dest="part")
+    control = parts.add_parser("control", help="real daemons, at rest etc.")
+    control.add_argument("--daemons", type=int, nargs="+", default=_SIZES)
+    control.add_argument("--slices", type=int, nargs="+", default=[_SLICES])
+    control.add_argument("--steps", nargs="+", default=STEPS, choices=STEPS)
+    parts.add_parser("baseline", help="interpreters that only import")
+    args = parser.parse_args()
+    if args.part in (None, "baseline"):
+        measure_baseline(Recorder("baseline", args.seed))
+    if args.part in (None, "control"):
+        _control(args)
+
+
+def _control(args: argparse.Namespace) -> None:
+    recorder = Recorder("control", args.seed)
+    for daemons in getattr(args, "daemons", _SIZES):
+        for slices in getattr(args, "slices", [_SLICES]):
+            anyio.run(_one_site, recorder, daemons, slices, args)
+
+
+async def _one_site(
+    recorder: Recorder, daemons: int, slices: int, args: argparse.Namespace
+) -> None:
+    await measure_control(
+        recorder,
+        daemons=daemons,
+        slices=slices,
+        steps=list(getattr(args, "steps", STEPS)),
+        seed=args.seed,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/measure/baseline.py
@@ -0,0 +1,55 @@
+"""Memory of an interpreter without any of the product's code."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+from measure.recorder import ROOT
+from measure.usage import Usage, usage
+
+if TYPE_CHECKING:
+    from measure.recorder import Recorder
+
+_LIBRARIES = (
+    "anyio, anyio._backends._asyncio, grpclib.client, grpclib.server, "
+    "hypercorn.asyncio, hypercorn.config, httpx, loguru, msgpack, "
+    "prometheus_client, returns.result, returns.pipeline"
+)
+_PROGRAMS = {
+    "empty": "",
+    "libraries": f"import {_LIBRARIES}",
+    "product": "import burdockgap.daemon.serve, burdockgap.run",
+}
+
+
+def measure_baseline(recorder: Recorder) -> None:
+    """Record the memory of interpreters that only import."""
+    for name, program in _PROGRAMS.items():
+        found = _memory_of(program)
+        recorder.add(
+            "baseline",
+            program=name,
+            cpu_s=found.cpu_s,
+            pss_bytes=found.pss_bytes,
+            private_bytes=found.private_bytes,
+        )
+
+
+def _memory_of(program: str) -> Usage:
+    """Run a program up to its end and measure it there."""
+    text = f"{program}\nprint('ready', flush=True)\ninput()"
+    with subprocess.Popen(
+        [sys.executable, "-c", text],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        cwd=ROOT,
+        env={"PYTHONPATH": str(ROOT / "src")},
+    ) as process:
+        if process.stdout is None:
+            raise RuntimeError("the child has no output")
+        process.stdout.readline()
+        found = usage(process.pid)
+        process.kill()
+    return found
--- /dev/null
+++ b/measure/recorder.py
@@ -0,0 +1,81 @@
+"""Results as JSON lines."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[1]
+FOLDER = ROOT / "docs" / "measurements"
+
+
+class Recorder:
+    """
+    Appends the results of one run to a file.
+
+    Each line carries the version, command, seed and the machine's load.
+
+    :param name: name of the file without its extension.
+    :param seed: seed of the run's random choices.
+    """
+
+    __slots__ = ("_path", "_seed", "_version")
+
+    def __init__(self, name: str, seed: int) -> None:
+        FOLDER.mkdir(parents=True, exist_ok=True)
+        self._path = FOLDER / f"{name}.jsonl"
+        self._seed = seed
+        self._version = _version()
+
+    def add(self, step: str, **values: Any) -> None:
+        """
+        Append one result and print it.
+
+        :param step: what was measured.
+        :param values: sizes of the run and figures.
+        """
+        line = {
+            "step": step,
+            **{name: _rounded(value) for name, value in values.items()},
+            "version": self._version,
+            "command": "python -m measure " + " ".join(sys.argv[1:]),
+            "seed": self._seed,
+            "load1": round(os.getloadavg()[0], 1),
+            "at": time.strftime("%Y-%m-%dT%H:%M:%S"),
+        }
+        with self._path.open("a") as file:
+            file.write(json.dumps(line) + "\n")
+        print(json.dumps(line), flush=True)
+
+
+def read_results(name: str, step: str) -> list[dict[str, Any]]:
+    """Return a step's results, those of the newest version only."""
+    path = FOLDER / f"{name}.jsonl"
+    if not path.exists():
+        return []
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    found = [line for line in lines if line["step"] == step]
+    return [line for line in found if line["version"] == found[-1]["version"]]
+
+
+def _rounded(value: Any) -> Any:
+    return float(f"{value:.5g}") if isinstance(value, float) else value
+
+
+def _version() -> str:
+    """Return the revision, marked if the product's code differs."""
+    revision = _git("rev-parse", "--short=10", "HEAD")
+    changed = _git("status", "--porcelain", "--", "src", "standins")
+    return revision + ("-dirty" if changed else "")
+
+
+def _git(*args: str) -> str:
+    done = subprocess.run(
+        ["git", *args], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    return done.stdout.strip()
--- /dev/null
+++ b/measure/usage.py
@@ -0,0 +1,51 @@
+"""Processor time and memory of a process, as the kernel counts them."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_KIB = 1024
+_UTIME_AFTER_NAME = 11
+
+
+class Usage:
+    """
+    What one process has used.
+
+    :param cpu_s: processor time, user and system.
+    :param pss_bytes: memory, shared pages counted in part.
+    :param private_bytes: memory that no other process shares.
+    """
+
+    __slots__ = ("cpu_s", "private_bytes", "pss_bytes")
+
+    def __init__(
+        self, *, cpu_s: float, pss_bytes: int, private_bytes: int
+    ) -> None:
+        self.cpu_s = cpu_s
+        self.pss_bytes = pss_bytes
+        self.private_bytes = private_bytes
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process so far."""
+    text = Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    utime, stime = fields[_UTIME_AFTER_NAME : _UTIME_AFTER_NAME + 2]
+    return (int(utime) + int(stime)) / _TICKS_PER_S
+
+
+def usage(pid: int) -> Usage:
+    """Return what a process has used so far."""
+    sizes: dict[str, int] = {}
+    for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines():
+        name, _, rest = line.partition(":")
+        if rest.endswith("kB"):
+            sizes[name] = int(rest.split()[0]) * _KIB
+    return Usage(
+        cpu_s=cpu_seconds(pid),
+        pss_bytes=sizes["Pss"],
+        private_bytes=sizes["Private_Clean"] + sizes["Private_Dirty"],
+    )
--- a/src/burdockgap/admin/health_handlers.py
+++ b/src/burdockgap/admin/health_handlers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
 
 from burdockgap.admin.response import Response
 
@@ -29,8 +29,9 @@
         self._metrics = metrics
 
     async def metrics(self, _req: Request) -> Response:
-        """Render the metrics."""
+        """Render the daemon's metrics and those of its modules."""
         text = generate_latest(self._metrics.registry)
+        text += generate_latest(REGISTRY)
         return Response(200, text, CONTENT_TYPE_LATEST)
 
     async def alive(self, _req: Request) -> Response:
--- a/src/burdockgap/platform/metrics.py
+++ b/src/burdockgap/platform/metrics.py
@@ -5,7 +5,9 @@
 from prometheus_client import Counter
 
 APPENDS = Counter(
-    "burdockgap_log_appends", "Appends to the log.", ["stream", "outcome"]
+    "burdockgap_log_append_outcomes",
+    "Appends to the log, by outcome.",
+    ["stream", "outcome"],
 )
 READ_FAILURES = Counter(
     "burdockgap_log_read_failures", "Reads that the log failed.", ["stream"]
--- a/tests/admin/test_app.py
+++ b/tests/admin/test_app.py
@@ -7,6 +7,10 @@
 
 from burdockgap.admin import ChangeOutcome, ChangeVerdict
 from burdockgap.admin.body import MAX_BODY_BYTES
+from burdockgap.fold.metrics import RECORDS
+from burdockgap.gate.metrics import dispatches
+from burdockgap.lease.counters import DATAGRAMS
+from burdockgap.platform.metrics import APPENDS
 from burdockgap.records.end_session import EndSession
 from burdockgap.records.publish import Publish
 from burdockgap.records.set_data_centre import SetDataCentre
@@ -168,6 +172,18 @@
     ]
 
 
+def test_metrics_of_modules_are_rendered_once(url):
+    names = [
+        line.split()[2]
+        for line in httpx.get(f"{url}/metrics").text.splitlines()
+        if line.startswith("# TYPE")
+    ]
+    for metric in (RECORDS, dispatches, DATAGRAMS, APPENDS):
+        (family,) = metric.describe()
+        assert f"{family.name}_total" in names
+    assert len(names) == len(set(names))
+
+
 def test_open_paths(guarded_url, backend, metrics):
     metrics.config_version.set(7)
     assert httpx.get(f"{guarded_url}/healthz").status_code == 200
