--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -8,7 +8,9 @@
 
 from measure.baseline import measure_baseline
 from measure.control import STEPS, measure_control
+from measure.datapath import measure_datapath
 from measure.recorder import Recorder
+from measure.table_sizes import measure_tables
 
 _SIZES = (4, 8, 16, 32, 64)
 _SLICES = 1024
@@ -25,9 +27,15 @@
     control.add_argument("--slices", type=int, nargs="+", default=[_SLICES])
     control.add_argument("--steps", nargs="+", default=STEPS, choices=STEPS)
     parts.add_parser("baseline", help="interpreters that only import")
+    parts.add_parser("path", help="requests a second, local and one hop")
+    parts.add_parser("table", help="fold and routing table at full size")
     args = parser.parse_args()
     if args.part in (None, "baseline"):
         measure_baseline(Recorder("baseline", args.seed))
+    if args.part in (None, "table"):
+        measure_tables(args.seed)
+    if args.part in (None, "path"):
+        anyio.run(_path, args.seed)
     if args.part in (None, "control"):
         _control(args)
 
@@ -39,6 +47,10 @@
             anyio.run(_one_site, recorder, daemons, slices, args)
 
 
+async def _path(seed: int) -> None:
+    await measure_datapath(Recorder("path", seed), seed=seed)
+
+
 async def _one_site(
     recorder: Recorder, daemons: int, slices: int, args: argparse.Namespace
 ) -> None:
--- a/measure/control.py
+++ b/measure/control.py
@@ -42,6 +42,7 @@
 _SERVED_TIMEOUT_S = 15.0
 _ASK_TIMEOUT_S = 0.25
 _POLL_S = 0.02
+_STOP_TIMEOUT_S = 60.0
 
 
 class ControlRun:
@@ -104,7 +105,9 @@
             await self._publish(index)
             await anyio.sleep(_CHANGE_EVERY_S)
         self._add("changes", {**await window.end(), "changes": _CHANGES})
-        times = [await self._time_change(index) for index in range(_TIMED_CHANGES)]
+        times = [
+            await self._time_change(index) for index in range(_TIMED_CHANGES)
+        ]
         self._add("change-time", {"in_force_s_max": max(times)})
 
     async def loss(self, *, of_coordinator: bool) -> None:
@@ -257,5 +260,5 @@
 
 
 async def _stop(server: Server) -> None:
-    await server.target.terminate(30.0)
-    await server.daemon.terminate(30.0)
+    await server.daemon.terminate(_STOP_TIMEOUT_S)
+    server.target.kill()
--- /dev/null
+++ b/measure/table.py
@@ -0,0 +1,274 @@
+"""The fold and the routing table at full size, in one process."""
+
+from __future__ import annotations
+
+import os
+import random
+from typing import TYPE_CHECKING
+
+from burdockgap.fold.folds import Folds
+from burdockgap.fold.restore import (
+    decode_snapshot,
+    restore_config,
+    restore_control,
+)
+from burdockgap.fold.snapshot import make_chunks
+from burdockgap.ownership.unit import hash_key, pin_of
+from burdockgap.records.admit import Admit
+from burdockgap.records.assign import Assign
+from burdockgap.records.claim import Claim
+from burdockgap.records.ended import Ended
+from burdockgap.records.layout import Layout
+from burdockgap.records.pin import Pin
+from burdockgap.records.session_entry import SessionEntry
+from burdockgap.records.streams import CONTROL
+from burdockgap.records.witness_ref import WitnessRef
+from burdockgap.router.candidates import keyed_candidates
+from burdockgap.wire import pack
+from measure.timing import seconds_each, seconds_of
+from measure.usage import usage
+
+if TYPE_CHECKING:
+    from burdockgap.records.streams import ControlRecord
+    from measure.recorder import Recorder
+
+_TERM = 1
+_UNITS_PER_RECORD = 2048
+_SESSIONS_PER_RECORD = 10
+_LOOKUPS = 20_000
+_SUCCESSORS = 4
+_WITNESSES = 3
+
+
+class FullTable:
+    """
+    A fold that is fed with records as a coordinator writes them.
+
+    :param rng: chooses ids and owners.
+    :param services: number of keyed services.
+    :param slices: slices of each.
+    """
+
+    __slots__ = ("_offset", "_rng", "folds", "members", "services", "slices")
+
+    def __init__(
+        self, rng: random.Random, *, services: int, slices: int
+    ) -> None:
+        self._rng = rng
+        self._offset = 0
+        self.folds = Folds()
+        self.slices = slices
+        self.services = [f"service-{index}" for index in range(services)]
+        self.members: dict[str, list[int]] = {
+            name: [] for name in self.services
+        }
+        self._apply(
+            Claim(
+                record_id=self._id(),
+                term=_TERM,
+                incarnation=self._id(),
+                name="a",
+                peer_address="127.0.0.1:1",
+                at=0.0,
+            )
+        )
+        for name in self.services:
+            self._apply(
+                Layout(
+                    record_id=self._id(),
+                    term=_TERM,
+                    service=name,
+                    slices=slices,
+                )
+            )
+
+    def admit(self, count: int, first: int) -> Admit:
+        """Return the admission of some more sessions."""
+        entries = [self._entry(first + index) for index in range(count)]
+        return Admit(
+            record_id=self._id(), term=_TERM, at=0.0, sessions=entries
+        )
+
+    def assign(self, service: str, first: int) -> Assign:
+        """Return an assignment of some slices to random owners."""
+        units = list(range(first, min(first + _UNITS_PER_RECORD, self.slices)))
+        members = self.members[service]
+        return Assign(
+            record_id=self._id(),
+            term=_TERM,
+            at=0.0,
+            service=service,
+            cause="balance",
+            units=units,
+            owners=[self._rng.choice(members) for _ in units],
+        )
+
+    def pin(self, service: str, key: str) -> Pin:
+        """Return the pin of a key."""
+        return Pin(
+            record_id=self._id(),
+            term=_TERM,
+            at=0.0,
+            service=service,
+            unit=pin_of(hash_key(key)),
+        )
+
+    def end(self, session_id: int) -> Ended:
+        """Return the end of a session."""
+        return Ended(
+            record_id=self._id(),
+            term=_TERM,
+            at=0.0,
+            session_id=session_id,
+            cause="expired",
+            promised_by=[1, 2],
+        )
+
+    def apply(self, record: ControlRecord) -> tuple[float, int]:
+        """Apply an encoded record; return seconds and bytes."""
+        data = pack(record)
+        return seconds_of(lambda: self._apply_data(data)), len(data)
+
+    def _apply(self, record: ControlRecord) -> None:
+        self._apply_data(pack(record))
+
+    def _apply_data(self, data: bytes) -> None:
+        if not self.folds.apply(CONTROL, self._offset, data):
+            raise RuntimeError("the fold did not take the record")
+        self._offset += 1
+
+    def _id(self) -> int:
+        return self._rng.getrandbits(63) | 1
+
+    def _entry(self, index: int) -> SessionEntry:
+        service = self.services[index % len(self.services)]
+        members = self.members[service]
+        entry = SessionEntry(
+            session_id=self._id(),
+            incarnation=self._id(),
+            name=f"{service}-{index}",
+            service=service,
+            data_centre=f"centre-{index % 6}",
+            region=f"region-{index % 2}",
+            peer_address=f"10.0.{index // 250}.{index % 250}:7070",
+            http_address=f"10.0.{index // 250}.{index % 250}:8080",
+            slots=6,
+            witnesses=[
+                WitnessRef(
+                    incarnation=self._id(),
+                    address=f"10.1.{index // 250}.{index % 250}:7070",
+                )
+                for _ in range(_WITNESSES)
+            ],
+            successors=self._rng.sample(
+                members, min(_SUCCESSORS, len(members))
+            ),
+        )
+        members.append(entry.session_id)
+        return entry
+
+
+def measure_table(
+    recorder: Recorder,
+    *,
+    daemons: int,
+    services: int,
+    slices: int,
+    pins: int,
+    seed: int,
+) -> None:
+    """Record memory and times of one size; wants a fresh process."""
+    sizes = {
+        "daemons": daemons,
+        "services": services,
+        "slices": slices,
+        "pins": pins,
+    }
+    before = usage(os.getpid()).private_bytes
+    table = FullTable(random.Random(seed), services=services, slices=slices)
+    _fill(table, daemons, pins)
+    memory = usage(os.getpid()).private_bytes - before
+    _assign_all(table)
+    moving = usage(os.getpid()).private_bytes - before
+    recorder.add(
+        "table-memory",
+        **sizes,
+        private_bytes=memory,
+        private_bytes_moving=moving,
+    )
+    recorder.add("table-lookup", **sizes, **_lookup(table))
+    recorder.add("table-snapshot", **sizes, **_snapshot(table))
+    recorder.add("table-records", **sizes, **_records(table, daemons))
+
+
+def _fill(table: FullTable, daemons: int, pins: int) -> None:
+    for first in range(0, daemons, _SESSIONS_PER_RECORD):
+        count = min(_SESSIONS_PER_RECORD, daemons - first)
+        table.apply(table.admit(count, first))
+    _assign_all(table)
+    for index in range(pins):
+        service = table.services[index % len(table.services)]
+        table.apply(table.pin(service, f"hot-{index}"))
+
+
+def _assign_all(table: FullTable) -> None:
+    """Move every slice; each keeps its earlier holders for a while."""
+    for service in table.services:
+        for first in range(0, table.slices, _UNITS_PER_RECORD):
+            table.apply(table.assign(service, first))
+
+
+def _lookup(table: FullTable) -> dict[str, float]:
+    control = table.folds.control
+    service = table.services[0]
+    units = control.tables[service]
+    keys = iter([f"customer-{index}" for index in range(6 * _LOOKUPS)])
+
+    def look_up() -> object:
+        unit = units.unit_of(hash_key(next(keys)))
+        return control.sessions[units.owner(unit)]
+
+    hashes = iter([hash_key(f"k-{index}") for index in range(6 * _LOOKUPS)])
+
+    def choose() -> object:
+        return keyed_candidates(control, service, next(hashes))
+
+    return {
+        "lookup_s": seconds_each(look_up, _LOOKUPS),
+        "candidates_s": seconds_each(choose, _LOOKUPS),
+    }
+
+
+def _snapshot(table: FullTable) -> dict[str, float]:
+    make_s = seconds_each(lambda: make_chunks(table.folds, term=_TERM), 1)
+    chunks = make_chunks(table.folds, term=_TERM)
+    data = b"".join(chunk.data for chunk in chunks)
+
+    def read() -> None:
+        snapshot = decode_snapshot(data)
+        restore_control(snapshot.control)
+        restore_config(snapshot.config)
+
+    return {
+        "make_s": make_s,
+        "read_s": seconds_each(read, 1),
+        "bytes": len(data),
+        "chunks": len(chunks),
+    }
+
+
+def _records(table: FullTable, daemons: int) -> dict[str, float]:
+    service = table.services[0]
+    admit_s, admit_bytes = table.apply(
+        table.admit(_SESSIONS_PER_RECORD, daemons)
+    )
+    assign_s, assign_bytes = table.apply(table.assign(service, 0))
+    ended_s, ended_bytes = table.apply(table.end(table.members[service][0]))
+    return {
+        "admit_s": admit_s,
+        "admit_bytes": admit_bytes,
+        "assign_s": assign_s,
+        "assign_bytes": assign_bytes,
+        "ended_s": ended_s,
+        "ended_bytes": ended_bytes,
+    }
--- /dev/null
+++ b/measure/timing.py
@@ -0,0 +1,30 @@
+"""Times of short calls."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_REPEATS = 5
+
+
+def seconds_of(call: Callable[[], object]) -> float:
+    """Return the time of one call."""
+    started = time.perf_counter()
+    call()
+    return time.perf_counter() - started
+
+
+def seconds_each(call: Callable[[], object], count: int) -> float:
+    """Return the median over some batches of a call's time."""
+    times = []
+    for _ in range(_REPEATS):
+        started = time.perf_counter()
+        for _ in range(count):
+            call()
+        times.append((time.perf_counter() - started) / count)
+    return statistics.median(times)
