Give each connection to the target a transport of its own

Half of the processor time of a request went into the HTTP library's pool, which looks at every connection for each request, and a sixth into failing imports of an optional module. A transport with one connection each and a note that the module is absent avoid both. Contexts for TLS are only made for TLS.

--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -18,6 +18,7 @@
 from burdockgap.peer.auth import PeerAuth
 from burdockgap.peer.method import ACTIVATION, JOIN, LEAVE, LOAD, PULL
 from burdockgap.peer.service import PeerService, serve_peers
+from burdockgap.tasks.async_library import settle_async_library
 
 if TYPE_CHECKING:
     from burdockgap.daemon.core import Core
@@ -33,6 +34,7 @@
 
     :return: 0 if nothing was cut off, else 1.
     """
+    settle_async_library()
     return anyio.run(_run, settings)
 
 
--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -5,7 +5,6 @@
 import math
 import posixpath
 from contextlib import asynccontextmanager
-from http.cookiejar import CookieJar, DefaultCookiePolicy
 from typing import TYPE_CHECKING, Any
 from urllib.parse import unquote
 
@@ -16,6 +15,7 @@
 from burdockgap.target.exchange import Exchange
 from burdockgap.target.target_reply import TargetReply
 from burdockgap.target.target_status import TargetStatus
+from burdockgap.target.transports import Transports
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -27,7 +27,6 @@
     from burdockgap.target.target_request import TargetRequest
 
 _CONTROL_PATH = "/_burdockgap"
-_CONTROL_CONNECTIONS = 4
 _CONNECT_TIMEOUT_S = 1.0
 _CONTROL_TIMEOUT_S = 0.5
 _KEEPALIVE_EXPIRY_S = 2.0
@@ -36,6 +35,12 @@
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
+# Reads and writes end with the request's own deadline.
+_TIMEOUTS = httpx.Timeout(
+    None, connect=_CONNECT_TIMEOUT_S, pool=_CONNECT_TIMEOUT_S
+).as_dict()
+
+
 class HttpTarget:
     """
     The endpoints of one target process.
@@ -44,17 +49,17 @@
     :param clock: the time source for deadlines.
     """
 
-    __slots__ = ("_base", "_client", "_clock", "info")
+    __slots__ = ("_base", "_clock", "_transports", "info")
 
     def __init__(self, info: TargetInfo, clock: Clock) -> None:
         self.info = info
         self._clock = clock
         self._base = httpx.URL(info.url)
-        self._client = _new_client(info.slots + _CONTROL_CONNECTIONS)
+        self._transports = Transports(info.url, _KEEPALIVE_EXPIRY_S)
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._client.aclose()
+        await self._transports.aclose()
 
     @asynccontextmanager
     async def send(self, req: TargetRequest) -> AsyncIterator[TargetReply]:
@@ -147,20 +152,18 @@
         self, req: TargetRequest, exchange: Exchange
     ) -> AsyncIterator[TargetReply]:
         request = await self._request(req, exchange)
-        try:
-            resp = await self._client.send(request, stream=True)
-        except httpx.TransportError as exc:
-            raise _send_failure(exchange, exc) from exc
-        try:
-            _check_not_run(resp, exchange)
-            yield TargetReply(
-                status=resp.status_code,
-                headers=http_headers.end_to_end(_header_list(resp)),
-                body=_read_body(req.method, resp, exchange),
-            )
-        finally:
-            with anyio.CancelScope(shield=True):
-                await resp.aclose()
+        with self._transports.lend() as transport:
+            try:
+                resp = await transport.handle_async_request(request)
+            except httpx.TransportError as exc:
+                raise _send_failure(exchange, exc) from exc
+            async with _closing(resp):
+                _check_not_run(resp, exchange)
+                yield TargetReply(
+                    status=resp.status_code,
+                    headers=http_headers.end_to_end(_header_list(resp)),
+                    body=_read_body(req.method, resp, exchange),
+                )
 
     async def _request(
         self, req: TargetRequest, exchange: Exchange
@@ -174,7 +177,7 @@
             content=await _content(req),
             extensions={
                 "trace": exchange.trace,
-                "timeout": _send_timeout().as_dict(),
+                "timeout": _TIMEOUTS,
             },
         )
 
@@ -206,34 +209,34 @@
         self, method: str, name: str, payload: dict[str, Any] | None
     ) -> httpx.Response:
         url = self._base.copy_with(path=f"{_CONTROL_PATH}/{name}")
+        request = httpx.Request(
+            method, url, json=payload, extensions={"timeout": _TIMEOUTS}
+        )
         try:
             with anyio.fail_after(_CONTROL_TIMEOUT_S):
-                return await self._client.request(method, url, json=payload)
+                return await self._whole(request)
         except httpx.ConnectError as exc:
             raise ConnectionRefusedError(f"target: {exc}") from exc
         except (httpx.HTTPError, TimeoutError) as exc:
             raise ConnectionError(f"target: {exc!r}") from exc
 
-
-def _new_client(connections: int) -> httpx.AsyncClient:
-    no_cookies = DefaultCookiePolicy(allowed_domains=[])
-    return httpx.AsyncClient(
-        trust_env=False,
-        cookies=CookieJar(policy=no_cookies),
-        timeout=_send_timeout(),
-        limits=httpx.Limits(
-            max_connections=connections,
-            max_keepalive_connections=connections,
-            keepalive_expiry=_KEEPALIVE_EXPIRY_S,
-        ),
-    )
+    async def _whole(self, request: httpx.Request) -> httpx.Response:
+        """Send a request and read its whole answer."""
+        with self._transports.lend() as transport:
+            resp = await transport.handle_async_request(request)
+            async with _closing(resp):
+                await resp.aread()
+        return resp
 
 
-def _send_timeout() -> httpx.Timeout:
-    # Reads and writes end with the request's own deadline.
-    return httpx.Timeout(
-        None, connect=_CONNECT_TIMEOUT_S, pool=_CONNECT_TIMEOUT_S
-    )
+@asynccontextmanager
+async def _closing(resp: httpx.Response) -> AsyncIterator[None]:
+    """Close an answer at the end, also in a cancelled task."""
+    try:
+        yield
+    finally:
+        with anyio.CancelScope(shield=True):
+            await resp.aclose()
 
 
 def _check_path(path: str) -> None:
--- /dev/null
+++ b/src/burdockgap/target/transports.py
@@ -0,0 +1,68 @@
+"""Connections to a target, each behind a transport of its own."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import httpx
+
+from burdockgap.tls.verification import verification
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Transports:
+    """
+    Lends transports with one connection each, the last used first.
+
+    A pool of the HTTP library looks at all of its connections for each
+    request. Here a request only touches the connection that it uses.
+
+    :param url: base URL of the target.
+    :param keepalive_s: idle time after which a connection is replaced.
+    """
+
+    __slots__ = ("_all", "_closed", "_idle", "_limits", "_url")
+
+    def __init__(self, url: str, keepalive_s: float) -> None:
+        self._url = url
+        self._limits = httpx.Limits(
+            max_connections=1,
+            max_keepalive_connections=1,
+            keepalive_expiry=keepalive_s,
+        )
+        self._all: set[httpx.AsyncHTTPTransport] = set()
+        self._idle: list[httpx.AsyncHTTPTransport] = []
+        self._closed = False
+
+    @contextmanager
+    def lend(self) -> Iterator[httpx.AsyncHTTPTransport]:
+        """
+        Lend a transport that nobody else uses.
+
+        Its answer must have ended or been closed at the context's end.
+        """
+        transport = self._idle.pop() if self._idle else self._open()
+        try:
+            yield transport
+        finally:
+            if not self._closed:
+                self._idle.append(transport)
+
+    def _open(self) -> httpx.AsyncHTTPTransport:
+        transport = httpx.AsyncHTTPTransport(
+            verify=verification(self._url),
+            trust_env=False,
+            limits=self._limits,
+        )
+        self._all.add(transport)
+        return transport
+
+    async def aclose(self) -> None:
+        """Close all connections, those in use included."""
+        self._closed = True
+        self._idle.clear()
+        for transport in self._all:
+            await transport.aclose()
--- /dev/null
+++ b/src/burdockgap/tls/__init__.py
@@ -0,0 +1,1 @@
+"""Verification of servers that are reached over TLS."""
