Carry a short body in the head of a forwarded request

A request whose end was met while its fingerprint was taken needs no task and no messages of its own for its body, neither to the peer nor to the target.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -10,6 +10,7 @@
 from measure.control import STEPS, measure_control
 from measure.datapath import measure_datapath
 from measure.recorder import Recorder
+from measure.slopes import fit_slopes
 from measure.table_sizes import measure_tables
 
 _SIZES = (4, 8, 16, 32, 64)
@@ -28,6 +29,7 @@
     control.add_argument("--steps", nargs="+", default=STEPS, choices=STEPS)
     parts.add_parser("baseline", help="interpreters that only import")
     parts.add_parser("path", help="requests a second, local and one hop")
+    parts.add_parser("slopes", help="fits and plots of what was measured")
     parts.add_parser("table", help="fold and routing table at full size")
     args = parser.parse_args()
     if args.part in (None, "baseline"):
@@ -38,6 +40,8 @@
         anyio.run(_path, args.seed)
     if args.part in (None, "control"):
         _control(args)
+    if args.part in (None, "slopes"):
+        fit_slopes(args.seed)
 
 
 def _control(args: argparse.Namespace) -> None:
--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -299,6 +299,7 @@
             unit=permit.unit,
             epoch=permit.epoch,
             timeout_s=deadline - now,
+            whole=req.whole,
         )
 
     def _watched(self, flight: Flight, reply: TargetReply) -> TargetReply:
--- a/src/burdockgap/gate/gate_request.py
+++ b/src/burdockgap/gate/gate_request.py
@@ -22,6 +22,7 @@
     :param idempotent: whether it may run more than once.
     :param deadline: clock time at which the caller gives up.
     :param fingerprint: see :mod:`burdockgap.gate.fingerprint`.
+    :param whole: the same body in one piece if it is known already.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "path",
         "request_id",
         "service",
+        "whole",
     )
 
     def __init__(
@@ -50,6 +52,7 @@
         idempotent: bool,
         deadline: float,
         fingerprint: int,
+        whole: bytes | None = None,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -61,3 +64,4 @@
         self.idempotent = idempotent
         self.deadline = deadline
         self.fingerprint = fingerprint
+        self.whole = whole
--- a/src/burdockgap/peer/forward.py
+++ b/src/burdockgap/peer/forward.py
@@ -61,7 +61,7 @@
     """
     async with _open_stream(pool, entry, timeout_s) as stream:
         await _send_head(stream, entry, req, timeout_s)
-        async with background(_send_body, stream, req):
+        async with _sending_body(stream, req):
             head = await _receive_head(stream, entry, timeout_s)
             stats.load(in_flight=head.in_flight, limit=head.limit)
             if isinstance(head, ReplyRefusal):
@@ -117,13 +117,24 @@
         idempotent=req.idempotent,
         timeout_s=timeout_s,
         fingerprint=req.fingerprint,
+        whole=req.whole,
     )
     try:
-        await stream.send_message(head)
+        await stream.send_message(head, end=req.whole is not None)
     except PEER_ERRORS as exc:
         raise _lost(entry, exc) from exc
 
 
+@asynccontextmanager
+async def _sending_body(stream: Any, req: GateRequest) -> AsyncIterator[None]:
+    """Send the body meanwhile, unless the head has carried it."""
+    if req.whole is not None:
+        yield
+        return
+    async with background(_send_body, stream, req):
+        yield
+
+
 async def _send_body(stream: Any, req: GateRequest) -> None:
     try:
         async for data in req.body:
--- a/src/burdockgap/peer/forward_handler.py
+++ b/src/burdockgap/peer/forward_handler.py
@@ -85,11 +85,12 @@
             method=head.method,
             path=head.path,
             headers=[(name, value) for name, value in head.headers],
-            body=_body(stream),
+            body=_body(stream) if head.whole is None else _one(head.whole),
             key_hash=head.key_hash,
             idempotent=head.idempotent,
             deadline=self._clock.now() + head.timeout_s,
             fingerprint=head.fingerprint,
+            whole=head.whole,
         )
 
     def _refusal(self, refusal: Refusal) -> ReplyRefusal:
@@ -104,6 +105,11 @@
         )
 
 
+async def _one(body: bytes) -> AsyncIterator[bytes]:
+    if body:
+        yield body
+
+
 async def _body(stream: Any) -> AsyncIterator[bytes]:
     while (part := await stream.recv_message()) is not None:
         yield part.data
--- a/src/burdockgap/peer/messages/forward_head.py
+++ b/src/burdockgap/peer/messages/forward_head.py
@@ -7,7 +7,7 @@
 
 class ForwardHead(Message):
     """
-    Everything about a forwarded request but its body.
+    Everything about a forwarded request but a long body.
 
     :param request_id: the caller's request id.
     :param service: the service.
@@ -18,6 +18,7 @@
     :param idempotent: whether it may run more than once.
     :param timeout_s: seconds left until the deadline.
     :param fingerprint: identifies requests that are alike.
+    :param whole: the body, ``None`` if it follows in parts.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         "idempotent",
         "timeout_s",
         "fingerprint",
+        "whole",
     )
     TAG = 60
 
@@ -45,6 +47,7 @@
         idempotent: bool,
         timeout_s: float,
         fingerprint: int,
+        whole: bytes | None = None,
     ) -> None:
         self.request_id = request_id
         self.service = service
@@ -55,3 +58,4 @@
         self.idempotent = idempotent
         self.timeout_s = timeout_s
         self.fingerprint = fingerprint
+        self.whole = whole
--- a/src/burdockgap/router/dispatcher.py
+++ b/src/burdockgap/router/dispatcher.py
@@ -72,6 +72,7 @@
             idempotent=req.idempotent,
             deadline=deadline,
             fingerprint=req.fingerprint,
+            whole=req.body.whole(),
         )
         started = self._clock.now()
         stats.in_flight += 1
--- a/src/burdockgap/router/replay_body.py
+++ b/src/burdockgap/router/replay_body.py
@@ -21,12 +21,13 @@
     :param source: the parts as the caller sends them.
     """
 
-    __slots__ = ("_kept", "_kept_bytes", "_source", "replayable")
+    __slots__ = ("_ended", "_kept", "_kept_bytes", "_source", "replayable")
 
     def __init__(self, source: AsyncIterator[bytes]) -> None:
         self._source = source
         self._kept: list[bytes] = []
         self._kept_bytes = 0
+        self._ended = False
         self.replayable = True
 
     async def parts(self) -> AsyncIterator[bytes]:
@@ -42,10 +43,17 @@
         while self._kept_bytes < size:
             part = await anext(self._source, None)
             if part is None:
+                self._ended = True
                 break
             self._keep(part)
         return b"".join(self._kept)[:size]
 
+    def whole(self) -> bytes | None:
+        """Return the body if reading ahead has met its end."""
+        if not self._ended:
+            return None
+        return b"".join(self._kept)
+
     def _keep(self, part: bytes) -> None:
         if not self.replayable:
             return
--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -248,7 +248,11 @@
         raise Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail)
 
 
-async def _content(req: TargetRequest) -> AsyncIterator[bytes] | None:
+async def _content(
+    req: TargetRequest,
+) -> AsyncIterator[bytes] | bytes | None:
+    if req.whole is not None:
+        return req.whole or None
     # A request without a body must not be sent with an empty chunk.
     async for part in req.body:
         if part:
--- a/src/burdockgap/target/target_request.py
+++ b/src/burdockgap/target/target_request.py
@@ -31,6 +31,7 @@
         "request_id",
         "timeout_s",
         "unit",
+        "whole",
     )
 
     def __init__(
@@ -44,6 +45,7 @@
         unit: int | None,
         epoch: int,
         timeout_s: float,
+        whole: bytes | None = None,
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -53,3 +55,4 @@
         self.unit = unit
         self.epoch = epoch
         self.timeout_s = timeout_s
+        self.whole = whole
--- /dev/null
+++ b/tests/router/test_replay_body.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from burdockgap.router.replay_body import ReplayBody
+from tests.builders import make_body
+
+
+@pytest.mark.parametrize(
+    ("parts", "whole"),
+    [
+        pytest.param((), b"", id="empty"),
+        pytest.param((b"ab", b"c"), b"abc", id="short"),
+        pytest.param((b"a" * 8, b"b"), None, id="long"),
+    ],
+)
+def test_whole_is_known_once_the_end_was_met(parts, whole):
+    async def run():
+        body = ReplayBody(make_body(*parts))
+        assert body.whole() is None
+        await body.peek(8)
+        assert body.whole() == whole
+        assert b"".join([part async for part in body.parts()]) == b"".join(
+            parts
+        )
+
+    anyio.run(run)
