Never hold units again after giving a session up

Cause: between a session's last notice and its recorded end the fold could still pass it units; it activated them while the recorded end passed them to its successors: two owners. Ruled out: clearing the holdings only, as before; both tests failed on it. Change: a closed session activates nothing. A session is given up only when no work is in flight; else its lease runs out. The wait for work in flight is 600 s by default, since exports may run long. Conclusion: the two tests fail before and pass after.

--- a/src/burdockgap/daemon/service_side.py
+++ b/src/burdockgap/daemon/service_side.py
@@ -135,20 +135,21 @@
         """
         Hand units over, let work in flight end, give sessions up.
 
-        :return: whether no work was cut off and the end is recorded.
+        :return: whether all work in flight ended in time.
         """
         drain = self._core.settings.drain
         moved = await self.keeper.move_away(_MOVE_AWAY_TIMEOUT_S)
         self.gate.refuse_new(Reason.DRAINING)
         drained = await self.gate.drained(drain.request_timeout_s)
-        left = await self.keeper.leave(_LEAVE_TIMEOUT_S)
+        # Work that still runs must keep its units until the lease ends.
+        left = drained and await self.keeper.leave(_LEAVE_TIMEOUT_S)
         logger.info(
             "left: units moved {}, work ended {}, sessions ended {}",
             moved,
             drained,
             left,
         )
-        return drained and left
+        return drained
 
     async def _watch(self) -> None:
         """Follow configuration and target, for ever."""
--- a/src/burdockgap/daemon/session_keeper.py
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -131,7 +131,7 @@
         with anyio.move_on_after(timeout_s):
             while sessions := self._sessions.admitted():
                 for session in sessions:
-                    session.holdings.clear()
+                    session.holdings.close()
                     await self._leave(session, final=True)
                 await anyio.sleep(_LEAVE_EVERY_S)
         return not self._sessions.admitted()
@@ -186,6 +186,8 @@
         """Give up a replaced session once it owns nothing any more."""
         while not session.ended.is_set():
             if not self._owns_units(session):
+                # The fold may yet pass it the units of an ended session.
+                session.holdings.close()
                 await self._leave(session, final=True)
             with anyio.move_on_after(_LEAVE_EVERY_S):
                 await session.ended.wait()
--- a/src/burdockgap/ownership/holdings.py
+++ b/src/burdockgap/ownership/holdings.py
@@ -20,10 +20,11 @@
     :ivar active: epoch at which each unit is active.
     """
 
-    __slots__ = ("_floors", "_pins", "_work", "active")
+    __slots__ = ("_closed", "_floors", "_pins", "_work", "active")
 
     def __init__(self) -> None:
         self.active: dict[int, int] = {}
+        self._closed = False
         self._floors: dict[int, int] = {}
         self._pins: set[int] = set()
         self._work: set[WorkItem] = set()
@@ -37,8 +38,12 @@
         return self._floors.get(unit, 0)
 
     def activate(self, unit: int, epoch: int) -> bool:
-        """Make a unit active; ``False`` if its floor forbids it."""
-        if epoch < self.floor(unit) or epoch <= self.epoch(unit):
+        """Make a unit active; ``False`` if that is not allowed."""
+        if (
+            self._closed
+            or epoch < self.floor(unit)
+            or epoch <= self.epoch(unit)
+        ):
             return False
         self.active[unit] = epoch
         if is_pin(unit):
@@ -74,6 +79,11 @@
         self.active.clear()
         self._pins.clear()
 
+    def close(self) -> None:
+        """Stop holding anything, and never activate a unit again."""
+        self._closed = True
+        self.clear()
+
     def enter(self, key_hash: int, permit: Permit) -> WorkItem:
         """Count a request in flight."""
         item = WorkItem(key_hash, permit)
--- a/src/burdockgap/settings/declared.py
+++ b/src/burdockgap/settings/declared.py
@@ -312,7 +312,7 @@
         "request_timeout_s",
         float,
         unit=_SECONDS,
-        default=30.0,
+        default=600.0,
         allowed=Between(0, 86400),
         help="Longest time that a shutdown waits for requests in flight.",
     ),
--- /dev/null
+++ b/tests/daemon/test_session_keeper.py
@@ -0,0 +1,88 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from burdockgap.daemon.session_keeper import SessionKeeper
+from burdockgap.ownership.own_session import OwnSession
+
+UNIT = 3
+EPOCH = 8
+
+
+class Sessions:
+    """The sessions of a daemon that has one, and no unit table."""
+
+    service = "records"
+
+    def __init__(self) -> None:
+        self.session = OwnSession(1)
+        self.session.holdings.activate(UNIT, EPOCH - 2)
+        self.live = True
+
+    def admitted(self):
+        return [self.session] if self.live else []
+
+    def table(self):
+        return None
+
+
+class Client:
+    """A coordinator that records the end some time after the notice."""
+
+    def __init__(self, sessions: Sessions) -> None:
+        self.sessions = sessions
+        self.activated_after_notice = False
+        self.notices = []
+
+    async def leave(self, msg):
+        self.notices.append(msg)
+        holdings = self.sessions.session.holdings
+        if holdings.activate(UNIT, EPOCH):
+            self.activated_after_notice = True
+        self.sessions.live = not msg.final
+        return True
+
+
+@pytest.fixture
+def sessions():
+    return Sessions()
+
+
+def make_keeper(sessions, client):
+    return SessionKeeper(
+        identity=SimpleNamespace(),
+        slots=1,
+        sessions=sessions,
+        folds=SimpleNamespace(),
+        client=client,
+        grants=SimpleNamespace(),
+        parties=SimpleNamespace(),
+        sender=SimpleNamespace(),
+        witnesses=3,
+    )
+
+
+def test_leave_is_final(sessions):
+    client = Client(sessions)
+    keeper = make_keeper(sessions, client)
+
+    assert anyio.run(keeper.leave, 2.0)
+    assert [msg.final for msg in client.notices] == [True]
+    assert not client.activated_after_notice
+
+
+def test_retire_is_final(sessions):
+    client = Client(sessions)
+    keeper = make_keeper(sessions, client)
+    sessions.session.holdings.release(UNIT, EPOCH)
+
+    async def retire():
+        with anyio.move_on_after(0.1):
+            await keeper._retire(sessions.session)
+
+    anyio.run(retire)
+    assert client.notices
+    assert not client.activated_after_notice
