--- a/src/burdockgap/ownership/takeover.py
+++ b/src/burdockgap/ownership/takeover.py
@@ -127,6 +127,8 @@
             )
             await anyio.sleep(_RETRY_S)
             return
+        if not released.units:
+            await anyio.sleep(_RETRY_S)
         self.activator.on_released(released)
 
     async def _call(self, request: Release) -> Released:
--- a/tests/fold/test_control_state.py
+++ b/tests/fold/test_control_state.py
@@ -156,3 +156,6 @@
     feed.add(Activated, epochs=[6], **fields)
     assert feed.add(Unpin, term=1, at=0.0, service=SERVICE, unit=pin).counted
     assert table.unit_of(key_hash) == parent
+    assert table.epoch(parent) == 6
+    feed.add(Pin, term=1, at=0.0, service=SERVICE, unit=pin)
+    assert table.epoch(pin) == 6
--- a/tests/ownership/test_machine.py
+++ b/tests/ownership/test_machine.py
@@ -54,6 +54,12 @@
         if daemon is not None:
             daemon.fold(count)
 
+    @rule(index=_DAEMONS)
+    def jump(self, index):
+        daemon = self._live(index)
+        if daemon is not None:
+            daemon.jump()
+
     @rule(index=_DAEMONS)
     def renew(self, index):
         daemon = self._live(index)
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -105,6 +105,16 @@
     def fold(self, count=1000):
         self.fold_to(self.folds.control.offset + count)
 
+    def jump(self):
+        """Replace the fold by the newest one, as from a snapshot."""
+        control = self.folds.control
+        for offset in range(control.offset, len(self.world.log)):
+            control.apply(offset, self.world.log[offset])
+        self.sessions.resync()
+        self.certificates.resync()
+        self.witness.resync()
+        self.activator.resync()
+
     def renew(self):
         for session in self.sessions.admitted():
             for ref in session.lease.witnesses:
