--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -109,22 +109,35 @@
         """Whether the daemon may go on renewing its lease."""
         return not self._state.progress.stalled(self._limiter.in_flight)
 
-    def announced(self, info: TargetInfo, target: Target) -> None:
+    @property
+    def info(self) -> TargetInfo | None:
+        """The newest announcement."""
+        return self._state.info
+
+    @property
+    def target(self) -> Target | None:
+        """The endpoints in use."""
+        return self._state.target
+
+    def announced(self, info: TargetInfo, target: Target) -> bool:
         """
-        Take a target's announcement.
+        Take a target's announcement, new or repeated.
 
         Another boot id than before means that the target restarted:
         the work of the earlier process has ended and the ramp begins
         again.
 
         :param info: the announcement.
-        :param target: the endpoints to use from now on.
+        :param target: endpoints of the announced process.
+        :return: whether ``target`` is used from now on; a repeated
+            announcement leaves the endpoints as they are.
         """
         before = self._state.boot_id
         if before not in ("", info.boot_id):
             self._process_replaced(before)
-        self._state.announced(info, target)
+        is_used = self._state.announced(info, target)
         self._limiter.set_limit(self._state.limit)
+        return is_used
 
     def set_policy(self, policy: GatePolicy) -> None:
         """Follow another profile from now on."""
@@ -180,6 +193,7 @@
     @asynccontextmanager
     async def _serve(self, req: GateRequest) -> AsyncIterator[TargetReply]:
         self._check_open()
+        self._check_service(req.service)
         if req.idempotent:
             self._check_not_in_flight(req.request_id)
             async with self._dispatch(req, None) as reply:
@@ -334,11 +348,13 @@
     async def _reap(self, flight: Flight) -> None:
         """Hold the slot until the target has ended abandoned work."""
         give_up_at = self._clock.now() + _REAP_LIMIT_S
-        while not flight.ended and self._clock.now() < give_up_at:
-            if await self._is_over(flight):
-                break
-            await anyio.sleep(_REAP_INTERVAL_S)
-        self._close(flight)
+        try:
+            while not flight.ended and self._clock.now() < give_up_at:
+                if await self._is_over(flight):
+                    break
+                await anyio.sleep(_REAP_INTERVAL_S)
+        finally:
+            self._close(flight)
 
     async def _is_over(self, flight: Flight) -> bool:
         if flight.failed:
@@ -388,6 +404,12 @@
         if self._refusing is not None:
             raise Refusal(Verdict.NOT_RUN, self._refusing, _REFUSING_DETAIL)
 
+    def _check_service(self, service: str) -> None:
+        # The caller may know another daemon at this address.
+        if service != self.quarantine.service:
+            detail = "This daemon serves another service; look it up."
+            raise Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_SERVICE, detail)
+
     def _check_not_in_flight(self, request_id: str) -> None:
         # The target cancels by this id, which must mean one request.
         for flight in self._flights:
--- a/src/burdockgap/gate/logged_request.py
+++ b/src/burdockgap/gate/logged_request.py
@@ -10,7 +10,7 @@
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
 _BODY_LIMIT_BYTES = 64 * 1024
 
@@ -44,24 +44,38 @@
         self.dispatched = False
         self.verdict = Verdict.MAY_HAVE_RUN
         self.status = 0
-        self.headers: list[tuple[str, str]] = []
+        self.headers: Sequence[tuple[str, str]] = ()
         self.body: bytes | None = None
         self.ended_at: float | None = None
-        self._ended = anyio.Event()
-        self._parts: list[bytes] | None = []
+        self._ended: anyio.Event | None = None
+        self._parts: list[bytes] | None = None
 
     async def wait(self) -> None:
         """Wait until the request has ended."""
+        if self.ended_at is not None:
+            return
+        if self._ended is None:
+            self._ended = anyio.Event()
         await self._ended.wait()
 
     def end(self, at: float) -> None:
         """Mark the request as ended."""
         self.ended_at = at
         self._parts = None
-        self._ended.set()
+        if self.body is None:
+            self.drop_answer()
+        if self._ended is not None:
+            self._ended.set()
+            self._ended = None
+
+    def drop_answer(self) -> None:
+        """Keep only the verdict."""
+        self.body = None
+        self.headers = ()
 
     def capture(self, reply: TargetReply) -> TargetReply:
         """Return the reply; its body is recorded as it passes."""
+        self._parts = []
         self.status = reply.status
         self.headers = list(reply.headers)
         return TargetReply(
--- a/src/burdockgap/gate/peeked_body.py
+++ b/src/burdockgap/gate/peeked_body.py
@@ -17,12 +17,11 @@
     :param body: the body's parts as they arrive.
     """
 
-    __slots__ = ("_body", "_parts", "start")
+    __slots__ = ("_body", "_parts")
 
     def __init__(self, body: AsyncIterator[bytes]) -> None:
         self._body = body
         self._parts: list[bytes] = []
-        self.start = b""
 
     async def peek(self) -> bytes:
         """Read up to ``BODY_START_BYTES`` and return them."""
@@ -32,8 +31,7 @@
             size += len(part)
             if size >= BODY_START_BYTES:
                 break
-        self.start = b"".join(self._parts)[:BODY_START_BYTES]
-        return self.start
+        return b"".join(self._parts)[:BODY_START_BYTES]
 
     async def parts(self) -> AsyncIterator[bytes]:
         """Give the whole body, the part that was read included."""
--- a/src/burdockgap/gate/request_log.py
+++ b/src/burdockgap/gate/request_log.py
@@ -131,7 +131,7 @@
     def _drop_body(self, entry: LoggedRequest) -> None:
         if entry.body is not None:
             self._body_bytes -= len(entry.body)
-            entry.body = None
+            entry.drop_answer()
 
     def _forget_old(self) -> None:
         bar = self._clock.now() - _WINDOW_S
--- a/src/burdockgap/gate/target_state.py
+++ b/src/burdockgap/gate/target_state.py
@@ -71,11 +71,13 @@
         self._policy = policy
         self._configure_ramp()
 
-    def announced(self, info: TargetInfo, target: Target) -> None:
-        """Take an announcement."""
+    def announced(self, info: TargetInfo, target: Target) -> bool:
+        """Take an announcement; tell whether its endpoints are new."""
         restarted = info.boot_id != self.boot_id
+        moved = restarted or self.info is None or self.info.url != info.url
         self.info = info
-        self.target = target
+        if moved:
+            self.target = target
         self._down = False
         self.progress.healthy()
         self._configure_ramp()
@@ -83,6 +85,7 @@
             self._leaving = False
             self._ramp.restart()
             logger.info("target {} announced at {}", info.boot_id, info.url)
+        return moved
 
     def ended(self, boot_id: str) -> None:
         """Take the end of a process; it may not be the one in use."""
@@ -93,7 +96,7 @@
         if not self._down:
             self._down = True
             metrics.target_ends.inc()
-            logger.warning("target {} takes no connections", boot_id)
+            logger.warning("target {} is down", boot_id)
 
     def reported(self, status: TargetStatus) -> None:
         """Take the health report of the process in use."""
--- a/src/burdockgap/target/target.py
+++ b/src/burdockgap/target/target.py
@@ -22,7 +22,8 @@
         """
         Give a request to the target.
 
-        Leaving the context early cancels the request at the target.
+        Leaving the context early cancels the request at the target, as
+        does the end of its time, which is a refusal with ``DEADLINE``.
 
         :raises Refusal: with ``not-run`` if the target was not reached
             or refused the request unrun, else ``may-have-run``.
--- a/standins/target.py
+++ b/standins/target.py
@@ -77,17 +77,26 @@
             tasks.start_soon(announcer.announce)
         sys.stdout.write(f"listening {port}\n")
         sys.stdout.flush()
-        config = Config()
-        config.bind = [f"fd://{listener.fileno()}"]
-        config.graceful_timeout = _GRACE_S
-        config.accesslog = None
-        config.errorlog = None
-        await hypercorn.asyncio.serve(
-            app,  # type: ignore[arg-type]
-            config,
-            shutdown_trigger=stop.wait,
-        )
-        tasks.cancel_scope.cancel()
+        tasks.start_soon(_serve, app, listener, stop, tasks.cancel_scope)
+
+
+async def _serve(
+    app: TargetApp,
+    listener: socket.socket,
+    stop: anyio.Event,
+    others: anyio.CancelScope,
+) -> None:
+    config = Config()
+    config.bind = [f"fd://{listener.fileno()}"]
+    config.graceful_timeout = _GRACE_S
+    config.accesslog = None
+    config.errorlog = None
+    await hypercorn.asyncio.serve(
+        app,  # type: ignore[arg-type]
+        config,
+        shutdown_trigger=stop.wait,
+    )
+    others.cancel()
 
 
 def _new_work(args: argparse.Namespace) -> TargetWork:
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -89,11 +89,11 @@
         await b.spawn("queued")
         b.gate.refuse_new(reason)
         await b.spawn("new")
+        assert b.outcomes["queued"] == not_run(reason)
         assert not await b.gate.drained(0.05)
         b.target.release()
         assert await b.gate.drained(1)
         await anyio.wait_all_tasks_blocked()
-        assert b.outcomes["queued"] == not_run(reason)
         assert b.outcomes["new"] == not_run(reason)
         assert b.outcomes["running"] == b"arunning"
         assert b.sent() == ["running"]
@@ -183,6 +183,26 @@
         assert (b.gate.stats.limit, again.running) == (1, 1)
 
 
+async def test_request_for_other_service():
+    async with bench() as b:
+        outcome = await b.call(service="dispatch")
+        assert outcome == not_run(Reason.UNKNOWN_SERVICE)
+
+
+async def test_request_id_in_flight():
+    """Point 5: the target cancels by request id."""
+    async with bench() as b:
+        await b.spawn("r1")
+        assert await b.call("r1") == not_run(Reason.DUPLICATE)
+
+
+async def test_repeated_announcement_keeps_target():
+    async with bench() as b:
+        info = make_target_info(slots=4, cold_slots=4)
+        assert not b.gate.announced(info, FakeTarget())
+        assert b.gate.target is b.target
+
+
 async def test_queue_full():
     async with bench(slots=1, queue_length=1) as b:
         await b.spawn("running")
--- a/tests/gate/test_limiter_machine.py
+++ b/tests/gate/test_limiter_machine.py
@@ -56,6 +56,14 @@
                 assert task.exception().verdict is Verdict.NOT_RUN
         self.waiting = still
 
+    @precondition(lambda self: self.waiting)
+    @rule()
+    def finish_after_deadlines(self):
+        self.clock.seconds += 6.0
+        self.running -= 1
+        self.limiter.release()
+        self.settle()
+
     @rule(deadline_s=st.sampled_from([0.0, 5.0, _LONG_S]))
     def arrive(self, deadline_s):
         deadline = self.clock.now() + deadline_s
@@ -109,6 +117,6 @@
 
 
 LimiterMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
 )
 test_limiter_machine = LimiterMachine.TestCase
