Cancel a request when its caller goes away

Cause: an answer nobody waits for kept its slot at the target. Change: the end of the caller's connection is watched while a request is routed; leaving the route cancels it at the gate and the target.

--- a/src/burdockgap/daemon/session_keeper.py
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -186,7 +186,7 @@
         """Give up a replaced session once it owns nothing any more."""
         while not session.ended.is_set():
             if not self._owns_units(session):
-                # The fold could still pass it units of an ended session.
+                # The fold could yet pass it units of an ended session.
                 session.holdings.close()
                 await self._leave(session, final=True)
             with anyio.move_on_after(_LEAVE_EVERY_S):
--- a/src/burdockgap/http/app.py
+++ b/src/burdockgap/http/app.py
@@ -4,20 +4,24 @@
 
 from typing import TYPE_CHECKING, Any
 
+import anyio
 from loguru import logger
 
 from burdockgap.http import headers as names
+from burdockgap.http.caller_body import CallerBody
 from burdockgap.http.caller_gone import CallerGone
 from burdockgap.http.statuses import status_of
+from burdockgap.tasks.background import background
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import Awaitable, Callable
 
     from burdockgap.clock import Clock
     from burdockgap.http.request_parser import RequestParser
     from burdockgap.metrics import Metrics
     from burdockgap.router.route_reply import RouteReply
+    from burdockgap.router.route_request import RouteRequest
     from burdockgap.router.router import Router
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -86,12 +90,12 @@
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
         answer = _Answer(send)
+        body = CallerBody(receive)
         try:
             self._check_open()
-            req = await self._parser.parse(scope, _body(receive))
+            req = await self._parser.parse(scope, body.parts())
             answer.request_id = req.request_id
-            async with self._router.route(req) as reply:
-                await answer.forward(reply)
+            await self._route(req, answer, body)
             self._metrics.requests.labels(Verdict.RAN.value, "").inc()
         except Refusal as refusal:
             self._metrics.requests.labels(
@@ -99,6 +103,19 @@
             ).inc()
             await answer.refuse(refusal)
 
+    async def _route(
+        self, req: RouteRequest, answer: _Answer, body: CallerBody
+    ) -> None:
+        """Route a request unless its caller goes away meanwhile."""
+        with anyio.CancelScope() as scope:
+            async with (
+                background(_cancel_if_gone, body, scope),
+                self._router.route(req) as reply,
+            ):
+                await answer.forward(reply)
+        if scope.cancelled_caught:
+            raise CallerGone
+
     def _check_open(self) -> None:
         if self.leaving:
             raise Refusal(
@@ -181,12 +198,6 @@
     ]
 
 
-async def _body(receive: Receive) -> AsyncIterator[bytes]:
-    more = True
-    while more:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            raise CallerGone
-        more = event.get("more_body", False)
-        if event.get("body"):
-            yield event["body"]
+async def _cancel_if_gone(body: CallerBody, scope: anyio.CancelScope) -> None:
+    await body.wait_gone()
+    scope.cancel()
