--- a/src/burdockgap/fold/folds.py
+++ b/src/burdockgap/fold/folds.py
@@ -161,7 +161,7 @@
         try:
             yield sighting
         finally:
-            del self._watched[record_id]
+            self._watched.pop(record_id, None)
 
     async def wait_beyond(self, version: int) -> int:
         """Wait until ``version`` is exceeded and return the new one."""
--- a/src/burdockgap/fold/loader.py
+++ b/src/burdockgap/fold/loader.py
@@ -87,10 +87,11 @@
         self, snapshots: list[bytes], control: int, config: int
     ) -> None:
         for data in snapshots:
-            snapshot = _decode(data)
-            if snapshot is not None and self._fits(snapshot, control, config):
-                self._install(snapshot)
-                return
+            try:
+                if self._install_if_fits(data, control, config):
+                    return
+            except DecodeError as exc:
+                logger.warning("snapshot passed over: {}", exc)
         raise LogTrimmed(
             "the log has forgotten records that no whole snapshot covers"
         )
@@ -103,7 +104,10 @@
         next_config = max(snapshot.config.offset, self._folds.offset(CONFIG))
         return next_control >= control and next_config >= config
 
-    def _install(self, snapshot: FoldSnapshot) -> None:
+    def _install_if_fits(self, data: bytes, control: int, config: int) -> bool:
+        snapshot = decode_snapshot(data)
+        if not self._fits(snapshot, control, config):
+            return False
         self._folds.install(
             restore_control(snapshot.control), restore_config(snapshot.config)
         )
@@ -112,6 +116,7 @@
             snapshot.control.offset,
             snapshot.config.offset,
         )
+        return True
 
 
 def _add_chunk(collector: SnapshotCollector, data: bytes) -> None:
@@ -120,10 +125,3 @@
     except DecodeError:
         return
     collector.add(chunk)
-
-
-def _decode(data: bytes) -> FoldSnapshot | None:
-    try:
-        return decode_snapshot(data)
-    except DecodeError:
-        return None
--- a/src/burdockgap/fold/restore.py
+++ b/src/burdockgap/fold/restore.py
@@ -90,8 +90,8 @@
 
 
 def _restore_table(entry: TableEntry) -> UnitTable:
-    table = UnitTable(entry.slices)
     try:
+        table = UnitTable(entry.slices)
         table.restore_slices(entry.owners, entry.epochs)
     except ValueError as exc:
         raise DecodeError(f"units of {entry.service}: {exc}") from exc
--- a/src/burdockgap/platform/tail.py
+++ b/src/burdockgap/platform/tail.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from anyio.lowlevel import checkpoint
 from loguru import logger
 
 from burdockgap.platform.errors import LogError, LogTrimmed
@@ -122,7 +123,7 @@
             raise LogError(
                 f"the log ends at {page.end}, before offset {offset}"
             )
-        self._apply(page)
+        await self._apply(page)
 
     async def _read(self) -> Page | None:
         offset = self._folds.offset(self._stream)
@@ -132,12 +133,14 @@
             )
         return None
 
-    def _apply(self, page: Page) -> None:
-        for index, data in enumerate(page.records):
-            self._folds.apply(self._stream, page.first + index, data)
+    async def _apply(self, page: Page) -> None:
         self._end = page.end
         self._pause_s = _FIRST_PAUSE_S
         self._set_healthy(True, "")
+        for index, data in enumerate(page.records):
+            self._folds.apply(self._stream, page.first + index, data)
+            # Heartbeats must not wait for a whole page of records.
+            await checkpoint()
 
     async def _pause(self, longest_s: float) -> None:
         delay = random.uniform(0.5, 1) * longest_s
--- a/tests/fold/test_loader.py
+++ b/tests/fold/test_loader.py
@@ -11,6 +11,7 @@
 from burdockgap.records.end_session import EndSession
 from burdockgap.records.layout import Layout
 from burdockgap.records.set_data_centre import SetDataCentre
+from burdockgap.records.snapshot_chunk import SnapshotChunk
 from burdockgap.records.streams import CONFIG, CONTROL
 from burdockgap.wire import pack
 from burdockgap.wire.ids import new_id
@@ -136,6 +137,24 @@
     assert site.agrees(folds)
 
 
+def test_load_passes_over_unreadable_snapshot(site):
+    whole = site.snapshot()
+    site.write(
+        CONTROL,
+        SnapshotChunk(
+            record_id=new_id(),
+            term=1,
+            snapshot_id=7,
+            upto=5,
+            index=0,
+            count=1,
+            data=b"not a snapshot",
+        ),
+    )
+    site.trim(CONTROL, whole[0].upto)
+    assert site.agrees(site.start())
+
+
 @pytest.mark.parametrize(
     ("stream", "past"),
     [
@@ -153,6 +172,17 @@
         site.start()
 
 
+def test_load_without_records_before_chunks(site):
+    chunks = make_chunks(site.folds, term=1)
+    site.admit(1)
+    site.admit(2)
+    for chunk in chunks:
+        site.write(CONTROL, chunk)
+    site.trim(CONTROL, chunks[0].upto + 1)
+    with pytest.raises(LogTrimmed):
+        site.start()
+
+
 def test_load_prefers_newest_snapshot(site):
     site.snapshot()
     site.admit(1)
