Tell a shorter log from a fold that peers moved on

The tail compared the end of a page with the fold's offset after the read. A peer that fed newer records meanwhile made the log look as if it had lost records, and the tail unhealthy. It now compares with the offset that it had asked for.

--- a/src/burdockgap/platform/tail.py
+++ b/src/burdockgap/platform/tail.py
@@ -111,22 +111,22 @@
             self._scope.cancel()
 
     async def _step(self) -> None:
-        page = await self._read()
+        asked = self._folds.offset(self._stream)
+        page = await self._read(asked)
         if page is None:
             return
-        offset = self._folds.offset(self._stream)
-        if page.earliest > offset:
+        # Peers may have moved the fold on during the read.
+        if page.earliest > self._folds.offset(self._stream):
             TRIMS.labels(self._stream).inc()
             await self._loader.load()
             return
-        if page.end < offset:
+        if page.end < asked:
             raise LogError(
-                f"the log ends at {page.end}, before offset {offset}"
+                f"the log ends at {page.end}, before offset {asked}"
             )
         await self._apply(page)
 
-    async def _read(self) -> Page | None:
-        offset = self._folds.offset(self._stream)
+    async def _read(self, offset: int) -> Page | None:
         with self._interruptible():
             return await self._log.read(
                 self._stream, offset, wait=self._wait_s, limit=_PAGE_RECORDS
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -104,6 +104,36 @@
     anyio.run(main)
 
 
+def test_tail_while_peer_feeds_records():
+    records = [pack(make_claim(term=term)) for term in (1, 2, 3)]
+
+    class OvertakenLog(MemoryLog):
+        folds = None
+
+        async def read(self, stream, from_offset, *, wait, limit):
+            page = await super().read(
+                stream, from_offset, wait=wait, limit=limit
+            )
+            for offset, data in enumerate(records):
+                self.folds.apply(CONTROL, offset, data)
+            return page
+
+    async def main():
+        log = OvertakenLog()
+        log.store.append(CONTROL, records[0])
+        async with run_tail(log) as (folds, tail):
+            log.folds = folds
+            await settle(lambda: tail.healthy)
+            assert folds.control.term == 3
+            log.store.append(CONTROL, records[1])
+            log.store.append(CONTROL, records[2])
+            append_claims(log, [4])
+            assert await folds.wait_offset(CONTROL, 4, 2)
+            assert folds.control.term == 4
+
+    anyio.run(main)
+
+
 def test_poke_replaces_silent_read():
     async def main():
         log = SilentLog()
