--- a/src/burdockgap/platform/tail.py
+++ b/src/burdockgap/platform/tail.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from anyio.lowlevel import checkpoint
 from loguru import logger
 
 from burdockgap.platform.errors import LogError, LogTrimmed
@@ -110,34 +111,36 @@
             self._scope.cancel()
 
     async def _step(self) -> None:
-        page = await self._read()
+        asked = self._folds.offset(self._stream)
+        page = await self._read(asked)
         if page is None:
             return
-        offset = self._folds.offset(self._stream)
-        if page.earliest > offset:
+        # Peers may have moved the fold on during the read.
+        if page.earliest > self._folds.offset(self._stream):
             TRIMS.labels(self._stream).inc()
             await self._loader.load()
             return
-        if page.end < offset:
+        if page.end < asked:
             raise LogError(
-                f"the log ends at {page.end}, before offset {offset}"
+                f"the log ends at {page.end}, before offset {asked}"
             )
-        self._apply(page)
+        await self._apply(page)
 
-    async def _read(self) -> Page | None:
-        offset = self._folds.offset(self._stream)
+    async def _read(self, offset: int) -> Page | None:
         with self._interruptible():
             return await self._log.read(
                 self._stream, offset, wait=self._wait_s, limit=_PAGE_RECORDS
             )
         return None
 
-    def _apply(self, page: Page) -> None:
-        for index, data in enumerate(page.records):
-            self._folds.apply(self._stream, page.first + index, data)
+    async def _apply(self, page: Page) -> None:
         self._end = page.end
         self._pause_s = _FIRST_PAUSE_S
         self._set_healthy(True, "")
+        for index, data in enumerate(page.records):
+            self._folds.apply(self._stream, page.first + index, data)
+            # Heartbeats must not wait for a whole page of records.
+            await checkpoint()
 
     async def _pause(self, longest_s: float) -> None:
         delay = random.uniform(0.5, 1) * longest_s
