Hedge slow attempts of idempotent requests within a budget

Cause: a straggler that is not known yet holds up the requests it got. Ruled out: hedges of keyed requests, whose second attempt would meet the same owner, and of bodies that are still arriving. Change: after the profile's delay a second server is tried; the first answer wins, the other attempt is cancelled. Budgets follow the published share. Conclusion: 10 tests of the router, among them that a lost non-idempotent attempt is never repeated; the effect on the tail is not measured yet.

--- a/measure/control.py
+++ b/measure/control.py
@@ -104,7 +104,9 @@
             await self._publish(index)
             await anyio.sleep(_CHANGE_EVERY_S)
         self._add("changes", {**await window.end(), "changes": _CHANGES})
-        times = [await self._time_change(index) for index in range(_TIMED_CHANGES)]
+        times = [
+            await self._time_change(index) for index in range(_TIMED_CHANGES)
+        ]
         self._add("change-time", {"in_force_s_max": max(times)})
 
     async def loss(self, *, of_coordinator: bool) -> None:
--- a/src/burdockgap/router/attempt_history.py
+++ b/src/burdockgap/router/attempt_history.py
@@ -30,6 +30,11 @@
         """Note that an attempt goes to a server."""
         self._current = entry.session_id
 
+    def hedged(self) -> None:
+        """Note that the server tried last is to be avoided."""
+        if self._current:
+            self._refused.append(self._current)
+
     def failed(self, refusal: Refusal) -> None:
         """Note the outcome of the attempt that was started last."""
         self.count += 1
--- a/src/burdockgap/router/replay_body.py
+++ b/src/burdockgap/router/replay_body.py
@@ -19,15 +19,18 @@
     made, so memory stays bounded.
 
     :param source: the parts as the caller sends them.
+    :ivar replayable: whether another attempt can read all of it.
+    :ivar whole: whether the caller has sent all of it.
     """
 
-    __slots__ = ("_kept", "_kept_bytes", "_source", "replayable")
+    __slots__ = ("_kept", "_kept_bytes", "_source", "replayable", "whole")
 
     def __init__(self, source: AsyncIterator[bytes]) -> None:
         self._source = source
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self.replayable = True
+        self.whole = False
 
     async def parts(self) -> AsyncIterator[bytes]:
         """Yield the whole body from its start."""
@@ -36,12 +39,14 @@
         async for part in self._source:
             self._keep(part)
             yield part
+        self.whole = True
 
     async def peek(self, size: int) -> bytes:
         """Read ahead and return at most the first ``size`` bytes."""
         while self._kept_bytes < size:
             part = await anext(self._source, None)
             if part is None:
+                self.whole = True
                 break
             self._keep(part)
         return b"".join(self._kept)[:size]
--- a/src/burdockgap/router/retry_budget.py
+++ b/src/burdockgap/router/retry_budget.py
@@ -6,21 +6,16 @@
 
 
 class RetryBudget:
-    """
-    Tokens that requests earn and retries spend.
+    """Tokens that requests earn and retries spend."""
 
-    :param share: tokens earned by each request.
-    """
+    __slots__ = ("_tokens",)
 
-    __slots__ = ("_share", "_tokens")
-
-    def __init__(self, share: float) -> None:
-        self._share = share
+    def __init__(self) -> None:
         self._tokens = _BURST
 
-    def earn(self) -> None:
-        """Account for one request."""
-        self._tokens = min(self._tokens + self._share, _BURST)
+    def earn(self, share: float) -> None:
+        """Account for one request, which earns ``share`` tokens."""
+        self._tokens = min(self._tokens + share, _BURST)
 
     def spend(self) -> bool:
         """Take a token for one retry; false if there is none."""
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -9,11 +9,13 @@
 
 from burdockgap.router.attempt_history import AttemptHistory
 from burdockgap.router.candidates import keyed_candidates, unkeyed_candidates
+from burdockgap.router.race import Race, open_race
 from burdockgap.router.retry_budget import RetryBudget
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from contextlib import AbstractAsyncContextManager
 
     from burdockgap.clock import Clock
     from burdockgap.fold.folds import Folds
@@ -68,6 +70,7 @@
         "_clock",
         "_dispatcher",
         "_folds",
+        "_hedge_budgets",
         "_metrics",
         "_table",
     )
@@ -89,6 +92,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
+        self._hedge_budgets: dict[str, RetryBudget] = {}
 
     @asynccontextmanager
     async def route(self, req: RouteRequest) -> AsyncIterator[RouteReply]:
@@ -103,7 +107,7 @@
     async def _first_answer(
         self, stack: AsyncExitStack, req: RouteRequest
     ) -> RouteReply:
-        self._budget(req).earn()
+        self._budget(req).earn(req.profile.retry_budget)
         history = AttemptHistory()
         while True:
             try:
@@ -123,18 +127,50 @@
         req: RouteRequest,
         history: AttemptHistory,
     ) -> RouteReply:
+        if self._may_hedge(req):
+            race = await stack.enter_async_context(open_race())
+            reply = await self._hedged(race, req, history)
+        else:
+            reply = await stack.enter_async_context(self._send(req, history))
+        self._metrics.attempts.labels(Verdict.RAN.value, "").inc()
+        return reply
+
+    def _may_hedge(self, req: RouteRequest) -> bool:
+        return (
+            req.idempotent
+            and req.key_hash is None
+            and req.profile.hedge_after_ms > 0
+            and req.body.whole
+            and req.body.replayable
+        )
+
+    async def _hedged(
+        self, race: Race, req: RouteRequest, history: AttemptHistory
+    ) -> RouteReply:
+        """Start a second attempt if the first one is slow."""
+        budget = self._hedge_budget(req)
+        budget.earn(req.profile.hedge_budget)
+        race.start(self._send(req, history))
+        if await race.settled(req.profile.hedge_after_ms / 1000):
+            return race.result()
+        if budget.spend():
+            self._metrics.hedges.inc()
+            history.hedged()
+            race.start(self._send(req, history))
+        await race.settled(req.deadline - self._clock.now())
+        return race.result()
+
+    def _send(
+        self, req: RouteRequest, history: AttemptHistory
+    ) -> AbstractAsyncContextManager[RouteReply]:
         entry = self._choose(req, history)
         history.started(entry)
-        reply = await stack.enter_async_context(
-            self._dispatcher.send(
-                entry,
-                req,
-                self._table.stats(entry),
-                self._attempt_deadline(req, history),
-            )
+        return self._dispatcher.send(
+            entry,
+            req,
+            self._table.stats(entry),
+            self._attempt_deadline(req, history),
         )
-        self._metrics.attempts.labels(Verdict.RAN.value, "").inc()
-        return reply
 
     def _choose(
         self, req: RouteRequest, history: AttemptHistory
@@ -198,7 +234,8 @@
         pause_s: float = _PAUSE_S * 2 ** min(history.count - 1, _DOUBLINGS)
         return pause_s
 
+    def _hedge_budget(self, req: RouteRequest) -> RetryBudget:
+        return self._hedge_budgets.setdefault(req.service, RetryBudget())
+
     def _budget(self, req: RouteRequest) -> RetryBudget:
-        return self._budgets.setdefault(
-            req.service, RetryBudget(req.profile.retry_budget)
-        )
+        return self._budgets.setdefault(req.service, RetryBudget())
--- a/src/burdockgap/tasks/background.py
+++ b/src/burdockgap/tasks/background.py
@@ -1,4 +1,4 @@
-"""A task that lasts as long as a block of code."""
+"""Tasks that last as long as a block of code."""
 
 from __future__ import annotations
 
@@ -10,23 +10,34 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Coroutine
 
+    from anyio.abc import TaskGroup
+
 
 @asynccontextmanager
-async def background(
-    func: Callable[..., Coroutine[Any, Any, None]], *args: Any
-) -> AsyncIterator[None]:
+async def unwrapped_task_group() -> AsyncIterator[TaskGroup]:
     """
-    Run a task while the block runs and cancel it afterwards.
+    Own a task group whose block's error is not put into a group.
 
-    An error of the block leaves as itself, not in an exception group.
+    When the block fails, the tasks are cancelled and the error leaves
+    as itself.
     """
     error: Exception | None = None
-    async with anyio.create_task_group() as group:
-        group.start_soon(func, *args)
+    async with anyio.create_task_group() as tasks:
         try:
-            yield
+            yield tasks
         except Exception as exc:
             error = exc
-        group.cancel_scope.cancel()
+            tasks.cancel_scope.cancel()
     if error is not None:
         raise error
+
+
+@asynccontextmanager
+async def background(
+    func: Callable[..., Coroutine[Any, Any, None]], *args: Any
+) -> AsyncIterator[None]:
+    """Run a task while the block runs and cancel it afterwards."""
+    async with unwrapped_task_group() as tasks:
+        tasks.start_soon(func, *args)
+        yield
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/router/test_router.py
@@ -0,0 +1,186 @@
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from burdockgap.clock import BootClock
+from burdockgap.config.parse import parse_document
+from burdockgap.fold.folds import Folds
+from burdockgap.metrics import Metrics
+from burdockgap.router.chooser import Chooser
+from burdockgap.router.replay_body import ReplayBody
+from burdockgap.router.route_reply import RouteReply
+from burdockgap.router.route_request import RouteRequest
+from burdockgap.router.router import Router
+from burdockgap.router.server_table import ServerTable
+from burdockgap.verdict import Reason, Refusal, Verdict
+from tests.builders import make_session
+
+LOST = Refusal(Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST, "lost")
+SHED = Refusal(Verdict.NOT_RUN, Reason.TARGET_SHED, "shed")
+DOWN = Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE, "down")
+PROFILE = """
+[services.dispatch]
+profile = "p"
+[profiles.p]
+attempts = 3
+hedge_after_ms = {hedge}
+retry_budget = 0
+"""
+SERVERS = (1, 2, 3)
+
+
+class FakeDispatcher:
+    """Gives the outcomes of a list, one per attempt."""
+
+    def __init__(self, outcomes) -> None:
+        self.outcomes = list(outcomes)
+        self.tried = []
+        self.cancelled = 0
+
+    @asynccontextmanager
+    async def send(self, entry, req, _stats, _deadline):
+        self.tried.append(entry.session_id)
+        outcome = self.outcomes.pop(0) if self.outcomes else 0.0
+        if isinstance(outcome, Refusal):
+            raise outcome
+        try:
+            await anyio.sleep(outcome)
+            yield RouteReply(
+                status=200,
+                headers=[],
+                body=req.body.parts(),
+                owner=entry.name,
+                owner_address="",
+            )
+        except anyio.get_cancelled_exc_class():
+            self.cancelled += 1
+            raise
+
+
+async def parts_of(body):
+    if body:
+        yield body
+
+
+def make_request(*, idempotent, hedge=0, body=b"b", whole=True):
+    profile = parse_document(PROFILE.format(hedge=hedge)).unwrap()
+    replay = ReplayBody(parts_of(body))
+    replay.whole = whole
+    return RouteRequest(
+        request_id="r",
+        service="dispatch",
+        method="POST",
+        path="/",
+        headers=[],
+        body=replay,
+        key_hash=None,
+        idempotent=idempotent,
+        deadline=BootClock().now() + 3.0,
+        fingerprint=1,
+        profile=profile.profile_of("dispatch"),
+    )
+
+
+def route(dispatcher, req):
+    clock = BootClock()
+    folds = Folds()
+    for session_id in SERVERS:
+        folds.control.sessions[session_id] = make_session(
+            session_id=session_id, service="dispatch"
+        )
+    table = ServerTable(clock)
+    router = Router(
+        folds=folds,
+        dispatcher=dispatcher,
+        table=table,
+        chooser=Chooser(table=table, data_centre="dc1"),
+        clock=clock,
+        metrics=Metrics(),
+    )
+
+    async def run():
+        async with router.route(req) as reply:
+            return b"".join([part async for part in reply.body])
+
+    return anyio.run(run)
+
+
+def test_lost_attempt_of_non_idempotent_is_not_repeated():
+    dispatcher = FakeDispatcher([LOST])
+    with pytest.raises(Refusal) as caught:
+        route(dispatcher, make_request(idempotent=False))
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+    assert len(dispatcher.tried) == 1
+
+
+def test_lost_attempt_of_idempotent_is_repeated_elsewhere():
+    dispatcher = FakeDispatcher([LOST, LOST])
+    assert route(dispatcher, make_request(idempotent=True)) == b"b"
+    assert len(set(dispatcher.tried)) == 3
+
+
+def test_attempts_of_idempotent_are_limited():
+    dispatcher = FakeDispatcher([LOST] * 5)
+    with pytest.raises(Refusal):
+        route(dispatcher, make_request(idempotent=True))
+    assert len(dispatcher.tried) == 3
+
+
+def test_unrun_attempt_of_non_idempotent_is_repeated():
+    dispatcher = FakeDispatcher([DOWN, SHED])
+    assert route(dispatcher, make_request(idempotent=False)) == b"b"
+    assert len(dispatcher.tried) == 3
+
+
+def test_verdict_covers_all_attempts():
+    dispatcher = FakeDispatcher([LOST, SHED, SHED])
+    with pytest.raises(Refusal) as caught:
+        route(dispatcher, make_request(idempotent=True))
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_long_body_is_not_repeated():
+    dispatcher = FakeDispatcher([DOWN])
+    req = make_request(idempotent=False, body=b"x" * 100_000)
+
+    async def read_all():
+        async for _ in req.body.parts():
+            pass
+
+    anyio.run(read_all)
+    with pytest.raises(Refusal) as caught:
+        route(dispatcher, req)
+    assert caught.value.verdict is Verdict.NOT_RUN
+    assert len(dispatcher.tried) == 1
+
+
+def test_slow_attempt_is_hedged_and_cancelled():
+    dispatcher = FakeDispatcher([2.0, 0.0])
+    req = make_request(idempotent=True, hedge=20)
+    assert route(dispatcher, req) == b"b"
+    assert len(set(dispatcher.tried)) == 2
+    assert dispatcher.cancelled == 1
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "whole"),
+    [
+        pytest.param(False, True, id="non-idempotent"),
+        pytest.param(True, False, id="body-still-arriving"),
+    ],
+)
+def test_attempt_is_not_hedged(idempotent, whole):
+    dispatcher = FakeDispatcher([0.2])
+    req = make_request(idempotent=idempotent, hedge=20, whole=whole)
+    assert route(dispatcher, req) == b"b"
+    assert len(dispatcher.tried) == 1
+
+
+def test_hedge_refused_waits_for_first():
+    dispatcher = FakeDispatcher([0.2, SHED])
+    req = make_request(idempotent=True, hedge=20)
+    assert route(dispatcher, req) == b"b"
+    assert len(dispatcher.tried) == 2
