--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -12,8 +12,9 @@
 from burdockgap.ownership.releaser import Releaser
 from burdockgap.ownership.takeover import Takeover
 from burdockgap.records.activated import Activated
+from burdockgap.records.pin import Pin
 from tests.builders import FakeClock, FakeFolds, FixedLease, make_session
-from tests.ownership.world import KEYS, SLICES
+from tests.ownership.world import KEYS, PINS, SLICES
 
 
 class Peer:
@@ -124,6 +125,17 @@
     _run(scenario)
 
 
+def test_pin_of_active_slice_is_active_at_once():
+    async def scenario(pair):
+        pair.folds.add(Pin, unit=PINS[0])
+        assert pair.first.epoch(1, PINS[0]) == 2
+        pair.folds.assign([0], 2)
+        await _until(lambda: pair.second.epoch(2, 0) == 4)
+        assert pair.first.epoch(1, PINS[0]) == 2
+
+    _run(scenario)
+
+
 def test_move_retried_after_failures():
     async def scenario(pair):
         pair.second.failures = 2
