Stop announcing a target once it leaves

A retry of the announcement could follow the notice of leaving and bring the target back. The test assumed that the second announcement had been made before the signal; it now waits for it.

--- a/standins/target_announcer.py
+++ b/standins/target_announcer.py
@@ -35,30 +35,23 @@
         """Announce the target again and again."""
         async with self._client() as client:
             while not self._leaving:
-                await self._post_until_accepted(client, "announce")
-                await anyio.sleep(_REPEAT_S)
+                accepted = await self._post(client, "announce")
+                await anyio.sleep(_REPEAT_S if accepted else _RETRY_S)
 
     async def leave(self) -> None:
         """Say that the target is about to stop."""
         self._leaving = True
         async with self._client() as client:
-            await self._post_until_accepted(client, "leaving")
+            while not await self._post(client, "leaving"):  # noqa: ASYNC110
+                await anyio.sleep(_RETRY_S)
 
     def _client(self) -> httpx.AsyncClient:
         return httpx.AsyncClient(
             trust_env=False, timeout=_TIMEOUT_S, headers=self._headers
         )
 
-    async def _post_until_accepted(
-        self, client: httpx.AsyncClient, name: str
-    ) -> None:
+    async def _post(self, client: httpx.AsyncClient, name: str) -> bool:
         url = f"{self._admin_url}/v1/target/{name}"
-        while True:
-            if await self._post(client, url):
-                return
-            await anyio.sleep(_RETRY_S)
-
-    async def _post(self, client: httpx.AsyncClient, url: str) -> bool:
         try:
             resp = await client.post(url, json=self._announcement)
         except httpx.HTTPError:
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -17,6 +17,7 @@
     def __init__(self):
         super().__init__(("127.0.0.1", 0), AdminHandler)
         self.calls = []
+        self.accepted = threading.Event()
         self.left = threading.Event()
         self.url = f"http://127.0.0.1:{self.server_port}"
 
@@ -26,9 +27,12 @@
         body = self.rfile.read(int(self.headers["Content-Length"]))
         token = self.headers["Authorization"]
         self.server.calls.append((self.path, token, json.loads(body)))
-        self.send_response(503 if len(self.server.calls) == 1 else 200)
+        is_first = len(self.server.calls) == 1
+        self.send_response(503 if is_first else 200)
         self.send_header("Content-Length", "0")
         self.end_headers()
+        if not is_first:
+            self.server.accepted.set()
         if self.path.endswith("/leaving"):
             self.server.left.set()
 
@@ -50,6 +54,7 @@
     """Points 8 and 9."""
     args = ("--announce", admin.url, "--token", "t", "--service-ms", "600")
     with running_target(*args) as process:
+        assert admin.accepted.wait(5)
         replies = []
         call = threading.Thread(
             target=lambda: replies.append(httpx.get(f"{process.url}/work"))
