Keep a failing request body from deciding the verdict

An error of the body's source, which may be a refusal of another hop, passed through as the verdict of this one: a request that the target had partly received could be reported as not run. Found by review; the verdict now depends on what was written to the target.

--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -14,6 +14,7 @@
 
 from burdockgap.target import http_headers
 from burdockgap.target.exchange import Exchange
+from burdockgap.target.request_body_error import RequestBodyError
 from burdockgap.target.target_reply import TargetReply
 from burdockgap.target.target_status import TargetStatus
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -146,9 +147,14 @@
     async def _exchange(
         self, req: TargetRequest, exchange: Exchange
     ) -> AsyncIterator[TargetReply]:
-        request = await self._request(req, exchange)
         try:
+            request = await self._request(req, exchange)
             resp = await self._client.send(request, stream=True)
+        except RequestBodyError as exc:
+            detail = "The request's body ended early; send it again."
+            raise Refusal(
+                _verdict(exchange), Reason.BAD_REQUEST, detail
+            ) from exc
         except httpx.TransportError as exc:
             raise _send_failure(exchange, exc) from exc
         try:
@@ -247,19 +253,27 @@
 
 async def _content(req: TargetRequest) -> AsyncIterator[bytes] | None:
     # A request without a body must not be sent with an empty chunk.
-    async for part in req.body:
-        if part:
-            return _chain(part, req.body)
+    parts = _request_parts(req.body)
+    async for part in parts:
+        return _chain(part, parts)
     return None
 
 
+async def _request_parts(body: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    try:
+        async for part in body:
+            if part:
+                yield part
+    except Exception as exc:
+        raise RequestBodyError from exc
+
+
 async def _chain(
     first: bytes, rest: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
     yield first
     async for part in rest:
-        if part:
-            yield part
+        yield part
 
 
 def _header_list(resp: httpx.Response) -> list[tuple[str, str]]:
--- a/tests/target/test_http_target.py
+++ b/tests/target/test_http_target.py
@@ -145,6 +145,53 @@
     assert len(work) == 1
 
 
+def test_send_on_connection_closed_while_idle():
+    """Point 7: a request on a reused connection is not sent again."""
+    received = []
+
+    async def handle(stream):
+        async with stream:
+            received.append(await stream.receive())
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            received.append(await stream.receive())
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        info = make_target_info(url=f"http://127.0.0.1:{port}")
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, handle)
+            async with connected(info) as target:
+                await exchange(target, make_target_request("first"))
+                with pytest.raises(Refusal) as caught:
+                    await exchange(target, make_target_request("second"))
+            tasks.cancel_scope.cancel()
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+    anyio.run(run)
+    assert sum(b"Request-Id: second" in data for data in received) == 1
+
+
+@pytest.mark.parametrize(
+    ("parts", "verdict"),
+    [
+        pytest.param([], Verdict.NOT_RUN, id="at-once"),
+        pytest.param([b"a"], Verdict.MAY_HAVE_RUN, id="after-a-part"),
+    ],
+)
+def test_send_request_body_fails(process, parts, verdict):
+    """Point 6: another's word on the verdict is not taken over."""
+
+    async def broken():
+        for part in parts:
+            yield part
+        raise Refusal(Verdict.NOT_RUN, Reason.UNREACHABLE)
+
+    req = make_target_request("broken", method="POST", body=broken())
+    assert refusal_of(process.info(), req) == (verdict, Reason.BAD_REQUEST)
+    assert "broken" not in process.effects()
+
+
 def test_send_deadline_cancels(process):
     process.fault(hang=True)
     verdict = refusal_of(
