Add the scenario language

Scenarios are text files that start a site of real processes, make parts of it fail and state what must hold. Targets record their runs in a file, so that the runs of a killed target are kept; the checks compare them with what callers were told. Each check is tested on histories that it must refuse.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: env test demo check format measure binary
+.PHONY: env test scenarios demo check format measure binary
 
 env: $(STAMP)
 
@@ -16,6 +16,9 @@
 test: env
 	$(PY) -m pytest
 
+scenarios: env
+	$(PY) -m pytest tests/scenarios -m "slow or not slow"
+
 check: env
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
--- a/standins/cluster/process.py
+++ b/standins/cluster/process.py
@@ -27,14 +27,16 @@
     :param name: name used in messages and of the output file.
     :param args: program arguments after the interpreter.
     :param folder: where the output file goes.
+    :ivar is_frozen: whether it was stopped and not let run on.
     """
 
-    __slots__ = ("_popen", "args", "name", "output")
+    __slots__ = ("_popen", "args", "is_frozen", "name", "output")
 
     def __init__(self, name: str, args: Sequence[str], folder: Path) -> None:
         self.name = name
         self.args = list(args)
         self.output = folder / f"{name}.log"
+        self.is_frozen = False
         self._popen: subprocess.Popen[bytes] | None = None
 
     @property
@@ -47,6 +49,11 @@
         """Return the exit code, ``None`` while the process runs."""
         return self._popen.poll() if self._popen else None
 
+    @property
+    def answers(self) -> bool:
+        """Tell whether the process runs and is not frozen."""
+        return self.is_running and not self.is_frozen
+
     @property
     def is_running(self) -> bool:
         """Tell whether the process was started and has not ended."""
@@ -56,6 +63,7 @@
         """Start the process."""
         paths = [str(ROOT / "src"), str(ROOT)]
         env = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
+        self.is_frozen = False
         with self.output.open("ab") as output:
             self._popen = subprocess.Popen(
                 [sys.executable, *self.args],
@@ -80,10 +88,12 @@
     def freeze(self) -> None:
         """Stop the process until :meth:`thaw`."""
         self.signal(signal.SIGSTOP)
+        self.is_frozen = True
 
     def thaw(self) -> None:
         """Let a frozen process run on."""
         self.signal(signal.SIGCONT)
+        self.is_frozen = False
 
     async def terminate(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
         """
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -111,6 +111,11 @@
         """Return the base URL of the target's stand-in."""
         return f"http://{self.ip}:{TARGET_PORT}"
 
+    @property
+    def history_file(self) -> Path:
+        """Return the file of the runs of all the target's processes."""
+        return self.folder / f"{self.name}-history.jsonl"
+
     def start(self) -> None:
         """Start the daemon and the target."""
         self.daemon.start()
@@ -137,5 +142,7 @@
             str(TARGET_PORT),
             "--slots",
             str(self.plan.slots),
+            "--history-file",
+            str(self.history_file),
             *self.plan.target_args,
         ]
--- /dev/null
+++ b/standins/history/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of what targets ran against what callers were told."""
--- /dev/null
+++ b/standins/history/run_record.py
@@ -0,0 +1,92 @@
+"""One run of a request, as its target recorded it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class RunRecord:
+    """
+    A run of a request by one target.
+
+    :param target: the target's name.
+    :param service: the target's service.
+    :param request_id: the caller's request id.
+    :param key: the key, "" for unkeyed requests.
+    :param unit: the unit, ``None`` for unkeyed requests.
+    :param epoch: the epoch that the target was given.
+    :param started: clock time of the start.
+    :param ended: clock time of the end, ``None`` if none was recorded.
+    :param took_effect: whether the work was done.
+    """
+
+    __slots__ = (
+        "ended",
+        "epoch",
+        "key",
+        "request_id",
+        "service",
+        "started",
+        "target",
+        "took_effect",
+        "unit",
+    )
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        service: str,
+        request_id: str,
+        key: str,
+        unit: int | None,
+        epoch: int,
+        started: float,
+        ended: float | None,
+        took_effect: bool,
+    ) -> None:
+        self.target = target
+        self.service = service
+        self.request_id = request_id
+        self.key = key
+        self.unit = unit
+        self.epoch = epoch
+        self.started = started
+        self.ended = ended
+        self.took_effect = took_effect
+
+    @property
+    def last_seen(self) -> float:
+        """
+        Return the latest time at which the run is known to have acted.
+
+        A run without effect was stopped by the target's own checks, at
+        a time that says nothing if the process was frozen.
+        """
+        if self.ended is None or not self.took_effect:
+            return self.started
+        return self.ended
+
+    def __str__(self) -> str:
+        return (
+            f"{self.request_id} on {self.target} (key {self.key!r}, unit "
+            f"{self.unit}, epoch {self.epoch}, from {self.started:.3f} to "
+            f"{self.last_seen:.3f})"
+        )
+
+
+def from_json(
+    fields: dict[str, Any], *, target: str, service: str
+) -> RunRecord:
+    """Return a run from a line of a target's history."""
+    return RunRecord(
+        target=target,
+        service=service,
+        request_id=fields["request_id"],
+        key=fields["key"],
+        unit=fields["unit"],
+        epoch=fields["epoch"],
+        started=fields["started"],
+        ended=fields["ended"],
+        took_effect=fields["took_effect"],
+    )
--- /dev/null
+++ b/standins/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios on a site of real processes."""
--- /dev/null
+++ b/standins/scenario/__main__.py
@@ -0,0 +1,50 @@
+"""``python -m standins.scenario FILE...`` runs scenarios by hand."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from pathlib import Path
+
+import anyio
+from loguru import logger
+
+from standins.scenario.runner import run_scenario
+from standins.scenario.scenario_error import ScenarioError
+
+
+def main() -> int:
+    """
+    Run each scenario that is named.
+
+    :return: 0 if all of them passed, else 1.
+    """
+    parser = argparse.ArgumentParser(prog="standins.scenario")
+    parser.add_argument("files", nargs="+", type=Path)
+    parser.add_argument("--quiet", action="store_true")
+    args = parser.parse_args()
+    logger.remove()
+    failed = 0
+    for path in args.files:
+        failed += not _passes(path, quiet=args.quiet)
+    return 1 if failed else 0
+
+
+def _passes(path: Path, *, quiet: bool) -> bool:
+    started = time.monotonic()
+    try:
+        anyio.run(run_scenario, path, _say_nothing if quiet else print)
+    except ScenarioError as exc:
+        print(f"FAILED {exc}", file=sys.stderr)
+        return False
+    print(f"passed {path} in {time.monotonic() - started:.1f} s")
+    return True
+
+
+def _say_nothing(_: str) -> None:
+    pass
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/scenario/load.py
@@ -0,0 +1,150 @@
+"""Callers that send requests at a steady rate."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpx
+
+from standins.history.told import Told
+from standins.target_grants import boottime
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from standins.cluster import Server
+
+_CLIENT_MARGIN_S = 1.0
+_TIMEOUT_S = 3.0
+_MS_PER_S = 1000
+_CONNECTIONS = 400
+
+
+class Load:
+    """
+    Sends keyed requests and keeps what the callers were told.
+
+    :param service: the service; its path prefix is the same word.
+    :param keys: the keys, used in turn.
+    :param rate: requests a second.
+    :param idempotent: marking of the requests.
+    :param entries: returns the daemons that may be asked now.
+    :param rng: picks among them.
+    :param label: start of the request ids.
+    :ivar answers: what the callers were told.
+    """
+
+    __slots__ = (
+        "_client",
+        "_entries",
+        "_idempotent",
+        "_label",
+        "_numbers",
+        "_rate",
+        "_rng",
+        "_service",
+        "answers",
+        "ended",
+        "keys",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        keys: Sequence[str],
+        rate: float,
+        idempotent: bool,
+        entries: Callable[[], list[Server]],
+        rng: random.Random,
+        label: str,
+    ) -> None:
+        self.keys = keys
+        self.answers: list[Told] = []
+        self.stopping = anyio.Event()
+        self.ended = anyio.Event()
+        self._service = service
+        self._rate = rate
+        self._idempotent = idempotent
+        self._entries = entries
+        self._rng = rng
+        self._label = label
+        self._numbers = itertools.count(1)
+        self._client = httpx.AsyncClient(
+            timeout=_TIMEOUT_S + _CLIENT_MARGIN_S,
+            trust_env=False,
+            limits=httpx.Limits(max_connections=_CONNECTIONS),
+        )
+
+    async def run(self) -> None:
+        """Send until told to stop, then wait for the answers."""
+        async with anyio.create_task_group() as tasks:
+            started = boottime()
+            for count in itertools.count():
+                wait_s = started + count / self._rate - boottime()
+                with anyio.move_on_after(max(wait_s, 0)):
+                    await self.stopping.wait()
+                if self.stopping.is_set():
+                    break
+                key = self.keys[count % len(self.keys)]
+                tasks.start_soon(self.send, key, self._idempotent)
+        self.ended.set()
+
+    async def send(self, key: str, idempotent: bool) -> Told:
+        """Send one request and keep what was told."""
+        server = self._rng.choice(self._entries())
+        request_id = f"{self._label}-{next(self._numbers)}"
+        headers = {
+            "Burdockgap-Key": key,
+            "Burdockgap-Request-Id": request_id,
+            "Burdockgap-Idempotent": str(idempotent).lower(),
+            "Burdockgap-Timeout-Ms": str(int(_TIMEOUT_S * _MS_PER_S)),
+        }
+        sent = boottime()
+        answer = await self._post(server, headers)
+        told = Told(
+            request_id=request_id,
+            key=key,
+            idempotent=idempotent,
+            sent=sent,
+            answered=boottime(),
+            **answer,
+        )
+        self.answers.append(told)
+        return told
+
+    async def _post(
+        self, server: Server, headers: dict[str, str]
+    ) -> dict[str, Any]:
+        url = f"{server.url}/{self._service}"
+        try:
+            reply = await self._client.post(url, headers=headers, content=b"x")
+        except httpx.HTTPError as exc:
+            return _no_answer(f"via {server.name}: {exc!r}")
+        return _answer(reply, server.name)
+
+
+def _no_answer(detail: str) -> dict[str, Any]:
+    return {
+        "verdict": "",
+        "status": 0,
+        "echo": "",
+        "whole": False,
+        "detail": detail,
+    }
+
+
+def _answer(reply: httpx.Response, entry: str) -> dict[str, Any]:
+    ok = reply.status_code == 200
+    body = reply.json() if ok else {}
+    return {
+        "verdict": reply.headers.get("burdockgap-verdict", ""),
+        "status": reply.status_code,
+        "echo": body.get("request_id", ""),
+        "whole": body.get("body_length") == 1,
+        "detail": "" if ok else f"via {entry}: {reply.text.strip()}",
+    }
--- /dev/null
+++ b/standins/scenario/parse.py
@@ -0,0 +1,41 @@
+"""Reading of scenario files."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import standins.scenario.statements  # noqa: F401  (adds the verbs)
+from standins.scenario.scenario_error import ScenarioError
+from standins.scenario.statement import Statement
+from standins.scenario.verb import VERBS
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def parse(path: Path) -> list[Statement]:
+    """
+    Read a scenario.
+
+    :raises ScenarioError: if a line is no statement of the language.
+    """
+    statements = []
+    for number, line in enumerate(path.read_text().splitlines(), start=1):
+        text = line.partition("#")[0].strip()
+        if text:
+            statements.append(_parse_line(path, number, text))
+    return statements
+
+
+def _parse_line(path: Path, number: int, text: str) -> Statement:
+    for known in VERBS:
+        arguments = known.match(text)
+        if arguments is not None:
+            return Statement(
+                line=number, text=text, verb=known, arguments=arguments
+            )
+    raise ScenarioError(
+        str(path),
+        number,
+        f"{text!r} is no statement; see docs/scenarios.md for the forms",
+    )
--- /dev/null
+++ b/standins/scenario/run.py
@@ -0,0 +1,181 @@
+"""The state of a scenario that is being carried out."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from standins.cluster import open_cluster
+from standins.history.read import read_runs
+from standins.scenario.observer import Observer, open_observer
+from standins.scenario.scenario_error import UnmetError
+from standins.target_grants import boottime
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from contextlib import AsyncExitStack
+
+    from anyio.abc import TaskGroup
+
+    from standins.cluster import Cluster, Server, ServerPlan
+    from standins.history.run_record import RunRecord
+    from standins.history.told import Told
+    from standins.scenario.load import Load
+
+DOCUMENT = """\
+[services.{service}]
+keyed = true
+slices = {slices}
+profile = "lookup"
+path_prefix = "/{service}"
+
+[profiles.lookup]
+idempotent = true
+deadline_ms = 4000
+"""
+
+
+class Run:
+    """
+    What the statements of a scenario share.
+
+    :param tasks: owns what runs in the background.
+    :param stack: owns the site.
+    :param rng: the only source of chance.
+    :param say: takes a line of progress.
+    :ivar service: the keyed service of the first servers.
+    :ivar names: names given by ``let``.
+    :ivar loads: every load so far.
+    :ivar fault_at: clock time of the last fault.
+    :ivar accepted: versions that operators were told.
+    """
+
+    def __init__(
+        self,
+        *,
+        tasks: TaskGroup,
+        stack: AsyncExitStack,
+        rng: random.Random,
+        say: Callable[[str], None],
+    ) -> None:
+        self.tasks = tasks
+        self.stack = stack
+        self.rng = rng
+        self.say = say
+        self.plans: list[ServerPlan] = []
+        self.settings: list[str] = []
+        self.service = ""
+        self.slices = 32
+        self.names: dict[str, str] = {}
+        self.loads: list[Load] = []
+        self.fault_at = boottime()
+        self.accepted: list[int] = []
+        self._began = time.monotonic()
+        self._cluster: Cluster | None = None
+        self._observer: Observer | None = None
+
+    def elapsed_s(self) -> float:
+        """Return the time since the scenario began."""
+        return time.monotonic() - self._began
+
+    @property
+    def cluster(self) -> Cluster:
+        """The site; there is one after ``start``."""
+        if self._cluster is None:
+            raise UnmetError("`start` comes first")
+        return self._cluster
+
+    @property
+    def observer(self) -> Observer:
+        """The reader of the log; there is one after ``start``."""
+        if self._observer is None:
+            raise UnmetError("`start` comes first")
+        return self._observer
+
+    @property
+    def load(self) -> Load:
+        """The newest load."""
+        if not self.loads:
+            raise UnmetError("`load` comes first")
+        return self.loads[-1]
+
+    async def open(self) -> Cluster:
+        """Build the site from the plans; nothing is started yet."""
+        extra = "\n".join(self.settings)
+        self._cluster = await self.stack.enter_async_context(
+            open_cluster(self.plans, extra=extra)
+        )
+        return self._cluster
+
+    async def observe(self) -> None:
+        """Begin to read the log."""
+        self._observer = await self.stack.enter_async_context(
+            open_observer(self.service, self.cluster.log_url)
+        )
+
+    def document(self) -> str:
+        """Return the configuration that is published first."""
+        return DOCUMENT.format(service=self.service, slices=self.slices)
+
+    def fault(self) -> None:
+        """Note that a fault happens now."""
+        self.fault_at = boottime()
+
+    def entries(self) -> list[Server]:
+        """Return the servers whose daemons can be asked."""
+        found = [
+            server
+            for server in self.cluster.servers.values()
+            if server.daemon.answers
+        ]
+        if not found:
+            raise UnmetError("no daemon runs")
+        return found
+
+    def answers(self) -> list[Told]:
+        """Return what all callers were told."""
+        return [told for load in self.loads for told in load.answers]
+
+    def runs(self) -> list[RunRecord]:
+        """Return what all targets ran."""
+        found = []
+        for server in self.cluster.servers.values():
+            found += read_runs(
+                server.history_file,
+                target=server.name,
+                service=server.plan.service,
+            )
+        return found
+
+    def server(self, reference: str) -> Server:
+        """
+        Return the server that a reference means now.
+
+        :param reference: a name, one given by ``let``, ``coordinator``
+            or ``owner|successor|witness of KEY``.
+        """
+        name = self.resolve(reference)
+        if name not in self.cluster.servers:
+            raise UnmetError(f"no server is named {name!r}")
+        return self.cluster.servers[name]
+
+    def resolve(self, reference: str) -> str:
+        """Return the name that a reference stands for."""
+        role, _, key = reference.partition(" of ")
+        role, _, rank = role.strip().partition(" ")
+        if role == "coordinator":
+            return self.observer.coordinator()
+        if key and role == "owner":
+            return self.observer.owner(key.strip())
+        if key and role == "successor":
+            return self.observer.successor(key.strip())
+        if key and role == "witness":
+            return self._witness(key.strip(), int(rank or 1))
+        return self.names.get(reference, reference)
+
+    def _witness(self, key: str, rank: int) -> str:
+        witnesses = self.observer.witnesses(key)
+        if not 0 < rank <= len(witnesses):
+            raise UnmetError(f"{key} has {len(witnesses)} witnesses")
+        return witnesses[rank - 1]
--- /dev/null
+++ b/standins/scenario/statement.py
@@ -0,0 +1,34 @@
+"""One statement of a scenario."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from standins.scenario.run import Run
+    from standins.scenario.verb import Verb
+
+
+class Statement:
+    """
+    A line of a scenario that was understood.
+
+    :param line: the line number, from 1.
+    :param text: the line without its comment.
+    :param verb: the form of the statement.
+    :param arguments: its arguments.
+    """
+
+    __slots__ = ("arguments", "line", "text", "verb")
+
+    def __init__(
+        self, *, line: int, text: str, verb: Verb, arguments: dict[str, Any]
+    ) -> None:
+        self.line = line
+        self.text = text
+        self.verb = verb
+        self.arguments = arguments
+
+    async def do(self, run: Run) -> None:
+        """Carry the statement out."""
+        await self.verb.do(run, self.arguments)
--- /dev/null
+++ b/standins/scenario/statements/__init__.py
@@ -0,0 +1,13 @@
+"""The statements, by what they are about."""
+
+from __future__ import annotations
+
+from standins.scenario.statements import (
+    expectations,
+    faults,
+    loads,
+    operators,
+    site,
+)
+
+__all__ = ["expectations", "faults", "loads", "operators", "site"]
--- /dev/null
+++ b/standins/scenario/statements/operators.py
@@ -0,0 +1,93 @@
+"""Statements about what operators do."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpx
+
+from standins.scenario.scenario_error import UnmetError
+from standins.scenario.verb import verb
+
+if TYPE_CHECKING:
+    from standins.scenario.run import Run
+
+_TIMEOUT_S = 15.0
+_TRIES = 20
+_RETRY_S = 0.3
+
+
+async def change(
+    run: Run, path: str, fields: dict[str, Any]
+) -> dict[str, Any]:
+    """Send a change through any daemon and note what was told."""
+    server = run.rng.choice(run.entries())
+    async with run.cluster.operator() as client:
+        try:
+            reply = await client.post(
+                f"{server.admin_url}{path}", json=fields, timeout=_TIMEOUT_S
+            )
+        except httpx.HTTPError as exc:
+            return {"verdict": "unknown", "reason": repr(exc)}
+    outcome: dict[str, Any] = reply.json()
+    if outcome.get("verdict") == "accepted":
+        run.accepted.append(outcome["version"])
+    return outcome
+
+
+async def change_accepted(run: Run, path: str, fields: dict[str, Any]) -> None:
+    """Send a change again until it is accepted."""
+    for _ in range(_TRIES):
+        outcome = await change(run, path, fields)
+        if outcome.get("verdict") == "accepted":
+            return
+        await anyio.sleep(_RETRY_S)
+    raise UnmetError(f"the change was not accepted: {outcome}")
+
+
+@verb(r"publish (?P<file>.+)")
+async def publish(run: Run, *, file: str) -> None:
+    """Publish a configuration, ``again`` for the same once more."""
+    text = run.document() if file == "again" else _read(file)
+    await change_accepted(
+        run, "/v1/config", {"document": text, "author": "scenario"}
+    )
+
+
+def _read(file: str) -> str:
+    return Path(file).read_text()
+
+
+@verb(r"data-centre (?P<state>out|in) (?P<name>[\w-]+)")
+async def data_centre(run: Run, *, state: str, name: str) -> None:
+    """Take a data centre out of service or back."""
+    run.fault()
+    await change_accepted(
+        run,
+        f"/v1/data-centres/{name}",
+        {"out": state == "out", "author": "scenario"},
+    )
+
+
+@verb(r"race (?P<count>\d+) operators")
+async def race(run: Run, *, count: str) -> None:
+    """Let operators make conflicting changes; one may win."""
+    against = run.observer.folds.config.version
+    outcomes: list[dict[str, Any]] = []
+
+    async def operate(index: int) -> None:
+        fields = {
+            "document": f"# operator {index}\n{run.document()}",
+            "author": f"operator-{index}",
+            "against": against,
+        }
+        outcomes.append(await change(run, "/v1/config", fields))
+
+    async with anyio.create_task_group() as tasks:
+        for index in range(int(count)):
+            tasks.start_soon(operate, index)
+    verdicts = [outcome.get("verdict") for outcome in outcomes]
+    if verdicts.count("accepted") != 1:
+        raise UnmetError(f"not exactly one operator won: {outcomes}")
--- a/standins/target_work.py
+++ b/standins/target_work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import random
 from contextlib import contextmanager
@@ -43,7 +44,8 @@
     :param service_s: time of a request.
     :param cold_s: time of a request while cold.
     :param checks_grants: whether work without a grant is refused.
-    :param history_file: gets a line for each effect, if not "".
+    :param history_file: gets a JSON line for each start and end of a
+        run, if not "".
     """
 
     def __init__(
@@ -112,6 +114,8 @@
         finally:
             del self.active[run.request_id]
             run.ended = boottime()
+            if run.started is not None:
+                self._record(run)
             run.done.set()
 
     async def perform(self, run: TargetRun) -> None:
@@ -124,12 +128,13 @@
             self._check(run)
             run.started = boottime()
             self.runs.append(run)
+            self._record(run)
             if run.path == "/crash":
                 os._exit(_CRASH_STATUS)
             with self._running():
                 await self._spend_time()
             self._check(run)
-            self._take_effect(run)
+            run.took_effect = True
 
     async def cancel(self, request_id: str, wait_s: float) -> bool:
         """Cancel a request; tell whether it does not run any more."""
@@ -181,8 +186,7 @@
         overloaded = self.running > self.bearable
         return self.faults.slow * (_COLD_SLOWDOWN if overloaded else 1.0)
 
-    def _take_effect(self, run: TargetRun) -> None:
-        run.took_effect = True
+    def _record(self, run: TargetRun) -> None:
         if self._history_file:
             with open(self._history_file, "a") as file:
-                file.write(f"{run.request_id}\n")
+                file.write(json.dumps(run.to_json()) + "\n")
--- /dev/null
+++ b/tests/standins/history/test_checks.py
@@ -0,0 +1,144 @@
+"""Each check finds the histories that it is meant for."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from standins.history import checks
+from standins.history.accepted import accepted_kept
+from standins.history.read import read_runs
+from standins.history.run_record import RunRecord
+from standins.history.told import Told
+
+
+def make_run(target, started, ended, *, epoch=2, **fields):
+    defaults = {
+        "service": "records",
+        "request_id": f"{target}-{started}",
+        "key": "pump-1",
+        "unit": 7,
+        "took_effect": True,
+    }
+    return RunRecord(
+        target=target,
+        started=started,
+        ended=ended,
+        epoch=epoch,
+        **{**defaults, **fields},
+    )
+
+
+def make_told(request_id, **fields):
+    defaults = {
+        "key": "pump-1",
+        "idempotent": False,
+        "sent": 0.0,
+        "answered": 1.0,
+        "verdict": "ran",
+        "status": 200,
+        "echo": request_id,
+        "whole": True,
+    }
+    return Told(request_id=request_id, **{**defaults, **fields})
+
+
+GOOD = [make_run("a", 1, 2), make_run("b", 3, 4, epoch=3)]
+
+
+def test_one_owner_accepts_a_hand_over():
+    assert checks.one_owner(GOOD) == []
+
+
+@pytest.mark.parametrize(
+    "runs",
+    [
+        pytest.param(
+            [make_run("b", 1, 2, epoch=3), make_run("a", 3, 4)],
+            id="lower epoch later",
+        ),
+        pytest.param(
+            [make_run("a", 1, 3), make_run("b", 2, 4, epoch=3)],
+            id="overlap",
+        ),
+        pytest.param(
+            [make_run("a", 1, 9), make_run("a", 2, 3), make_run("b", 4, 5)],
+            id="overlap with a long run",
+        ),
+        pytest.param(
+            [make_run("a", 1, 3), make_run("b", 2, 4, unit=8)],
+            id="one key in two units",
+        ),
+    ],
+)
+def test_one_owner_finds(runs):
+    assert checks.one_owner(runs)
+
+
+def test_one_owner_passes_over_a_frozen_run_without_effect():
+    frozen = make_run("a", 1, 9, took_effect=False)
+    assert checks.one_owner([frozen, make_run("b", 4, 5, epoch=3)]) == []
+
+
+def test_at_most_once_finds_a_second_run():
+    runs = [make_run("a", 1, 2, request_id="r"), make_run("b", 3, 4)]
+    assert checks.at_most_once(runs, [make_told("r")]) == []
+    runs.append(make_run("b", 5, 6, request_id="r"))
+    assert checks.at_most_once(runs, [make_told("r")])
+    assert checks.at_most_once(runs, [make_told("r", idempotent=True)]) == []
+
+
+def test_not_run_is_true_finds_an_effect():
+    told = [make_told("r", verdict="not-run", status=503)]
+    run = make_run("a", 1, 2, request_id="r")
+    assert checks.not_run_is_true([run], told)
+    assert checks.not_run_is_true(GOOD, told) == []
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        pytest.param(make_told("r", echo="other"), id="another's answer"),
+        pytest.param(make_told("r", whole=False), id="part of an answer"),
+        pytest.param(make_told("unknown"), id="no run behind it"),
+    ],
+)
+def test_whole_answers_finds(told):
+    run = make_run("a", 1, 2, request_id="r")
+    assert checks.whole_answers([run], [make_told("r")]) == []
+    assert checks.whole_answers([run], [told])
+
+
+@pytest.mark.parametrize(
+    ("told", "audited", "current"),
+    [
+        pytest.param([1, 2], [1, 2], 1, id="went back"),
+        pytest.param([1, 2], [1], 2, id="not recorded"),
+        pytest.param([1, 2, 2], [1, 2], 2, id="two winners"),
+        pytest.param([1, 2], [1, 2, 2], 2, id="applied twice"),
+    ],
+)
+def test_accepted_kept_finds(told, audited, current):
+    assert accepted_kept([1, 2], [1, 2, 3], 3) == []
+    assert accepted_kept(told, audited, current)
+
+
+def test_read_runs_takes_the_last_whole_line_of_each_run(tmp_path):
+    fields = {
+        "request_id": "r",
+        "key": "pump-1",
+        "unit": 7,
+        "epoch": 2,
+        "started": 1.0,
+        "ended": None,
+        "took_effect": False,
+    }
+    start = json.dumps(fields)
+    end = json.dumps({**fields, "ended": 2.0, "took_effect": True})
+    path = tmp_path / "history.jsonl"
+    path.write_text(f"{start}\n{end}\n{start[:20]}")
+    (run,) = read_runs(path, target="a", service="records")
+    assert run.ended == 2.0
+    assert run.took_effect
+    assert read_runs(tmp_path / "none", target="a", service="records") == []
