--- a/src/burdockgap/lease/certificates.py
+++ b/src/burdockgap/lease/certificates.py
@@ -89,6 +89,9 @@
 
     def on_touched(self, touched: Touched) -> None:
         """Take in admitted and ended sessions."""
+        if touched.everything:
+            self.resync()
+            return
         for session_id in touched.sessions:
             if self._folds.control.is_live(session_id):
                 self._add_kept(session_id)
--- a/src/burdockgap/lease/witness.py
+++ b/src/burdockgap/lease/witness.py
@@ -83,6 +83,9 @@
 
     def on_touched(self, touched: Touched) -> None:
         """Take in what a record changed."""
+        if touched.everything:
+            self.resync()
+            return
         for session_id in touched.sessions:
             entry = self._folds.control.sessions.get(session_id)
             if entry is None:
--- a/src/burdockgap/ownership/activator.py
+++ b/src/burdockgap/ownership/activator.py
@@ -70,6 +70,9 @@
 
     def on_touched(self, touched: Touched) -> None:
         """Take in what a record changed."""
+        if touched.everything:
+            self.resync()
+            return
         control = self._folds.control
         for session_id in touched.sessions:
             if not control.is_live(session_id):
--- a/src/burdockgap/ownership/own_sessions.py
+++ b/src/burdockgap/ownership/own_sessions.py
@@ -71,6 +71,9 @@
 
     def on_touched(self, touched: Touched) -> None:
         """Take in what a record changed."""
+        if touched.everything:
+            self.resync()
+            return
         for session_id in touched.sessions:
             self._session_changed(session_id)
         if touched.service == self.service:
