Refuse calls to a target that was replaced

The gate asks a target for its health while another announcement closes the client of that target. httpx raises RuntimeError then, which ended the gate's tasks and with them the daemon's service side. Such calls are connection errors now, and a request is refused as not run. Seen as a failure of test_frozen_target_stops_progress under load.

--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -147,6 +147,7 @@
         self, req: TargetRequest, exchange: Exchange
     ) -> AsyncIterator[TargetReply]:
         request = await self._request(req, exchange)
+        self._check_current()
         try:
             resp = await self._client.send(request, stream=True)
         except httpx.TransportError as exc:
@@ -162,6 +163,11 @@
             with anyio.CancelScope(shield=True):
                 await resp.aclose()
 
+    def _check_current(self) -> None:
+        if self._client.is_closed:
+            detail = "Another target took its place; retry."
+            raise Refusal(Verdict.NOT_RUN, Reason.TARGET_DOWN, detail)
+
     async def _request(
         self, req: TargetRequest, exchange: Exchange
     ) -> httpx.Request:
@@ -205,6 +211,8 @@
     async def _control(
         self, method: str, name: str, payload: dict[str, Any] | None
     ) -> httpx.Response:
+        if self._client.is_closed:
+            raise ConnectionError("the target was replaced by another")
         url = self._base.copy_with(path=f"{_CONTROL_PATH}/{name}")
         try:
             with anyio.fail_after(_CONTROL_TIMEOUT_S):
--- a/tests/lease/test_resync.py
+++ b/tests/lease/test_resync.py
@@ -27,7 +27,7 @@
 
 @pytest.fixture
 def snapshot():
-    """The control state with one session that owns all slices."""
+    """Return a control state with one session that owns all."""
     source = FakeFolds()
     source.claim()
     witness = WitnessRef(incarnation=OWN, address="127.0.0.1:9")
--- a/tests/target/test_http_target.py
+++ b/tests/target/test_http_target.py
@@ -223,3 +223,17 @@
 
         anyio.run(run)
         assert process.effects() == []
+
+
+def test_calls_after_close_are_connection_errors(process):
+    async def run():
+        async with connected(process.info()) as target:
+            pass
+        with pytest.raises(ConnectionError):
+            await target.status()
+        assert not await target.cancel("r1")
+        with pytest.raises(Refusal) as caught:
+            await exchange(target, make_target_request())
+        assert caught.value.verdict is Verdict.NOT_RUN
+
+    anyio.run(run)
