Keep a lease through the loss of one of two witnesses

With two witnesses a lease needed both acknowledgements, so that the loss of either ended a healthy session. A certificate needs a majority of the promises; a renewal needs only as many acknowledgements as share a witness with every majority.

--- a/src/burdockgap/lease/certificates.py
+++ b/src/burdockgap/lease/certificates.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from burdockgap.lease.counters import IGNORED
+from burdockgap.lease.quorum import promises_needed
 from burdockgap.wire.ids import show_id
 
 if TYPE_CHECKING:
@@ -66,7 +67,7 @@
             return
         promised = self._promised.setdefault(entry.session_id, set())
         promised.add(promise.witness_incarnation)
-        if len(promised) > len(named) // 2:
+        if len(promised) >= promises_needed(len(named)):
             self._completed(entry)
 
     def _completed(self, entry: SessionEntry) -> None:
--- a/src/burdockgap/lease/holder.py
+++ b/src/burdockgap/lease/holder.py
@@ -9,6 +9,7 @@
 
 from burdockgap.lease.counters import IGNORED
 from burdockgap.lease.messages.renew import Renew
+from burdockgap.lease.quorum import renewals_needed
 from burdockgap.lease.renewals import Renewals
 from burdockgap.records.streams import CONFIG, CONTROL
 
@@ -76,8 +77,8 @@
             (renewals.acked_at for renewals in self._renewals.values()),
             reverse=True,
         )
-        majority = len(acked) // 2 + 1
-        return acked[majority - 1] + self._timing.duration_s
+        needed = renewals_needed(len(acked))
+        return acked[needed - 1] + self._timing.duration_s
 
     def is_held(self, now: float) -> bool:
         """Tell whether the lease lasts beyond a clock time."""
