Name three witnesses in the test of a repeated one

Of two witnesses one acknowledgement is enough now, so that the test could not tell any more whether a repeated one counts twice. With a third witness it can: a repeated one that counted twice would make the lease, once it does not.

--- a/tests/lease/test_holder.py
+++ b/tests/lease/test_holder.py
@@ -85,6 +85,6 @@
 
 
 def test_witness_named_twice_counts_once(clock):
-    holder = _holder(clock, [11, 11, 12])
+    holder = _holder(clock, [11, 11, 12, 13])
     holder.on_ack(_ack(holder.make_renew(11)))
     assert not holder.is_held(clock.now())
