Pull records from a peer's own address

The offsets of a lease datagram were taken as those of its source address, at which a peer need not be reachable by TCP. The address of its session, or of the named witness, is used if it is known.

--- a/src/burdockgap/lease/dispatch.py
+++ b/src/burdockgap/lease/dispatch.py
@@ -29,14 +29,16 @@
 
 @handle.register
 def _(msg: Renew, parties: Parties, source: str) -> Message | None:
-    parties.on_offsets(source, msg.config_offset, msg.control_offset)
+    peer = parties.witness.holder_address(msg.session_id) or source
+    parties.on_offsets(peer, msg.config_offset, msg.control_offset)
     return parties.witness.on_renew(msg)
 
 
 @handle.register
 def _(msg: Ack, parties: Parties, source: str) -> Message | None:
-    parties.on_offsets(source, msg.config_offset, msg.control_offset)
     holder = parties.holders.get(msg.session_id)
+    peer = holder.witness_address(msg.witness_incarnation) if holder else ""
+    parties.on_offsets(peer or source, msg.config_offset, msg.control_offset)
     if holder is None:
         IGNORED.labels("ack-session").inc()
         return None
--- a/src/burdockgap/lease/holder.py
+++ b/src/burdockgap/lease/holder.py
@@ -69,6 +69,11 @@
         """The witnesses that the session names."""
         return [renewals.witness for renewals in self._renewals.values()]
 
+    def witness_address(self, incarnation: int) -> str:
+        """Return a named witness's ``ip:port``, "" for another."""
+        renewals = self._renewals.get(incarnation)
+        return renewals.witness.address if renewals else ""
+
     def expires_at(self) -> float:
         """Return the clock time at which the lease ends."""
         if not self._renewals:
--- a/src/burdockgap/lease/witness.py
+++ b/src/burdockgap/lease/witness.py
@@ -145,6 +145,11 @@
             renewable=False,
         )
 
+    def holder_address(self, session_id: int) -> str:
+        """Return a live session's ``ip:port``, "" if it is unknown."""
+        entry = self._folds.control.sessions.get(session_id)
+        return entry.peer_address if entry else ""
+
     def on_renew(self, renew: Renew) -> Ack | None:
         """
         Take in a renewal.
