--- a/tests/lease/test_socket.py
+++ b/tests/lease/test_socket.py
@@ -60,7 +60,12 @@
             first.parties = _parties(folds, first, seen)
             second.parties = _parties(folds, second, seen)
             ref = WitnessRef(incarnation=11, address=second.address)
-            entry = make_session(session_id=1, witnesses=[ref], successors=[2])
+            entry = make_session(
+                session_id=1,
+                witnesses=[ref],
+                successors=[2],
+                peer_address=first.address,
+            )
             heir = make_session(session_id=2, peer_address=first.address)
             folds.admit(entry, heir)
             lease = LeaseHolder(
