--- a/src/burdockgap/lease/holder.py
+++ b/src/burdockgap/lease/holder.py
@@ -9,6 +9,7 @@
 
 from burdockgap.lease.counters import IGNORED
 from burdockgap.lease.messages.renew import Renew
+from burdockgap.lease.quorum import renewals_needed
 from burdockgap.lease.renewals import Renewals
 from burdockgap.records.streams import CONFIG, CONTROL
 
@@ -68,6 +69,11 @@
         """The witnesses that the session names."""
         return [renewals.witness for renewals in self._renewals.values()]
 
+    def witness_address(self, incarnation: int) -> str:
+        """Return a named witness's ``ip:port``, "" for another."""
+        renewals = self._renewals.get(incarnation)
+        return renewals.witness.address if renewals else ""
+
     def expires_at(self) -> float:
         """Return the clock time at which the lease ends."""
         if not self._renewals:
@@ -76,8 +82,8 @@
             (renewals.acked_at for renewals in self._renewals.values()),
             reverse=True,
         )
-        majority = len(acked) // 2 + 1
-        return acked[majority - 1] + self._timing.duration_s
+        needed = renewals_needed(len(acked))
+        return acked[needed - 1] + self._timing.duration_s
 
     def is_held(self, now: float) -> bool:
         """Tell whether the lease lasts beyond a clock time."""
--- a/src/burdockgap/lease/witness.py
+++ b/src/burdockgap/lease/witness.py
@@ -83,6 +83,9 @@
 
     def on_touched(self, touched: Touched) -> None:
         """Take in what a record changed."""
+        if touched.everything:
+            self.resync()
+            return
         for session_id in touched.sessions:
             entry = self._folds.control.sessions.get(session_id)
             if entry is None:
@@ -142,6 +145,11 @@
             renewable=False,
         )
 
+    def holder_address(self, session_id: int) -> str:
+        """Return a live session's ``ip:port``, "" if it is unknown."""
+        entry = self._folds.control.sessions.get(session_id)
+        return entry.peer_address if entry else ""
+
     def on_renew(self, renew: Renew) -> Ack | None:
         """
         Take in a renewal.
--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -149,6 +149,7 @@
     ) -> AsyncIterator[TargetReply]:
         try:
             request = await self._request(req, exchange)
+            self._check_current()
             resp = await self._client.send(request, stream=True)
         except RequestBodyError as exc:
             detail = "The request's body ended early; send it again."
@@ -168,6 +169,11 @@
             with anyio.CancelScope(shield=True):
                 await resp.aclose()
 
+    def _check_current(self) -> None:
+        if self._client.is_closed:
+            detail = "Another target took its place; retry."
+            raise Refusal(Verdict.NOT_RUN, Reason.TARGET_DOWN, detail)
+
     async def _request(
         self, req: TargetRequest, exchange: Exchange
     ) -> httpx.Request:
@@ -211,6 +217,8 @@
     async def _control(
         self, method: str, name: str, payload: dict[str, Any] | None
     ) -> httpx.Response:
+        if self._client.is_closed:
+            raise ConnectionError("the target was replaced by another")
         url = self._base.copy_with(path=f"{_CONTROL_PATH}/{name}")
         try:
             with anyio.fail_after(_CONTROL_TIMEOUT_S):
--- a/standins/target_announcer.py
+++ b/standins/target_announcer.py
@@ -42,7 +42,7 @@
         """Say that the target is about to stop."""
         self._leaving = True
         async with self._client() as client:
-            while not await self._post(client, "leaving"):  # noqa: ASYNC110
+            while not await self._post(client, "leaving"):
                 await anyio.sleep(_RETRY_S)
 
     def _client(self) -> httpx.AsyncClient:
