Claim when an end is not recorded, never against a coordinator still joining

Cause: a coordinator without a session yet, elected over one that had one, looked as if it had lost it, so that claims could follow each other; and if the coordinator died with all its successors, or could not write, only an unanswered join brought a new one. Ruled out: claims of single witnesses at once, which would let a daemon that is cut off from the others depose a healthy coordinator. Change: witnesses claim after 2 s if an expired session is still not recorded as ended; a daemon whose join is heard but not acted on for 6 s claims.

--- a/src/burdockgap/coordinator/candidacy.py
+++ b/src/burdockgap/coordinator/candidacy.py
@@ -17,27 +17,35 @@
     from burdockgap.fold.folds import Folds
     from burdockgap.fold.touched import Touched
     from burdockgap.lease.certificates import Certificates
+    from burdockgap.lease.witness import Witness
     from burdockgap.platform.writer import Writer
+    from burdockgap.records.session_entry import SessionEntry
 
 _RANK_STAGGER_S = 0.2
 _RANDOM_STAGGER_S = 0.4
+_PATIENCE_S = 2.0
 _APPEND_TIMEOUT_S = 3.0
 
 
 class Candidacy:
     """
-    Claims the next term when the coordinator is gone or silent.
+    Claims the next term when the coordinator is gone or idle.
 
-    The successors of the coordinator's session hear of its expiry and
-    claim first, in the order in which the session names them. Any other
-    daemon claims after a random pause. The log's order decides between
-    several claims.
+    - The successors of the coordinator's session hold the proof of its
+      end and claim first, in the order in which the session names them.
+    - A witness that saw any session expire claims if the session has
+      not been recorded as ended after some time, whether because the
+      coordinator is dead or because it cannot write.
+    - A daemon that the coordinator does not answer claims.
+
+    The log's order decides between several claims.
 
     :param incarnation: id of this process run.
     :param name: this daemon's name.
     :param peer_address: this daemon's ``ip:port`` for peer calls.
     :param folds: the known assignment.
     :param certificates: proofs that sessions have ended.
+    :param witness: sees sessions expire.
     :param writer: appends the claim.
     :param clock: source of time.
     """
@@ -45,8 +53,9 @@
     __slots__ = (
         "_certificates",
         "_clock",
-        "_coordinated_by",
+        "_expired",
         "_folds",
+        "_had_session",
         "_incarnation",
         "_name",
         "_peer_address",
@@ -63,6 +72,7 @@
         peer_address: str,
         folds: Folds,
         certificates: Certificates,
+        witness: Witness,
         writer: Writer,
         clock: Clock,
     ) -> None:
@@ -75,47 +85,75 @@
         self._rng = random.Random(incarnation)
         self._wanted = anyio.Event()
         self._certificates = certificates
-        self._coordinated_by: set[int] = set()
+        self._had_session = 0
+        self._expired: dict[int, float] = {}
         certificates.listen(self._certified)
+        witness.listen(self._session_expired)
         folds.listen(self._touched)
 
     def coordinator_silent(self) -> None:
         """Note that the coordinator did not answer."""
         self._wanted.set()
 
+    def overdue(self) -> bool:
+        """Tell whether an expired session is not recorded as ended."""
+        limit = self._clock.now() - _PATIENCE_S
+        return any(expired_at < limit for expired_at in self._expired.values())
+
+    async def run(self) -> None:
+        """Claim whenever a coordinator is wanted, for ever."""
+        while True:
+            with anyio.move_on_after(_PATIENCE_S):
+                await self._wanted.wait()
+            if self._wanted.is_set() or self.overdue():
+                await self._claim_after(self._stagger_s())
+                self._wanted = anyio.Event()
+
+    def _session_expired(self, session_id: int) -> None:
+        self._expired[session_id] = self._clock.now()
+
     def _certified(self, session_id: int) -> None:
-        if session_id in self._coordinated_by and not self._sound_sessions():
+        entry = self._folds.control.sessions.get(session_id)
+        claim = self._folds.control.coordinator
+        if entry is None or claim is None:
+            return
+        if entry.incarnation == claim.incarnation and not self._sound():
             self._wanted.set()
 
-    def _touched(self, _touched: Touched) -> None:
-        before = self._coordinated_by
-        self._coordinated_by = self._coordinator_sessions()
-        if before and not self._coordinated_by:
+    def _touched(self, touched: Touched) -> None:
+        """Note when the coordinator's last session has ended."""
+        self._forget_ended(touched)
+        claim = self._folds.control.coordinator
+        if claim is None or claim.incarnation == self._incarnation:
+            return
+        if self._coordinator_sessions():
+            self._had_session = claim.incarnation
+        elif self._had_session == claim.incarnation:
+            self._had_session = 0
             self._wanted.set()
 
-    def _coordinator_sessions(self) -> set[int]:
+    def _forget_ended(self, touched: Touched) -> None:
+        gone = list(self._expired) if touched.everything else touched.sessions
+        for session_id in gone:
+            if not self._folds.control.is_live(session_id):
+                self._expired.pop(session_id, None)
+
+    def _coordinator_sessions(self) -> list[SessionEntry]:
         claim = self._folds.control.coordinator
-        if claim is None or claim.incarnation == self._incarnation:
-            return set()
-        return {
-            session_id
-            for session_id, entry in self._folds.control.sessions.items()
+        if claim is None:
+            return []
+        return [
+            entry
+            for entry in self._folds.control.sessions.values()
             if entry.incarnation == claim.incarnation
-        }
-
-    def _sound_sessions(self) -> set[int]:
-        return {
-            session_id
-            for session_id in self._coordinated_by
-            if not self._certificates.is_complete(session_id)
-        }
+        ]
 
-    async def run(self) -> None:
-        """Claim whenever a coordinator is wanted, for ever."""
-        while True:
-            await self._wanted.wait()
-            await self._claim_after(self._stagger_s())
-            self._wanted = anyio.Event()
+    def _sound(self) -> bool:
+        """Tell whether the coordinator has a session without proof."""
+        return any(
+            not self._certificates.is_complete(entry.session_id)
+            for entry in self._coordinator_sessions()
+        )
 
     def _stagger_s(self) -> float:
         rank = self._rank()
@@ -124,14 +162,11 @@
         return _RANK_STAGGER_S + self._rng.random() * _RANDOM_STAGGER_S
 
     def _rank(self) -> int | None:
-        claim = self._folds.control.coordinator
-        if claim is None:
-            return None
-        for entry in self._folds.control.sessions.values():
-            if entry.incarnation != claim.incarnation:
-                continue
+        """Return this daemon's place among the session's successors."""
+        sessions = self._folds.control.sessions
+        for entry in self._coordinator_sessions():
             for rank, successor in enumerate(entry.successors):
-                heir = self._folds.control.sessions.get(successor)
+                heir = sessions.get(successor)
                 if heir and heir.incarnation == self._incarnation:
                     return rank
         return None
@@ -151,3 +186,6 @@
         )
         logger.info("claiming term {}", claim.term)
         await self._writer.append_once(CONTROL, claim, _APPEND_TIMEOUT_S)
+        # The new coordinator gets as much time as the one before.
+        now = self._clock.now()
+        self._expired = dict.fromkeys(self._expired, now)
--- a/src/burdockgap/daemon/coordinator_client.py
+++ b/src/burdockgap/daemon/coordinator_client.py
@@ -95,6 +95,11 @@
         elif not await self._call(ACTIVATION, msg):
             raise ConnectionError("the coordinator did not answer")
 
+    def note_idle(self) -> None:
+        """Note that the coordinator hears but does not act."""
+        if not self._local.is_elected():
+            self._candidacy.coordinator_silent()
+
     async def _call(self, method: Method, msg: Message) -> bool:
         claim = self._folds.control.coordinator
         if claim is None:
--- a/src/burdockgap/daemon/core.py
+++ b/src/burdockgap/daemon/core.py
@@ -158,6 +158,7 @@
             peer_address=self.identity.peer_address,
             folds=self.folds,
             certificates=self.certificates,
+            witness=self.witness,
             writer=self.writer,
             clock=self.clock,
         )
--- a/src/burdockgap/daemon/session_keeper.py
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -26,6 +26,7 @@
     from burdockgap.ownership.own_sessions import OwnSessions
 
 _JOIN_EVERY_S = 0.4
+_JOIN_PATIENCE_S = 6.0
 _LEAVE_EVERY_S = 0.3
 _CHECK_EVERY_S = 0.5
 _WORN_AFTER_S = 3.0
@@ -159,8 +160,12 @@
             slots=self._slots,
             replaces=0,
         )
+        asked_at = anyio.current_time()
         while not session.admitted.is_set():
             await self._client.join(msg)
+            if anyio.current_time() - asked_at > _JOIN_PATIENCE_S:
+                self._client.note_idle()
+                asked_at = anyio.current_time()
             with anyio.move_on_after(_JOIN_EVERY_S):
                 await session.admitted.wait()
         logger.info("session {} is open", show_id(session.session_id))
--- /dev/null
+++ b/tests/coordinator/test_candidacy.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from burdockgap.coordinator.candidacy import Candidacy
+from burdockgap.fold.folds import Folds
+from burdockgap.lease.certificates import Certificates
+from burdockgap.lease.messages.promise import Promise
+from burdockgap.records.admit import Admit
+from burdockgap.records.claim import Claim
+from burdockgap.records.ended import Ended
+from burdockgap.records.streams import CONTROL
+from burdockgap.records.witness_ref import WitnessRef
+from burdockgap.wire import pack
+from burdockgap.wire.ids import new_id
+from tests.builders import make_session
+
+COORDINATOR = 101
+OWN = 102
+TERM = 1
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self):
+        return self.time
+
+    def wall(self):
+        return self.time
+
+
+class Site:
+    """A daemon's candidacy over real folds."""
+
+    def __init__(self) -> None:
+        self.folds = Folds()
+        self.clock = Clock()
+        self.claims = []
+        self.expire = None
+        self.candidacy = Candidacy(
+            incarnation=OWN,
+            name="own",
+            peer_address="",
+            folds=self.folds,
+            certificates=(certificates := Certificates(self.folds)),
+            witness=SimpleNamespace(listen=self._listen),
+            writer=SimpleNamespace(append_once=self._append),
+            clock=self.clock,
+        )
+        self.certificates = certificates
+
+    def _listen(self, callback):
+        self.expire = callback
+
+    async def _append(self, _stream, record, _timeout_s):
+        self.claims.append(record)
+
+    def fold(self, kind, **fields):
+        record = kind(record_id=new_id(), at=0.0, **fields)
+        self.folds.apply(CONTROL, self.folds.offset(CONTROL), pack(record))
+
+    def claim(self, term, incarnation):
+        self.fold(
+            Claim,
+            term=term,
+            incarnation=incarnation,
+            name="c",
+            peer_address="",
+        )
+
+    def run(self, seconds=0.5):
+        async def run():
+            with anyio.move_on_after(seconds):
+                await self.candidacy.run()
+
+        anyio.run(run)
+
+
+@pytest.fixture
+def site(monkeypatch):
+    monkeypatch.setattr("burdockgap.coordinator.candidacy._PATIENCE_S", 0.1)
+    site = Site()
+    site.claim(TERM, COORDINATOR)
+    witnesses = [
+        WitnessRef(incarnation=incarnation, address="")
+        for incarnation in (201, 202, 203)
+    ]
+    sessions = [
+        make_session(
+            session_id=1,
+            incarnation=COORDINATOR,
+            witnesses=witnesses,
+            successors=[2],
+        ),
+        make_session(session_id=2, incarnation=OWN, witnesses=witnesses),
+        make_session(session_id=3, incarnation=103, witnesses=witnesses),
+    ]
+    site.fold(Admit, term=TERM, sessions=sessions)
+    return site
+
+
+def promise(site, session_id):
+    for incarnation in (201, 202):
+        site.certificates.add(
+            Promise(session_id=session_id, witness_incarnation=incarnation)
+        )
+
+
+def test_claim_without_cause(site):
+    site.run()
+    assert site.claims == []
+
+
+def test_claim_on_certificate_of_coordinator(site):
+    promise(site, 1)
+    site.run()
+    assert [claim.term for claim in site.claims] == [TERM + 1]
+
+
+def test_claim_on_certificate_of_other_session(site):
+    promise(site, 3)
+    site.run()
+    assert site.claims == []
+
+
+def test_claim_when_an_end_is_not_recorded(site):
+    site.expire(3)
+    site.clock.time += 1.0
+    site.run()
+    assert site.claims
+
+
+def test_claim_when_the_end_is_recorded(site):
+    site.expire(3)
+    site.fold(Ended, term=TERM, session_id=3, cause="expired", promised_by=[])
+    site.clock.time += 1.0
+    site.run()
+    assert site.claims == []
+
+
+def test_claim_when_the_coordinator_left(site):
+    site.fold(Ended, term=TERM, session_id=1, cause="left", promised_by=[])
+    site.run()
+    assert site.claims
+
+
+def test_claim_against_coordinator_without_session(site):
+    site.claim(TERM + 1, 999)
+    site.run()
+    assert site.claims == []
