Let permits follow renewals and hand work over between own sessions

Cause: a permit kept the lease end of its dispatch, so the gate would have cancelled every request longer than a lease (1.2 s); a daemon's second session waited for, and after 2 s cancelled, work of its first. Ruled out: refreshing permits on each acknowledgement, which would touch all requests in flight ten times a second. Change: a permit asks the lease of its session, or for unkeyed work of any session of the daemon. Work in flight passes to the newer session with its unit. The test of the local take-over is replaced by a stricter one: it now also demands that a later move waits for the handed-over work. The balancer fills a new server with the least moves, also in large services, moves cooled pins home, and looks for required moves only when sessions, services or the configuration changed. Units go only to sessions of their own service.

--- a/src/burdockgap/coordinator/balance.py
+++ b/src/burdockgap/coordinator/balance.py
@@ -74,17 +74,15 @@
         """
         Return moves that lower the imbalance.
 
-        :param limit: largest load over mean load that is left alone.
+        :param limit: ratio of a load to the mean, either way, that is
+            left alone.
         :param max_moves: cap on the moves of one round.
         """
         moves: list[Move] = []
-        if len(self._loads) < 2:
-            return moves
-        mean = sum(self._loads.values()) / len(self._loads)
-        if max(self._loads.values()) <= limit * mean:
+        if self._is_even(limit):
             return moves
         while len(moves) < max_moves:
-            move = self._best_move(mean)
+            move = self._best_move()
             if move is None:
                 break
             moves.append(move)
@@ -92,11 +90,21 @@
 
     def imbalance(self) -> float:
         """Return the largest load over the mean load, at least 1."""
-        if not self._loads:
-            return 1.0
-        mean = sum(self._loads.values()) / len(self._loads)
+        mean = self._mean()
         return max(self._loads.values()) / mean if mean else 1.0
 
+    def _mean(self) -> float:
+        return sum(self._loads.values()) / max(len(self._loads), 1)
+
+    def _is_even(self, limit: float) -> bool:
+        """Tell whether no session stands out, above or below."""
+        if not self._loads:
+            return True
+        mean = self._mean()
+        highest = max(self._loads.values())
+        lowest = min(self._loads.values())
+        return highest <= limit * mean and lowest * limit >= mean
+
     def _weight(self, unit: int) -> float:
         return max(self._weights.get(unit, 0.0), self._base)
 
@@ -114,14 +122,12 @@
             moves.append(Move(unit=unit, owner=session))
         return moves
 
-    def _best_move(self, mean: float) -> Move | None:
-        """Take the unit that fits best from the busiest session."""
+    def _best_move(self) -> Move | None:
+        """Take the unit that evens out the extremes best."""
         busiest = max(self._loads, key=self._loads.__getitem__)
         idlest = min(self._loads, key=self._loads.__getitem__)
-        surplus = self._loads[busiest] - mean
-        room = mean - self._loads[idlest]
+        wanted = (self._loads[busiest] - self._loads[idlest]) / 2
         movable = self._owned.get(busiest, [])
-        wanted = min(surplus, room)
         fitting = [
             unit for unit in movable if 0 < self._weight(unit) <= wanted
         ]
--- a/src/burdockgap/coordinator/coordinator.py
+++ b/src/burdockgap/coordinator/coordinator.py
@@ -19,6 +19,8 @@
 
     from burdockgap.clock import Clock
     from burdockgap.fold.folds import Folds
+    from burdockgap.fold.messages.decision import Decision
+    from burdockgap.fold.touched import Touched
     from burdockgap.lease.certificates import Certificates
     from burdockgap.ownership.messages.activation_report import (
         ActivationReport,
@@ -55,8 +57,8 @@
         "_folds",
         "_incarnation",
         "_joined_at",
+        "_owners_changed",
         "_rounds",
-        "_seen_version",
         "_settings",
         "_snapshot_offset",
         "_writer",
@@ -91,7 +93,9 @@
         self._elected_at = 0.0
         self._balanced_at = 0.0
         self._joined_at = 0.0
-        self._seen_version = -1
+        self._owners_changed = True
+        folds.listen(self._touched)
+        folds.listen_config(self._config_changed)
         self._snapshot_offset = 0
 
     def is_elected(self) -> bool:
@@ -126,6 +130,7 @@
         if self._folds.control.is_live(msg.session_id):
             known = self.inbox.left if msg.final else self.inbox.leaving
             known.add(msg.session_id)
+            self._owners_changed = True
             self.inbox.notify()
         return Done(taken=True)
 
@@ -146,6 +151,16 @@
         self.inbox.loads.add(msg, owned)
         return Done(taken=True)
 
+    def _touched(self, touched: Touched) -> None:
+        """Note when sessions or services come or go."""
+        new_service = bool(touched.service) and not touched.units
+        if touched.sessions or touched.everything or new_service:
+            self._owners_changed = True
+
+    def _config_changed(self, _decision: Decision) -> None:
+        self._owners_changed = True
+        self.inbox.notify()
+
     def _certified(self, _session_id: int) -> None:
         self.inbox.notify()
 
@@ -153,7 +168,7 @@
         logger.info("coordinator of term {}", term)
         self.inbox.clear()
         self._elected_at = self._clock.now()
-        self._seen_version = -1
+        self._owners_changed = True
         while self.is_elected() and self._folds.control.term == term:
             await self._round()
             await self.inbox.wait(_IDLE_ROUND_S)
@@ -172,9 +187,9 @@
             )
         await self._append_all(rounds.layouts())
         await self._append_all(rounds.activations())
-        if self._seen_version != self._folds.version:
+        if self._owners_changed:
+            self._owners_changed = False
             await self._append_all(rounds.required_moves())
-            self._seen_version = self._folds.version
         await self._balance()
         await self._snapshot()
 
--- a/src/burdockgap/coordinator/pinning.py
+++ b/src/burdockgap/coordinator/pinning.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from burdockgap.coordinator.move import Move
 from burdockgap.ownership.unit import pin_of, slice_of
 
 if TYPE_CHECKING:
@@ -47,24 +48,37 @@
     return [pin_of(key) for key in hot[: max(room, 0)]]
 
 
-def choose_unpins(
+def choose_cooled(
     table: UnitTable,
     rates: Mapping[int, float],
     *,
     total: float,
     share: float,
 ) -> list[int]:
-    """
-    Return pinned units that have cooled and may join their slice.
-
-    A pin returns only while its owner also owns its slice.
-    """
+    """Return pinned units that are hot no more."""
     hot_rate = max(share * total, _HOT_RATE_MIN_PER_S)
     return [
         pin
         for pin in table.pins()
         if rates.get(pin & _HASH_MASK, 0.0) < _COOL_FACTOR * hot_rate
-        and table.owner(pin) == table.owner(slice_of(pin, table.slices))
-        and not table.earlier(pin)
-        and not table.earlier(slice_of(pin, table.slices))
     ]
+
+
+def moves_home(table: UnitTable, cooled: list[int]) -> list[Move]:
+    """Return moves of cooled pins to the owners of their slices."""
+    moves = []
+    for pin in cooled:
+        home = table.owner(slice_of(pin, table.slices))
+        if home and home != table.owner(pin):
+            moves.append(Move(unit=pin, owner=home))
+    return moves
+
+
+def may_unpin(table: UnitTable, pin: int) -> bool:
+    """Tell whether a pin is held as its slice is, for certain."""
+    parent = slice_of(pin, table.slices)
+    return (
+        table.owner(pin) == table.owner(parent)
+        and not table.earlier(pin)
+        and not table.earlier(parent)
+    )
--- a/src/burdockgap/coordinator/round.py
+++ b/src/burdockgap/coordinator/round.py
@@ -6,7 +6,12 @@
 
 from burdockgap.coordinator.admission import Admission
 from burdockgap.coordinator.balance import Balancer
-from burdockgap.coordinator.pinning import choose_pins, choose_unpins
+from burdockgap.coordinator.pinning import (
+    choose_cooled,
+    choose_pins,
+    may_unpin,
+    moves_home,
+)
 from burdockgap.coordinator.roster import Roster
 from burdockgap.records.activated import Activated
 from burdockgap.records.admit import Admit
@@ -186,10 +191,15 @@
                     service=service,
                     unit=unit,
                 )
-            cooled = choose_unpins(
+            cooled = choose_cooled(
                 table, rates, total=total, share=self._cfg.hot_share
             )
+            yield from self._assigns(
+                service, moves_home(table, cooled), "cooled"
+            )
             for unit in cooled:
+                if not may_unpin(table, unit):
+                    continue
                 yield Unpin(
                     record_id=new_id(),
                     term=control.term,
--- a/src/burdockgap/fold/control_state.py
+++ b/src/burdockgap/fold/control_state.py
@@ -168,7 +168,9 @@
             return VOID
         moved = []
         for unit, owner in zip(record.units, record.owners, strict=False):
-            if not table.knows(unit) or not self.is_live(owner):
+            if not table.knows(unit) or not self._serves(
+                owner, record.service
+            ):
                 continue
             successor = self.successor(record.service, unit)
             table.assign(unit, owner, successor)
@@ -177,6 +179,10 @@
             service=record.service, units=moved, counted=bool(moved)
         )
 
+    def _serves(self, session_id: int, service: str) -> bool:
+        entry = self.sessions.get(session_id)
+        return entry is not None and entry.service == service
+
     @_apply.register
     def _(self, record: Activated) -> Touched:
         table = self.tables.get(record.service)
--- a/src/burdockgap/gate/permit.py
+++ b/src/burdockgap/gate/permit.py
@@ -2,25 +2,29 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 
-class Permit:
+
+class Permit(Protocol):
     """
     Proof that the daemon may give a request to its target now.
 
-    The issuer moves ``expires_at`` on while the lease is renewed, so
-    that work longer than a lease is not cut off; the gate cancels work
-    whose permit has expired.
-
-    :param unit: the unit of a keyed request, else ``None``.
-    :param epoch: the unit's epoch, zero for unkeyed requests.
-    :param expires_at: clock time at which the lease ends, in seconds.
+    Its end moves on while the lease is renewed, so that work longer
+    than a lease is not cut off. The gate cancels work whose permit has
+    expired.
     """
 
-    __slots__ = ("epoch", "expires_at", "unit")
+    @property
+    def unit(self) -> int | None:
+        """The unit of a keyed request, else ``None``."""
+        ...
+
+    @property
+    def epoch(self) -> int:
+        """The unit's epoch, zero for unkeyed requests."""
+        ...
 
-    def __init__(
-        self, *, unit: int | None, epoch: int, expires_at: float
-    ) -> None:
-        self.unit = unit
-        self.epoch = epoch
-        self.expires_at = expires_at
+    @property
+    def expires_at(self) -> float:
+        """Clock time at which the lease ends, in seconds."""
+        ...
--- a/src/burdockgap/ownership/activator.py
+++ b/src/burdockgap/ownership/activator.py
@@ -121,6 +121,13 @@
             control_offset=self._folds.offset(CONTROL),
         )
 
+    def heir_of(self, unit: int) -> OwnSession | None:
+        """Return the own session that is about to activate a unit."""
+        for session in self._sessions.admitted():
+            if unit in session.pending:
+                return session
+        return None
+
     def next_report(self) -> ActivationReport | None:
         """Return the units to report, ``None`` if there are none."""
         for session in self._sessions.admitted():
--- a/src/burdockgap/ownership/guard.py
+++ b/src/burdockgap/ownership/guard.py
@@ -5,8 +5,8 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, NoReturn
 
-from burdockgap.gate.permit import Permit
 from burdockgap.ownership.activation_rule import expected_holder
+from burdockgap.ownership.lease_permit import LeasePermit
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -61,7 +61,7 @@
             self._holder(self._unit(key_hash))
 
     @contextmanager
-    def enter(self, key_hash: int | None) -> Iterator[Permit]:
+    def enter(self, key_hash: int | None) -> Iterator[LeasePermit]:
         """
         Permit one dispatch; the context lasts until the work has ended.
 
@@ -69,7 +69,8 @@
         :raises Refusal: with ``not-run``.
         """
         if key_hash is None:
-            yield self._permit(self._leased(), None)
+            self._leased()
+            yield self._unkeyed_permit()
             return
         unit = self._unit(key_hash)
         session = self._holder(unit)
@@ -80,12 +81,21 @@
         finally:
             session.holdings.leave(item)
 
-    def _permit(self, session: OwnSession, unit: int | None) -> Permit:
-        if session.lease is None:
-            raise _refusal(Reason.NO_LEASE, "the session has ended")
-        epoch = 0 if unit is None else session.holdings.epoch(unit)
-        expires_at = session.lease.expires_at() - self.margin_s
-        return Permit(unit=unit, epoch=epoch, expires_at=expires_at)
+    def _unkeyed_permit(self) -> LeasePermit:
+        return LeasePermit(
+            unit=None,
+            epoch=0,
+            sessions=self._sessions.admitted,
+            margin_s=self.margin_s,
+        )
+
+    def _permit(self, session: OwnSession, unit: int) -> LeasePermit:
+        return LeasePermit(
+            unit=unit,
+            epoch=session.holdings.epoch(unit),
+            sessions=lambda: [session],
+            margin_s=self.margin_s,
+        )
 
     def _leased(self) -> OwnSession:
         now = self._clock.now()
--- a/src/burdockgap/ownership/holdings.py
+++ b/src/burdockgap/ownership/holdings.py
@@ -8,7 +8,8 @@
 from burdockgap.ownership.work_item import WorkItem
 
 if TYPE_CHECKING:
-    from burdockgap.gate.permit import Permit
+    from burdockgap.ownership.lease_permit import LeasePermit
+    from burdockgap.ownership.own_session import OwnSession
 
 
 class Holdings:
@@ -84,17 +85,33 @@
         self._closed = True
         self.clear()
 
-    def enter(self, key_hash: int, permit: Permit) -> WorkItem:
+    def enter(self, key_hash: int, permit: LeasePermit) -> WorkItem:
         """Count a request in flight."""
-        item = WorkItem(key_hash, permit)
-        self._work.add(item)
+        item = WorkItem(key_hash, permit, self)
+        self.adopt(item)
         return item
 
     def leave(self, item: WorkItem) -> None:
-        """Note that a request has ended."""
-        self._work.discard(item)
+        """Note that a request has ended, wherever it counts by now."""
+        item.holdings.forget(item)
         item.ended.set()
 
+    def forget(self, item: WorkItem) -> None:
+        """Count a request no more."""
+        self._work.discard(item)
+
+    def hand_over(self, work: list[WorkItem], session: OwnSession) -> None:
+        """Pass requests in flight on to another session's holdings."""
+        for item in work:
+            self._work.discard(item)
+            item.permit.hand_over(session)
+            session.holdings.adopt(item)
+
+    def adopt(self, item: WorkItem) -> None:
+        """Count a request in flight that began elsewhere."""
+        item.holdings = self
+        self._work.add(item)
+
     def work_in(self, units: set[int], slices: int) -> list[WorkItem]:
         """Return the requests in flight whose keys fall into units."""
         return [item for item in self._work if item.units(slices) & units]
--- a/src/burdockgap/ownership/releaser.py
+++ b/src/burdockgap/ownership/releaser.py
@@ -85,6 +85,21 @@
         await self._withdraw(session)
         return answer
 
+    async def hand_over(self, request: Release, heir: OwnSession) -> Released:
+        """
+        Release units to another session of this daemon.
+
+        Work in flight goes on: the same gate and target run it, and the
+        other session answers for it from now on.
+
+        :raises ReleaseError: as :meth:`release`.
+        """
+        session = self.find(request)
+        work = self.begin(session, request)
+        session.holdings.hand_over(work, heir)
+        await self._withdraw(session)
+        return self.make_answer(request, [])
+
     def find(self, request: Release) -> OwnSession:
         """
         Return the session that a release is for.
--- a/src/burdockgap/ownership/takeover.py
+++ b/src/burdockgap/ownership/takeover.py
@@ -133,7 +133,10 @@
 
     async def _call(self, request: Release) -> Released:
         if self._sessions.find(request.session_id) is not None:
-            return await self._releaser.release(request)
+            heir = self.activator.heir_of(request.units[0])
+            if heir is None:
+                raise ReleaseError("the unit is not wanted any more")
+            return await self._releaser.hand_over(request, heir)
         entry = self._folds.control.sessions.get(request.session_id)
         if entry is None:
             raise ReleaseError("the session has ended")
--- a/src/burdockgap/ownership/work_item.py
+++ b/src/burdockgap/ownership/work_item.py
@@ -9,7 +9,8 @@
 from burdockgap.ownership.unit import pin_of, slice_of
 
 if TYPE_CHECKING:
-    from burdockgap.gate.permit import Permit
+    from burdockgap.ownership.holdings import Holdings
+    from burdockgap.ownership.lease_permit import LeasePermit
 
 
 class WorkItem:
@@ -18,14 +19,18 @@
 
     :param key_hash: hash of the request's key.
     :param permit: what the gate was given for it.
+    :param holdings: the holdings that count it.
     :ivar ended: set when the work has ended.
     """
 
-    __slots__ = ("ended", "key_hash", "permit")
+    __slots__ = ("ended", "holdings", "key_hash", "permit")
 
-    def __init__(self, key_hash: int, permit: Permit) -> None:
+    def __init__(
+        self, key_hash: int, permit: LeasePermit, holdings: Holdings
+    ) -> None:
         self.key_hash = key_hash
         self.permit = permit
+        self.holdings = holdings
         self.ended = anyio.Event()
 
     def units(self, slices: int) -> set[int]:
--- a/tests/gate/fakes.py
+++ b/tests/gate/fakes.py
@@ -6,7 +6,6 @@
 
 import anyio
 
-from burdockgap.gate.permit import Permit
 from burdockgap.target import TargetReply, TargetStatus
 from burdockgap.verdict import Reason, Refusal, Verdict
 from tests.builders import make_body
@@ -23,6 +22,15 @@
         return self.seconds
 
 
+class FakePermit:
+    """A permit whose end a test moves."""
+
+    def __init__(self, unit, epoch, expires_at):
+        self.unit = unit
+        self.epoch = epoch
+        self.expires_at = expires_at
+
+
 class FakePermits:
     """Permits of a lease that can be ended."""
 
@@ -41,7 +49,7 @@
     def enter(self, key_hash):
         self.check(key_hash)
         self.entered += 1
-        self.permit = Permit(
+        self.permit = FakePermit(
             unit=self.unit, epoch=2, expires_at=self.lease_ends_at
         )
         try:
--- a/tests/ownership/test_guard.py
+++ b/tests/ownership/test_guard.py
@@ -71,6 +71,34 @@
     assert not setting.own.holdings.work_in({0}, SLICES)
 
 
+@pytest.mark.parametrize("key", [None, KEYS[0]], ids=["unkeyed", "keyed"])
+def test_permit_follows_renewals(setting, key):
+    setting.own.holdings.activate(0, 2)
+    with setting.guard.enter(key) as permit:
+        setting.own.lease.ends_at += 5
+        assert permit.expires_at == _ENDS_AT + 5
+        setting.folds.end(1)
+        assert permit.expires_at == _ENDS_AT + 5
+
+
+def test_unkeyed_permit_follows_a_newer_session(setting):
+    with setting.guard.enter(None) as permit:
+        newer = setting.sessions.open(4)
+        setting.folds.admit(make_session(session_id=4))
+        newer.lease.ends_at += 9
+        setting.folds.end(1)
+        assert permit.expires_at == _ENDS_AT + 9
+
+
+def test_keyed_permit_ends_with_its_own_session(setting):
+    setting.own.holdings.activate(0, 2)
+    with setting.guard.enter(KEYS[0]) as permit:
+        newer = setting.sessions.open(4)
+        setting.folds.admit(make_session(session_id=4))
+        newer.lease.ends_at += 9
+        assert permit.expires_at == _ENDS_AT
+
+
 @pytest.mark.parametrize("key", [None, KEYS[0]], ids=["unkeyed", "keyed"])
 def test_enter_at_end_of_lease(setting, key):
     setting.own.holdings.activate(0, 2)
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -175,12 +175,18 @@
         pair.first.sessions.open(3)
         pair.folds.admit(make_session(session_id=3))
         pair.first.peers = {2: pair.second}
-        with pair.first.guard.enter(KEYS[0]):
+        pair.second.peers[3] = pair.first
+        with pair.first.guard.enter(KEYS[0]) as permit:
             pair.folds.assign([0, 1], 3)
-            await _until(lambda: pair.first.epoch(3, 1) == 4)
-            assert pair.first.epoch(1, 1) == 0
-            assert pair.first.epoch(3, 0) == 0
-        await _until(lambda: pair.first.epoch(3, 0) == 4)
+            await _until(lambda: pair.first.epoch(3, 0) == 4)
+            assert pair.first.epoch(1, 0) == pair.first.epoch(1, 1) == 0
+            pair.first.sessions.find(1).lease.ends_at = 0.0
+            assert permit.expires_at == 2000.0
+            pair.folds.assign([0, 1], 2)
+            await _until(lambda: pair.second.epoch(2, 1) == 6)
+            await anyio.sleep(0.05)
+            assert pair.second.epoch(2, 0) == 0
+        await _until(lambda: pair.second.epoch(2, 0) == 6)
 
     _run(scenario)
 
