Add a relay that cuts and delays between daemons

Each daemon advertises an address of the relay, which passes datagrams on with true sources and finds the daemon behind a connection by its port. The connections to the log pass through it as well.

--- a/standins/cluster/cluster.py
+++ b/standins/cluster/cluster.py
@@ -12,17 +12,21 @@
 import httpx
 
 from standins.cluster.process import Process
-from standins.cluster.server import TOKEN, Server
+from standins.cluster.server import PEER_PORT, TOKEN, Server
+from standins.relay import Relay, Route
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
     from standins.cluster.server_plan import ServerPlan
+    from standins.relay import Links
 
 _START_TIMEOUT_S = 40.0
 _POLL_S = 0.1
 _FIRST_HOST = 10
+_FIRST_RELAY_HOST = 130
 _LOG_HOST = 1
+_LOG_PORT = 5050
 
 
 class Cluster:
@@ -32,25 +36,40 @@
     :param folder: where settings and outputs go.
     :param plans: the servers.
     :param extra: further settings of every daemon as TOML text.
+    :param relayed: whether daemons reach each other and the log through
+        a relay, see :meth:`relay`.
     :ivar log: the platform's stand-in.
     :ivar servers: the servers by name.
     """
 
-    __slots__ = ("_extra", "_prefix", "folder", "log", "log_url", "servers")
+    __slots__ = (
+        "_extra",
+        "_prefix",
+        "_relayed",
+        "folder",
+        "log",
+        "log_url",
+        "servers",
+    )
 
     def __init__(
-        self, *, folder: Path, plans: Sequence[ServerPlan], extra: str = ""
+        self,
+        *,
+        folder: Path,
+        plans: Sequence[ServerPlan],
+        extra: str = "",
+        relayed: bool = False,
     ) -> None:
         rng = random.SystemRandom()
         self._prefix = f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}"
         self._extra = extra
+        self._relayed = relayed
         self.folder = folder
         host = f"{self._prefix}.{_LOG_HOST}"
-        self.log_url = f"http://{host}:5050"
+        self.log_url = f"http://{host}:{_LOG_PORT}"
+        args = ["--host", host, "--port", str(_LOG_PORT)]
         self.log = Process(
-            "log",
-            ["-m", "standins.platform_log", "--host", host, "--port", "5050"],
-            folder,
+            "log", ["-m", "standins.platform_log", *args], folder
         )
         self.servers: dict[str, Server] = {}
         for plan in plans:
@@ -58,16 +77,43 @@
 
     def add(self, plan: ServerPlan) -> Server:
         """Plan one more server; it is not started."""
+        number = len(self.servers)
+        relay = f"{self._prefix}.{_FIRST_RELAY_HOST + number}"
         server = Server(
             plan=plan,
-            address=f"{self._prefix}.{_FIRST_HOST + len(self.servers)}",
-            log_url=self.log_url,
+            address=f"{self._prefix}.{_FIRST_HOST + number}",
+            log_url=f"http://{relay}:{_LOG_PORT}"
+            if self._relayed
+            else self.log_url,
             folder=self.folder,
             extra=self._extra,
+            relay=relay if self._relayed else "",
         )
         self.servers[plan.name] = server
         return server
 
+    def relay(self, links: Links) -> Relay:
+        """Return the relay of a site that is relayed."""
+        routes = [
+            Route(name=name, real=server.ip, advertised=server.relay)
+            for name, server in self.servers.items()
+        ]
+        return Relay(
+            routes=routes,
+            links=links,
+            peer_port=PEER_PORT,
+            log_host=f"{self._prefix}.{_LOG_HOST}",
+            log_port=_LOG_PORT,
+            pids=self._daemon_pids,
+        )
+
+    def _daemon_pids(self) -> dict[int, str]:
+        return {
+            server.daemon.pid: name
+            for name, server in self.servers.items()
+            if server.daemon.is_running
+        }
+
     def processes(self) -> list[Process]:
         """Return all processes, the log first."""
         found = [self.log]
@@ -139,11 +185,13 @@
 
 @asynccontextmanager
 async def open_cluster(
-    plans: Sequence[ServerPlan], *, extra: str = ""
+    plans: Sequence[ServerPlan], *, extra: str = "", relayed: bool = False
 ) -> AsyncIterator[Cluster]:
     """Own a site; it is not started, and ended with the block."""
     with tempfile.TemporaryDirectory(prefix="burdockgap-") as folder:
-        cluster = Cluster(folder=Path(folder), plans=plans, extra=extra)
+        cluster = Cluster(
+            folder=Path(folder), plans=plans, extra=extra, relayed=relayed
+        )
         try:
             yield cluster
         finally:
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -29,6 +29,7 @@
 
 [peer]
 bind = "{ip}:{peer}"
+advertise = "{advertise}"
 secret = "{secret}"
 
 [admin]
@@ -50,9 +51,19 @@
     :param log_url: URL of the log.
     :param folder: where settings and outputs go.
     :param extra: further settings as TOML text.
+    :param relay: IP address at which a relay passes on what other
+        daemons send to this one, "" without a relay.
     """
 
-    __slots__ = ("daemon", "folder", "ip", "plan", "settings", "target")
+    __slots__ = (
+        "daemon",
+        "folder",
+        "ip",
+        "plan",
+        "relay",
+        "settings",
+        "target",
+    )
 
     def __init__(
         self,
@@ -62,9 +73,11 @@
         log_url: str,
         folder: Path,
         extra: str = "",
+        relay: str = "",
     ) -> None:
         self.plan = plan
         self.ip = address
+        self.relay = relay
         self.folder = folder
         self.settings = folder / f"{plan.name}.toml"
         self.settings.write_text(
@@ -75,6 +88,7 @@
                 ip=address,
                 http=HTTP_PORT,
                 peer=PEER_PORT,
+                advertise=f"{relay}:{PEER_PORT}" if relay else "",
                 admin=ADMIN_PORT,
                 secret=SECRET,
                 token=TOKEN,
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -7,6 +7,8 @@
 
 from standins.cluster import open_cluster
 from standins.history.read import read_runs
+from standins.relay import Links
+from standins.relay.links import LOG
 from standins.scenario.observer import Observer, open_observer
 from standins.scenario.scenario_error import UnmetError
 from standins.target_grants import boottime
@@ -44,6 +46,8 @@
     :param stack: owns the site.
     :param rng: the only source of chance.
     :param say: takes a line of progress.
+    :param relayed: whether daemons are connected through a relay.
+    :ivar links: what the relay does.
     :ivar service: the keyed service of the first servers.
     :ivar names: names given by ``let``.
     :ivar loads: every load so far.
@@ -58,11 +62,14 @@
         stack: AsyncExitStack,
         rng: random.Random,
         say: Callable[[str], None],
+        relayed: bool,
     ) -> None:
         self.tasks = tasks
         self.stack = stack
         self.rng = rng
         self.say = say
+        self.links = Links()
+        self._relayed = relayed
         self.plans: list[ServerPlan] = []
         self.settings: list[str] = []
         self.service = ""
@@ -104,8 +111,10 @@
         """Build the site from the plans; nothing is started yet."""
         extra = "\n".join(self.settings)
         self._cluster = await self.stack.enter_async_context(
-            open_cluster(self.plans, extra=extra)
+            open_cluster(self.plans, extra=extra, relayed=self._relayed)
         )
+        if self._relayed:
+            await self.tasks.start(self._cluster.relay(self.links).run)
         return self._cluster
 
     async def observe(self) -> None:
@@ -160,6 +169,37 @@
             raise UnmetError(f"no server is named {name!r}")
         return self.cluster.servers[name]
 
+    def group(self, reference: str) -> set[str]:
+        """
+        Return the ends that a reference means now.
+
+        :param reference: ``log``, a data centre, a region, ``witnesses
+            of KEY``, or what :meth:`server` takes.
+        """
+        if reference == LOG:
+            return {LOG}
+        if reference.startswith("witnesses of "):
+            return set(self.observer.witnesses(reference.split()[-1]))
+        members = {
+            name
+            for name, server in self.cluster.servers.items()
+            if reference in (server.plan.data_centre, server.plan.region)
+        }
+        return members or {self.server(reference).name}
+
+    def groups(self, first: str, second: str) -> tuple[set[str], set[str]]:
+        """
+        Return two groups of ends.
+
+        :param second: also ``rest``, all daemons outside the first
+            group, or ``all``, these and the log.
+        """
+        left = self.group(first)
+        if second not in ("rest", "all"):
+            return left, self.group(second)
+        right = set(self.cluster.servers) - left
+        return left, right | ({LOG} if second == "all" else set())
+
     def resolve(self, reference: str) -> str:
         """Return the name that a reference stands for."""
         role, _, key = reference.partition(" of ")
--- a/standins/scenario/runner.py
+++ b/standins/scenario/runner.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import httpx
 
 from standins.scenario.parse import parse
 from standins.scenario.run import Run
@@ -16,7 +17,10 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from standins.scenario.statement import Statement
+
 _SEED = 1
+_FAILURES = (UnmetError, TimeoutError, RuntimeError, httpx.HTTPError)
 
 
 async def run_scenario(path: Path, say: Callable[[str], None]) -> None:
@@ -28,16 +32,29 @@
     :raises ScenarioError: with the line that failed.
     """
     statements = parse(path)
+    failure: ScenarioError | None = None
     async with AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
-        run = Run(tasks=tasks, stack=stack, rng=random.Random(_SEED), say=say)
+        run = Run(
+            tasks=tasks,
+            stack=stack,
+            rng=random.Random(_SEED),
+            say=say,
+            relayed=any(_needs_relay(statement) for statement in statements),
+        )
         for statement in statements:
             say(f"{run.elapsed_s():6.1f} s  {statement.text}")
             try:
                 await statement.do(run)
-            except (UnmetError, TimeoutError, RuntimeError) as exc:
-                tasks.cancel_scope.cancel()
-                raise ScenarioError(
-                    str(path), statement.line, f"{statement.text}: {exc!r}"
-                ) from exc
+            except _FAILURES as exc:
+                failure = ScenarioError(
+                    str(path), statement.line, f"{statement.text}: {exc}"
+                )
+                break
         tasks.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
+def _needs_relay(statement: Statement) -> bool:
+    return statement.text.startswith(("cut ", "delay "))
--- a/standins/scenario/statements/__init__.py
+++ b/standins/scenario/statements/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from standins.scenario.statements import (
+    cuts,
     expectations,
     faults,
     loads,
@@ -10,4 +11,4 @@
     site,
 )
 
-__all__ = ["expectations", "faults", "loads", "operators", "site"]
+__all__ = ["cuts", "expectations", "faults", "loads", "operators", "site"]
--- /dev/null
+++ b/standins/scenario/statements/cuts.py
@@ -0,0 +1,42 @@
+"""Statements about the network between the daemons."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from standins.scenario.verb import verb
+
+if TYPE_CHECKING:
+    from standins.scenario.run import Run
+
+
+@verb(r"cut (?P<first>.+) from (?P<second>.+)")
+async def cut_one_way(run: Run, *, first: str, second: str) -> None:
+    """Lose what the first ones send to the second ones."""
+    left, right = run.groups(first, second)
+    run.fault()
+    run.links.cut(left, right)
+
+
+@verb(r"cut (?P<first>.+) and (?P<second>.+)")
+async def cut_both_ways(run: Run, *, first: str, second: str) -> None:
+    """Lose what two groups send to each other."""
+    left, right = run.groups(first, second)
+    run.fault()
+    run.links.cut(left, right)
+    run.links.cut(right, left)
+
+
+@verb(r"delay (?P<first>.+) and (?P<second>.+) (?P<seconds>[\d.]+)s")
+async def delay(run: Run, *, first: str, second: str, seconds: str) -> None:
+    """Delay what two groups send to each other."""
+    left, right = run.groups(first, second)
+    run.links.delay(left, right, float(seconds))
+    run.links.delay(right, left, float(seconds))
+
+
+@verb(r"heal")
+async def heal(run: Run) -> None:
+    """End all cuts and delays."""
+    run.fault()
+    run.links.heal()
