Close connections that leave requests waiting

A connection that has been silent for 0.3 s while requests wait on it is probed; without an answer in 0.6 s it is closed. The requests then go on, and later ones probe a new connection first, so that they are proved not to have run. Slow targets are not concerned: their daemon answers probes.

--- a/src/burdockgap/peer/forward.py
+++ b/src/burdockgap/peer/forward.py
@@ -26,6 +26,7 @@
     from collections.abc import AsyncIterator
 
     from burdockgap.gate.gate_request import GateRequest
+    from burdockgap.peer.connection import Connection
     from burdockgap.peer.messages.reply_head import ReplyHead
     from burdockgap.peer.pool import PeerPool
     from burdockgap.records.session_entry import SessionEntry
@@ -59,10 +60,12 @@
     :raises Refusal: ``not-run`` if the peer was not reached or its gate
         said so, else ``may-have-run``.
     """
-    async with _open_stream(pool, entry, timeout_s) as stream:
+    async with _open_stream(pool, entry, timeout_s) as (conn, stream):
         await _send_head(stream, entry, req, timeout_s)
         async with background(_send_body, stream, req):
-            head = await _receive_head(stream, entry, timeout_s)
+            with conn.awaiting():
+                head = await _receive_head(stream, entry, timeout_s)
+            pool.answered(conn)
             stats.load(in_flight=head.in_flight, limit=head.limit)
             if isinstance(head, ReplyRefusal):
                 raise _refusal_of(head)
@@ -78,7 +81,7 @@
 @asynccontextmanager
 async def _open_stream(
     pool: PeerPool, entry: SessionEntry, timeout_s: float
-) -> AsyncIterator[Any]:
+) -> AsyncIterator[tuple[Connection, Any]]:
     try:
         with anyio.fail_after(min(_CONNECT_TIMEOUT_S, timeout_s)):
             conn = await pool.connection(entry.peer_address)
@@ -96,7 +99,7 @@
             Verdict.NOT_RUN, Reason.UNREACHABLE, f"{entry.name}: {exc!r}"
         ) from exc
     try:
-        yield stream
+        yield conn, stream
     finally:
         # With an error, the stream is reset unless it has ended.
         # Without one this would wait for an answer nobody wants.
--- a/src/burdockgap/peer/pool.py
+++ b/src/burdockgap/peer/pool.py
@@ -27,6 +27,8 @@
 
 _PROBE_TIMEOUT_S = 0.4
 _KEEPALIVE_TIMEOUT_S = 1.0
+_SILENCE_S = 0.3
+_CHECK_TIMEOUT_S = 0.6
 
 PEER_ERRORS = (
     OSError,
@@ -43,7 +45,9 @@
 
     A connection that was idle for longer than the keepalive time is
     probed before it carries a request, since something between the two
-    ends may have dropped it without a word.
+    ends may have dropped it without a word. One that stays silent
+    while requests wait on it is probed as well, and closed if that
+    fails, so that they don't wait for an answer that can't come.
 
     :param auth: proof added to each call.
     :param clock: source of elapsed time.
@@ -88,6 +92,37 @@
             return conn
         return await self._probe(address, conn)
 
+    def answered(self, conn: Connection) -> None:
+        """Note that the peer answered a forwarded request."""
+        conn.mark_used(self._clock.now())
+
+    async def watch(self) -> None:
+        """Close connections that leave requests waiting, for ever."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(_SILENCE_S)
+                for address, conn in self._silent():
+                    conn.is_checked = True
+                    tasks.start_soon(self._check, address, conn)
+
+    def _silent(self) -> list[tuple[str, Connection]]:
+        before = self._clock.now() - _SILENCE_S
+        return [
+            (address, conn)
+            for address, conn in self._conns.items()
+            if conn.pending and not conn.is_checked and conn.last_used < before
+        ]
+
+    async def _check(self, address: str, conn: Connection) -> None:
+        try:
+            await self._unary(conn, PING, Ping(), _CHECK_TIMEOUT_S)
+        except PEER_ERRORS:
+            self._metrics.peer_connections_replaced.inc()
+            if self._conns.get(address) is conn:
+                self.drop(address)
+        finally:
+            conn.is_checked = False
+
     def drop(self, address: str) -> None:
         """Close the connection to a peer; the next call opens one."""
         conn = self._conns.pop(address, None)
--- a/src/burdockgap/router/dispatcher.py
+++ b/src/burdockgap/router/dispatcher.py
@@ -20,6 +20,11 @@
     from burdockgap.router.route_request import RouteRequest
     from burdockgap.router.server_stats import ServerStats
 
+_FAILURES = frozenset(
+    {Reason.UNREACHABLE, Reason.TARGET_DOWN, Reason.CONNECTION_LOST}
+)
+"""Refusals that tell that a server is not there."""
+
 
 class Dispatcher:
     """
@@ -80,7 +85,7 @@
                 stats.answered(self._clock.now() - started)
                 yield reply
         except Refusal as refusal:
-            if refusal.reason in (Reason.UNREACHABLE, Reason.TARGET_DOWN):
+            if refusal.reason in _FAILURES:
                 stats.failed(self._clock.now())
             raise
         finally:
--- a/standins/scenario/load.py
+++ b/standins/scenario/load.py
@@ -94,15 +94,26 @@
                 tasks.start_soon(self.send, key, self._idempotent)
         self.ended.set()
 
-    async def send(self, key: str, idempotent: bool) -> Told:
-        """Send one request and keep what was told."""
-        server = self._rng.choice(self._entries())
+    async def send(
+        self,
+        key: str,
+        idempotent: bool,
+        *,
+        entries: Sequence[Server] = (),
+        timeout_s: float = _TIMEOUT_S,
+    ) -> Told:
+        """
+        Send one request and keep what was told.
+
+        :param entries: daemons to choose from, none for all.
+        """
+        server = self._rng.choice(entries or self._entries())
         request_id = f"{self._label}-{next(self._numbers)}"
         headers = {
             "Burdockgap-Key": key,
             "Burdockgap-Request-Id": request_id,
             "Burdockgap-Idempotent": str(idempotent).lower(),
-            "Burdockgap-Timeout-Ms": str(int(_TIMEOUT_S * _MS_PER_S)),
+            "Burdockgap-Timeout-Ms": str(int(timeout_s * _MS_PER_S)),
         }
         sent = boottime()
         answer = await self._post(server, headers)
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -52,6 +52,7 @@
     :ivar names: names given by ``let``.
     :ivar loads: every load so far.
     :ivar fault_at: clock time of the last fault.
+    :ivar cut_off: names of the daemons that are cut off.
     :ivar accepted: versions that operators were told.
     """
 
@@ -77,6 +78,7 @@
         self.names: dict[str, str] = {}
         self.loads: list[Load] = []
         self.fault_at = boottime()
+        self.cut_off: set[str] = set()
         self.accepted: list[int] = []
         self._began = time.monotonic()
         self._cluster: Cluster | None = None
@@ -142,6 +144,14 @@
             raise UnmetError("no daemon runs")
         return found
 
+    def connected(self) -> list[Server]:
+        """Return those of :meth:`entries` that are not cut off."""
+        return [
+            server
+            for server in self.entries()
+            if server.name not in self.cut_off
+        ]
+
     def answers(self) -> list[Told]:
         """Return what all callers were told."""
         return [told for load in self.loads for told in load.answers]
--- a/standins/scenario/statements/cuts.py
+++ b/standins/scenario/statements/cuts.py
@@ -15,6 +15,7 @@
     """Lose what the first ones send to the second ones."""
     left, right = run.groups(first, second)
     run.fault()
+    run.cut_off |= left
     run.links.cut(left, right)
 
 
@@ -23,6 +24,7 @@
     """Lose what two groups send to each other."""
     left, right = run.groups(first, second)
     run.fault()
+    run.cut_off |= left
     run.links.cut(left, right)
     run.links.cut(right, left)
 
@@ -39,4 +41,5 @@
 async def heal(run: Run) -> None:
     """End all cuts and delays."""
     run.fault()
+    run.cut_off.clear()
     run.links.heal()
--- a/standins/scenario/statements/expectations.py
+++ b/standins/scenario/statements/expectations.py
@@ -18,6 +18,7 @@
     from standins.scenario.run import Run
 
 _RETRY_S = 0.05
+_PROBE_TIMEOUT_S = 1.5
 _SHOWN = 5
 _POLL_S = 0.2
 _AUDIT_LIMIT = 1000
@@ -48,7 +49,9 @@
 
     async def probe(key: str) -> None:
         while key not in served:
-            told = await run.load.send(key, True)
+            told = await run.load.send(
+                key, True, entries=run.connected(), timeout_s=_PROBE_TIMEOUT_S
+            )
             if told.succeeded:
                 served[key] = told.answered - run.fault_at
                 return
@@ -65,7 +68,9 @@
         if key not in served
     ]
     _require_none(missing)
-    run.say(f"          last one served {max(served.values()):.2f} s after")
+    last = max(served, key=lambda key: served[key])
+    why = refusals.get(last, "")
+    run.say(f"          {last} came last, {served[last]:.2f} s after {why}")
 
 
 @verb(r"expect one owner")
