Let a target keep the grants of each session

While a daemon replaces its session, both sessions grant. The contract had the newest set of epochs replace the other session's, so that the target refused the work of one of them and the two sets alternated. A set of epochs belongs to its session now. A target that restarted gets no work for a unit until its grant; before, it refused that work, and each refusal cost a retry.

--- a/src/burdockgap/ownership/grants.py
+++ b/src/burdockgap/ownership/grants.py
@@ -65,6 +65,7 @@
     def target_restarted(self) -> None:
         """Note that the target knows no grants any more."""
         for grants in self._by_session.values():
+            grants.session.granted = {} if self.checks_grants else None
             grants.changed.set()
 
     async def run(self, session: OwnSession) -> None:
@@ -98,7 +99,9 @@
             await anyio.sleep(_RETRY_S)
 
     def _grants(self, session: OwnSession) -> SessionGrants:
-        return self._by_session.setdefault(session.session_id, SessionGrants())
+        return self._by_session.setdefault(
+            session.session_id, SessionGrants(session)
+        )
 
     async def _send(self, session: OwnSession, grants: SessionGrants) -> bool:
         async with grants.lock:
--- a/src/burdockgap/ownership/session_grants.py
+++ b/src/burdockgap/ownership/session_grants.py
@@ -2,22 +2,29 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import anyio
 
+if TYPE_CHECKING:
+    from burdockgap.ownership.own_session import OwnSession
+
 
 class SessionGrants:
     """
     The state of the grants of one session.
 
+    :param session: the session.
     :ivar changed: set when the target must learn the epochs anew.
     :ivar valid_until: clock time until which the target may hold a
         grant that it received.
     :ivar lock: keeps grants in order.
     """
 
-    __slots__ = ("changed", "lock", "valid_until")
+    __slots__ = ("changed", "lock", "session", "valid_until")
 
-    def __init__(self) -> None:
+    def __init__(self, session: OwnSession) -> None:
+        self.session = session
         self.changed = anyio.Event()
         self.valid_until = float("-inf")
         self.lock = anyio.Lock()
--- a/src/burdockgap/target/grant.py
+++ b/src/burdockgap/target/grant.py
@@ -7,10 +7,13 @@
     """
     Permission to work on units until the lease ends.
 
+    A daemon that replaces its session grants both for a while. What a
+    target was granted for one session says nothing of the other.
+
     :param session_id: the session that owns the units.
     :param lease_s: seconds that the permission lasts from receipt.
     :param epochs: epoch of each granted unit; replaces the set that
-        the target knew, ``None`` leaves that set as it is.
+        the target knew for this session, ``None`` leaves it as it is.
     """
 
     __slots__ = ("epochs", "lease_s", "session_id")
--- a/standins/scenario/__main__.py
+++ b/standins/scenario/__main__.py
@@ -23,18 +23,23 @@
     parser = argparse.ArgumentParser(prog="standins.scenario")
     parser.add_argument("files", nargs="+", type=Path)
     parser.add_argument("--quiet", action="store_true")
+    parser.add_argument(
+        "--outputs", type=Path, help="folder for the processes' outputs"
+    )
     args = parser.parse_args()
     logger.remove()
     failed = 0
     for path in args.files:
-        failed += not _passes(path, quiet=args.quiet)
+        failed += not _passes(path, args.outputs, quiet=args.quiet)
     return 1 if failed else 0
 
 
-def _passes(path: Path, *, quiet: bool) -> bool:
+def _passes(path: Path, outputs: Path | None, *, quiet: bool) -> bool:
     started = time.monotonic()
     try:
-        anyio.run(run_scenario, path, _say_nothing if quiet else print)
+        anyio.run(
+            run_scenario, path, _say_nothing if quiet else print, outputs
+        )
     except ScenarioError as exc:
         print(f"FAILED {exc}", file=sys.stderr)
         return False
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import time
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
     import random
     from collections.abc import Callable
     from contextlib import AsyncExitStack
+    from pathlib import Path
 
     from anyio.abc import TaskGroup
 
@@ -125,6 +127,12 @@
             open_observer(self.service, self.cluster.log_url)
         )
 
+    def copy_outputs(self, folder: Path) -> None:
+        """Copy what the processes wrote so far into a folder."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for file in self.cluster.folder.iterdir():
+            shutil.copy(file, folder)
+
     def document(self) -> str:
         """Return the configuration that is published first."""
         return DOCUMENT.format(service=self.service, slices=self.slices)
--- a/standins/scenario/runner.py
+++ b/standins/scenario/runner.py
@@ -23,12 +23,15 @@
 _FAILURES = (UnmetError, TimeoutError, RuntimeError, httpx.HTTPError)
 
 
-async def run_scenario(path: Path, say: Callable[[str], None]) -> None:
+async def run_scenario(
+    path: Path, say: Callable[[str], None], outputs: Path | None = None
+) -> None:
     """
     Run a scenario to its end.
 
     :param path: the scenario's file.
     :param say: takes a line of progress.
+    :param outputs: folder that gets the outputs of all processes.
     :raises ScenarioError: with the line that failed.
     """
     statements = parse(path)
@@ -51,6 +54,8 @@
                     str(path), statement.line, f"{statement.text}: {exc}"
                 )
                 break
+        if outputs is not None:
+            run.copy_outputs(outputs)
         tasks.cancel_scope.cancel()
     if failure is not None:
         raise failure
--- a/tests/ownership/test_grants.py
+++ b/tests/ownership/test_grants.py
@@ -95,3 +95,17 @@
         assert setting.target.grants == []
 
     _run(scenario, lease_s=0.0)
+
+
+def test_restarted_target_gets_no_work_before_its_grant():
+    async def scenario(setting):
+        assert setting.session.is_granted(0)
+        setting.target.refusing = True
+        setting.grants.target_restarted()
+        assert not setting.session.is_granted(0)
+        setting.target.refusing = False
+        await anyio.sleep(0.2)
+        assert setting.session.is_granted(0)
+        assert setting.target.grants[-1].epochs is None
+
+    _run(scenario)
