Ask a key's successor first while its owner is unreachable

Each request for a key of a frozen or cut off owner spent up to 0.4 s on probing the owner before it went to the successor, also when another request had just failed there. A server that was unreachable within the last second is tried after the others, until it answers.

--- a/src/burdockgap/router/server_stats.py
+++ b/src/burdockgap/router/server_stats.py
@@ -7,6 +7,7 @@
 _WEIGHT = 0.3
 _PENALTY = 10.0
 _PENALTY_HALF_LIFE_S = 1.0
+_AVOIDED_S = 1.0
 
 
 class ServerStats:
@@ -30,6 +31,7 @@
 
     def answered(self, latency_s: float) -> None:
         """Account for an answer after ``latency_s`` seconds."""
+        self.failed_at = float("-inf")
         if self.latency_s == 0.0:
             self.latency_s = latency_s
             return
@@ -39,6 +41,10 @@
         """Account for an attempt that found the server unreachable."""
         self.failed_at = now
 
+    def is_avoided(self, now: float) -> bool:
+        """Tell whether the server was unreachable just now."""
+        return now - self.failed_at < _AVOIDED_S
+
     def load(self, *, in_flight: int, limit: int) -> None:
         """Account for the load that rode on a reply."""
         self.reported_load = in_flight / max(limit, 1)
--- a/src/burdockgap/router/server_table.py
+++ b/src/burdockgap/router/server_table.py
@@ -34,6 +34,15 @@
             entry.incarnation, ServerStats()
         )
 
+    def reachable_first(
+        self, entries: list[SessionEntry]
+    ) -> list[SessionEntry]:
+        """Return the same servers, those unreachable just now last."""
+        now = self._clock.now()
+        return sorted(
+            entries, key=lambda entry: self.stats(entry).is_avoided(now)
+        )
+
     def cost(self, entry: SessionEntry) -> float:
         """Return the expected cost of one more request."""
         now = self._clock.now()
--- a/src/burdockgap/target/http_headers.py
+++ b/src/burdockgap/target/http_headers.py
@@ -15,6 +15,7 @@
 """The deadline on ``CLOCK_BOOTTIME``, which daemon and target share."""
 
 NOT_RUN = "Burdockgap-Not-Run"
+DETAIL = "burdockgap-detail"
 """Set to 1 on a 503 by a target that did not run the request."""
 
 _OWN_PREFIX = "burdockgap-"
--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -301,7 +301,8 @@
     if resp.headers.get(http_headers.NOT_RUN) != "1":
         return
     exchange.whole = True
-    detail = "The target refused the request unrun; retry elsewhere."
+    cause = resp.headers.get(http_headers.DETAIL, "no detail")
+    detail = f"The target refused the request unrun ({cause})."
     raise Refusal(Verdict.NOT_RUN, Reason.TARGET_SHED, detail)
 
 
