--- a/src/burdockgap/daemon/session_keeper.py
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -26,6 +26,7 @@
     from burdockgap.ownership.own_sessions import OwnSessions
 
 _JOIN_EVERY_S = 0.4
+_JOIN_PATIENCE_S = 6.0
 _LEAVE_EVERY_S = 0.3
 _CHECK_EVERY_S = 0.5
 _WORN_AFTER_S = 3.0
@@ -131,7 +132,7 @@
         with anyio.move_on_after(timeout_s):
             while sessions := self._sessions.admitted():
                 for session in sessions:
-                    session.holdings.clear()
+                    session.holdings.close()
                     await self._leave(session, final=True)
                 await anyio.sleep(_LEAVE_EVERY_S)
         return not self._sessions.admitted()
@@ -159,8 +160,12 @@
             slots=self._slots,
             replaces=0,
         )
+        asked_at = anyio.current_time()
         while not session.admitted.is_set():
             await self._client.join(msg)
+            if anyio.current_time() - asked_at > _JOIN_PATIENCE_S:
+                self._client.note_idle()
+                asked_at = anyio.current_time()
             with anyio.move_on_after(_JOIN_EVERY_S):
                 await session.admitted.wait()
         logger.info("session {} is open", show_id(session.session_id))
@@ -186,6 +191,8 @@
         """Give up a replaced session once it owns nothing any more."""
         while not session.ended.is_set():
             if not self._owns_units(session):
+                # The fold could yet pass it units of an ended session.
+                session.holdings.close()
                 await self._leave(session, final=True)
             with anyio.move_on_after(_LEAVE_EVERY_S):
                 await session.ended.wait()
