Don't call a request unrun while a hedge or an earlier run of it counts

Found by reading. A race that ended at the deadline reported the refusal of the attempt that had been refused although the other one still ran; a hedge that found no server did the same to the first attempt; and a gate that refuses new work refused the resend of a request that it had run as not-run, after which the router ran it elsewhere. Unanswered attempts now count as may-have-run, a hedge needs a second server, and a resend is looked up in the gate's log before the gate's state is asked. Each of the three new tests failed on the code before.

--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -198,9 +198,9 @@
 
     @asynccontextmanager
     async def _serve(self, req: GateRequest) -> AsyncIterator[TargetReply]:
-        self._check_open()
         self._check_service(req.service)
         if req.idempotent:
+            self._check_open()
             self._check_not_in_flight(req.request_id)
             async with self._dispatch(req, None) as reply:
                 yield reply
@@ -212,6 +212,9 @@
             yield earlier.replay()
             metrics.replays.inc()
             return
+        # Not before: a gate that takes no new work must not call a
+        # request unrun that it has run.
+        self._check_open()
         with self._log.recording(req.request_id, req.fingerprint) as entry:
             async with self._dispatch(req, entry) as reply:
                 yield entry.capture(reply)
--- a/src/burdockgap/router/race.py
+++ b/src/burdockgap/router/race.py
@@ -71,14 +71,14 @@
         return answered or all(runner.refusal for runner in self._runners)
 
     def _worst_refusal(self) -> Refusal:
-        last = Refusal(
+        unanswered = Refusal(
             Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "no attempt was answered"
         )
-        for runner in self._runners:
-            last = runner.refusal or last
-            if last.verdict is Verdict.MAY_HAVE_RUN:
-                break
-        return last
+        refusals = [runner.refusal or unanswered for runner in self._runners]
+        for refusal in refusals:
+            if refusal.verdict is not Verdict.NOT_RUN:
+                return refusal
+        return refusals[-1]
 
     def _changed_by_runner(self) -> None:
         self._changed.set()
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -153,13 +153,19 @@
         race.start(self._send(req, history))
         if await race.settled(req.profile.hedge_after_ms / 1000):
             return race.result()
-        if budget.spend():
+        if self._has_another(req) and budget.spend():
             self._metrics.hedges.inc()
             history.hedged()
             race.start(self._send(req, history))
         await race.settled(req.deadline - self._clock.now())
         return race.result()
 
+    def _has_another(self, req: RouteRequest) -> bool:
+        """Tell whether a second server could take an unkeyed request."""
+        folds = self._folds
+        servers = unkeyed_candidates(folds.control, folds.config, req.service)
+        return len(servers) > 1
+
     def _send(
         self, req: RouteRequest, history: AttemptHistory
     ) -> AbstractAsyncContextManager[RouteReply]:
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -101,6 +101,16 @@
         assert await b.call("again") == b"aagain"
 
 
+async def test_resend_while_refusing_is_answered_from_the_log():
+    """Points 6 and 7: what ran is not called unrun."""
+    async with bench() as b:
+        b.target.release()
+        assert await b.call("r", idempotent=False) == b"ar"
+        b.gate.refuse_new(Reason.DRAINING)
+        assert await b.call("r", idempotent=False) == b"ar"
+        assert b.sent() == ["r"]
+
+
 async def test_leaving_target_gets_no_new_work():
     """Point 8, without a word from the daemon."""
     async with bench() as b:
--- a/tests/router/test_router.py
+++ b/tests/router/test_router.py
@@ -65,7 +65,9 @@
         yield body
 
 
-def make_request(*, idempotent, hedge=0, body=b"b", whole=True):
+def make_request(
+    *, idempotent, hedge=0, body=b"b", whole=True, timeout_s=3.0
+):
     profile = parse_document(PROFILE.format(hedge=hedge)).unwrap()
     replay = ReplayBody(parts_of(body))
     replay.whole = whole
@@ -78,16 +80,16 @@
         body=replay,
         key_hash=None,
         idempotent=idempotent,
-        deadline=BootClock().now() + 3.0,
+        deadline=BootClock().now() + timeout_s,
         fingerprint=1,
         profile=profile.profile_of("dispatch"),
     )
 
 
-def route(dispatcher, req):
+def route(dispatcher, req, servers=SERVERS):
     clock = BootClock()
     folds = Folds()
-    for session_id in SERVERS:
+    for session_id in servers:
         folds.control.sessions[session_id] = make_session(
             session_id=session_id, service="dispatch"
         )
@@ -184,3 +186,29 @@
     req = make_request(idempotent=True, hedge=20)
     assert route(dispatcher, req) == b"b"
     assert len(dispatcher.tried) == 2
+
+
+def test_hedge_running_at_deadline_is_not_called_unrun():
+    class Delayed(FakeDispatcher):
+        """Refuses the first attempt once the second one runs."""
+
+        @asynccontextmanager
+        async def send(self, entry, req, stats, deadline):
+            if not self.tried:
+                self.tried.append(entry.session_id)
+                await anyio.sleep(0.1)
+                raise DOWN
+            async with super().send(entry, req, stats, deadline) as reply:
+                yield reply
+
+    req = make_request(idempotent=True, hedge=20, timeout_s=0.3)
+    with pytest.raises(Refusal) as caught:
+        route(Delayed([2.0]), req)
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_lone_server_is_not_hedged():
+    dispatcher = FakeDispatcher([0.2])
+    req = make_request(idempotent=True, hedge=20)
+    assert route(dispatcher, req, servers=(1,)) == b"b"
+    assert len(dispatcher.tried) == 1
