Build the program as one archive that writes nothing

The HTTP client extracts its list of certificates to a temporary file when it runs from an archive, also for plain HTTP: a daemon from the archive ended at its first connection under an audit hook that forbids opening files for writing. Clients get their certificates from memory now, and none for plain HTTP.

make binary writes dist/burdockgap from the pinned libraries of the environment, source files only, sorted, with fixed times. The test runs two daemons from it in a site under the hook, without installed packages, in a directory that takes no files.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,6 @@
 
 measure: env
 	$(PY) -m measure
+
+binary: env
+	$(PY) -m binary
--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the program as one file: ``python -m binary``."""
--- /dev/null
+++ b/binary/contents.py
@@ -0,0 +1,69 @@
+"""What goes into the archive."""
+
+from __future__ import annotations
+
+from importlib.metadata import Distribution, distribution
+from pathlib import Path
+
+_PLAIN_SUFFIXES = frozenset({".py", ".pem"})
+_MAIN = b"""\
+import sys
+
+if sys.version_info < (3, 11):
+    sys.exit("burdockgap: needs Python 3.11 or later")
+
+from burdockgap.run import main
+
+sys.exit(main())
+"""
+
+
+class BuildError(Exception):
+    """The archive cannot be built from what is installed."""
+
+
+def read_contents(root: Path) -> dict[str, bytes]:
+    """
+    Return the files of the archive by name.
+
+    :param root: the root of the project's tree.
+    :raises BuildError: if a pinned library is not installed.
+    """
+    found = {"__main__.py": _MAIN}
+    for pin in _pins(root / "requirements" / "run.txt"):
+        found.update(_read_library(pin))
+    source = root / "src"
+    for path in source.rglob("*.py"):
+        found[path.relative_to(source).as_posix()] = path.read_bytes()
+    return found
+
+
+def _pins(path: Path) -> list[str]:
+    lines = (line.strip() for line in path.read_text().splitlines())
+    return [line for line in lines if line and not line.startswith("#")]
+
+
+def _read_library(pin: str) -> dict[str, bytes]:
+    name, _, version = pin.partition("==")
+    library = distribution(name)
+    if library.version != version:
+        raise BuildError(
+            f"{name} {library.version} is installed in place of {version}; "
+            "run `make env`"
+        )
+    return {
+        name: Path(str(library.locate_file(name))).read_bytes()
+        for name in _plain_files(library)
+    }
+
+
+def _plain_files(library: Distribution) -> list[str]:
+    """Return a library's files without compiled ones and commands."""
+    names = [str(path) for path in library.files or []]
+    return [
+        name
+        for name in names
+        if Path(name).suffix in _PLAIN_SUFFIXES
+        and not name.startswith("..")
+        and ".dist-info/" not in name
+    ]
--- a/src/burdockgap/cli/admin_client.py
+++ b/src/burdockgap/cli/admin_client.py
@@ -12,6 +12,7 @@
 from burdockgap.settings.ranges import Url
 from burdockgap.settings.ranges.admits import admits
 from burdockgap.settings.ranges.describe import describe
+from burdockgap.tls.trust import trust_for
 
 if TYPE_CHECKING:
     import argparse
@@ -90,6 +91,7 @@
         try:
             with httpx.Client(
                 headers=self._headers,
+                verify=trust_for(self._url),
                 timeout=self._timeout_s,
                 trust_env=False,
             ) as client:
--- a/src/burdockgap/platform/client_slot.py
+++ b/src/burdockgap/platform/client_slot.py
@@ -9,6 +9,8 @@
 import anyio
 import httpx
 
+from burdockgap.tls.trust import trust_for
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -57,7 +59,10 @@
     def _current(self) -> httpx.AsyncClient:
         if self._client is None:
             self._client = httpx.AsyncClient(
-                base_url=self._url, timeout=self._timeout, trust_env=False
+                base_url=self._url,
+                verify=trust_for(self._url),
+                timeout=self._timeout,
+                trust_env=False,
             )
         return self._client
 
--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -17,6 +17,7 @@
 from burdockgap.target.request_body_error import RequestBodyError
 from burdockgap.target.target_reply import TargetReply
 from burdockgap.target.target_status import TargetStatus
+from burdockgap.tls.trust import trust_for
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -51,7 +52,7 @@
         self.info = info
         self._clock = clock
         self._base = httpx.URL(info.url)
-        self._client = _new_client(info.slots + _CONTROL_CONNECTIONS)
+        self._client = _new_client(info.url, info.slots + _CONTROL_CONNECTIONS)
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -229,9 +230,10 @@
             raise ConnectionError(f"target: {exc!r}") from exc
 
 
-def _new_client(connections: int) -> httpx.AsyncClient:
+def _new_client(url: str, connections: int) -> httpx.AsyncClient:
     no_cookies = DefaultCookiePolicy(allowed_domains=[])
     return httpx.AsyncClient(
+        verify=trust_for(url),
         trust_env=False,
         cookies=CookieJar(policy=no_cookies),
         timeout=_send_timeout(),
--- /dev/null
+++ b/src/burdockgap/tls/__init__.py
@@ -0,0 +1,1 @@
+"""Certificates for connections over TLS."""
--- a/standins/cluster/cluster.py
+++ b/standins/cluster/cluster.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
+    from standins.cluster.launch import Launch
     from standins.cluster.server_plan import ServerPlan
 
 _START_TIMEOUT_S = 40.0
@@ -32,15 +33,30 @@
     :param folder: where settings and outputs go.
     :param plans: the servers.
     :param extra: further settings of every daemon as TOML text.
+    :param program: how the daemons' program is started.
     :ivar log: the platform's stand-in.
     :ivar servers: the servers by name.
     """
 
-    __slots__ = ("_extra", "_prefix", "folder", "log", "log_url", "servers")
+    __slots__ = (
+        "_extra",
+        "_prefix",
+        "_program",
+        "folder",
+        "log",
+        "log_url",
+        "servers",
+    )
 
     def __init__(
-        self, *, folder: Path, plans: Sequence[ServerPlan], extra: str = ""
+        self,
+        *,
+        folder: Path,
+        plans: Sequence[ServerPlan],
+        extra: str = "",
+        program: Launch | None = None,
     ) -> None:
+        self._program = program
         rng = random.SystemRandom()
         self._prefix = f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}"
         self._extra = extra
@@ -64,6 +80,7 @@
             log_url=self.log_url,
             folder=self.folder,
             extra=self._extra,
+            program=self._program,
         )
         self.servers[plan.name] = server
         return server
@@ -139,11 +156,16 @@
 
 @asynccontextmanager
 async def open_cluster(
-    plans: Sequence[ServerPlan], *, extra: str = ""
+    plans: Sequence[ServerPlan],
+    *,
+    extra: str = "",
+    program: Launch | None = None,
 ) -> AsyncIterator[Cluster]:
     """Own a site; it is not started, and ended with the block."""
     with tempfile.TemporaryDirectory(prefix="burdockgap-") as folder:
-        cluster = Cluster(folder=Path(folder), plans=plans, extra=extra)
+        cluster = Cluster(
+            folder=Path(folder), plans=plans, extra=extra, program=program
+        )
         try:
             yield cluster
         finally:
--- a/standins/cluster/process.py
+++ b/standins/cluster/process.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import subprocess
-import sys
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import anyio
 
+from standins.cluster.launch import Launch
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
 _STOP_TIMEOUT_S = 10.0
 _POLL_S = 0.02
 _TAIL_LINES = 40
@@ -22,18 +21,27 @@
 
 class Process:
     """
-    A Python program that runs with its output in a file.
+    A program that runs with its output in a file.
 
     :param name: name used in messages and of the output file.
-    :param args: program arguments after the interpreter.
+    :param args: arguments after those of ``launch``.
     :param folder: where the output file goes.
+    :param launch: how programs are started.
     :ivar is_frozen: whether it was stopped and not let run on.
     """
 
-    __slots__ = ("_popen", "args", "is_frozen", "name", "output")
+    __slots__ = ("_launch", "_popen", "args", "is_frozen", "name", "output")
 
-    def __init__(self, name: str, args: Sequence[str], folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        args: Sequence[str],
+        folder: Path,
+        *,
+        launch: Launch | None = None,
+    ) -> None:
         self.name = name
+        self._launch = launch or Launch()
         self.args = list(args)
         self.output = folder / f"{name}.log"
         self.is_frozen = False
@@ -61,17 +69,15 @@
 
     def start(self) -> None:
         """Start the process."""
-        paths = [str(ROOT / "src"), str(ROOT)]
-        env = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
         self.is_frozen = False
         with self.output.open("ab") as output:
             self._popen = subprocess.Popen(
-                [sys.executable, *self.args],
+                [*self._launch.command, *self.args],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env=env,
-                cwd=ROOT,
+                env=self._launch.env,
+                cwd=self._launch.cwd,
             )
 
     def signal(self, number: signal.Signals) -> None:
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
+from standins.cluster.launch import Launch
 from standins.cluster.process import Process
 
 if TYPE_CHECKING:
@@ -50,6 +52,8 @@
     :param log_url: URL of the log.
     :param folder: where settings and outputs go.
     :param extra: further settings as TOML text.
+    :param program: how the daemon's program is started, by default
+        from the project's tree.
     """
 
     __slots__ = ("daemon", "folder", "ip", "plan", "settings", "target")
@@ -62,6 +66,7 @@
         log_url: str,
         folder: Path,
         extra: str = "",
+        program: Launch | None = None,
     ) -> None:
         self.plan = plan
         self.ip = address
@@ -84,8 +89,10 @@
         )
         self.daemon = Process(
             plan.name,
-            ["-m", "burdockgap", "daemon", "--settings", str(self.settings)],
+            ["daemon", "--settings", str(self.settings)],
             folder,
+            launch=program
+            or Launch(command=[sys.executable, "-m", "burdockgap"]),
         )
         self.target = Process(
             f"{plan.name}-target", self._target_args(), folder
--- /dev/null
+++ b/tests/binary/test_archive.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+import subprocess
+import zipfile
+from pathlib import Path
+
+import pytest
+
+from binary import contents
+from binary.archive import write_archive
+from binary.contents import BuildError, read_contents
+from burdockgap import __version__
+
+ROOT = Path(__file__).parents[2]
+PARTS_WITH_COMPILED_FORMS = ["msgpack", "multidict"]
+
+
+def _run(*command: str):
+    return subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
+def test_builds_are_equal(binary, tmp_path):
+    other = tmp_path / "other"
+    shuffled = dict(reversed(read_contents(ROOT).items()))
+    write_archive(other, shuffled)
+    assert other.read_bytes() == binary.read_bytes()
+
+
+def test_contents_are_source_only(binary):
+    with zipfile.ZipFile(binary) as archive:
+        names = archive.namelist()
+    suffixes = {Path(name).suffix for name in names}
+    assert suffixes == {".py", ".pem"}
+    assert "burdockgap/run.py" in names
+
+
+def test_other_version_is_refused(monkeypatch):
+    monkeypatch.setattr(contents, "_pins", lambda _path: ["anyio==0.0.1"])
+    with pytest.raises(BuildError, match="make env"):
+        read_contents(ROOT)
+
+
+def test_version_as_command(binary):
+    done = _run(str(binary), "--version")
+    assert (done.returncode, done.stdout) == (0, f"burdockgap {__version__}\n")
+
+
+def test_check_reports_problems(binary, plain_python, tmp_path):
+    settings = tmp_path / "settings.toml"
+    settings.write_text("[daemon]\nname = 1\n")
+    done = _run(*plain_python, str(binary), "check", str(settings))
+    assert done.returncode == 2
+    assert "daemon.name" in done.stderr
+
+
+@pytest.mark.parametrize("name", PARTS_WITH_COMPILED_FORMS)
+def test_fallback_is_loaded(binary, plain_python, name):
+    program = (
+        f"import sys; sys.path.insert(0, {str(binary)!r}); import {name}; "
+        f"import {name} as m; print(m.__file__); "
+        "print([k for k, v in sys.modules.items() "
+        "if '.so' in str(getattr(v, '__file__', '')) "
+        f"and k.startswith({name!r})])"
+    )
+    done = _run(*plain_python, "-c", program)
+    assert done.stdout.splitlines() == [
+        f"{binary}/{name}/__init__.py",
+        "[]",
+    ]
--- /dev/null
+++ b/tests/tls/test_trust.py
@@ -0,0 +1,16 @@
+from __future__ import annotations
+
+import ssl
+
+from burdockgap.tls.trust import trust_for
+
+
+def test_plain_http_needs_no_certificates():
+    assert trust_for("http://127.0.0.1:1") is False
+
+
+def test_https_verifies_servers():
+    context = trust_for("HTTPS://log.example")
+    assert context.verify_mode is ssl.CERT_REQUIRED
+    assert context.check_hostname
+    assert context.get_ca_certs()
