--- a/src/burdockgap/platform/client_slot.py
+++ b/src/burdockgap/platform/client_slot.py
@@ -9,7 +9,7 @@
 import anyio
 import httpx
 
-from burdockgap.tls.verification import verification
+from burdockgap.tls.trust import trust_for
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -60,9 +60,9 @@
         if self._client is None:
             self._client = httpx.AsyncClient(
                 base_url=self._url,
+                verify=trust_for(self._url),
                 timeout=self._timeout,
                 trust_env=False,
-                verify=verification(self._url),
             )
         return self._client
 
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -161,7 +161,7 @@
         return race.result()
 
     def _has_another(self, req: RouteRequest) -> bool:
-        """Tell whether a second server could take an unkeyed request."""
+        """Tell whether another server could take an unkeyed request."""
         folds = self._folds
         servers = unkeyed_candidates(folds.control, folds.config, req.service)
         return len(servers) > 1
--- a/src/burdockgap/target/transports.py
+++ b/src/burdockgap/target/transports.py
@@ -7,7 +7,7 @@
 
 import httpx
 
-from burdockgap.tls.verification import verification
+from burdockgap.tls.trust import trust_for
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -54,7 +54,7 @@
 
     def _open(self) -> httpx.AsyncHTTPTransport:
         transport = httpx.AsyncHTTPTransport(
-            verify=verification(self._url),
+            verify=trust_for(self._url),
             trust_env=False,
             limits=self._limits,
         )
--- a/standins/cluster/cluster.py
+++ b/standins/cluster/cluster.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
+    from standins.cluster.launch import Launch
     from standins.cluster.server_plan import ServerPlan
     from standins.relay import Links
 
@@ -38,6 +39,7 @@
     :param extra: further settings of every daemon as TOML text.
     :param relayed: whether daemons reach each other and the log through
         a relay, see :meth:`relay`.
+    :param program: how the daemons' program is started.
     :ivar log: the platform's stand-in.
     :ivar servers: the servers by name.
     """
@@ -46,6 +48,7 @@
         "_extra",
         "_prefix",
         "_relayed",
+        "_program",
         "folder",
         "log",
         "log_url",
@@ -59,7 +62,9 @@
         plans: Sequence[ServerPlan],
         extra: str = "",
         relayed: bool = False,
+        program: Launch | None = None,
     ) -> None:
+        self._program = program
         rng = random.SystemRandom()
         self._prefix = f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}"
         self._extra = extra
@@ -88,6 +93,7 @@
             folder=self.folder,
             extra=self._extra,
             relay=relay if self._relayed else "",
+            program=self._program,
         )
         self.servers[plan.name] = server
         return server
@@ -185,12 +191,20 @@
 
 @asynccontextmanager
 async def open_cluster(
-    plans: Sequence[ServerPlan], *, extra: str = "", relayed: bool = False
+    plans: Sequence[ServerPlan],
+    *,
+    extra: str = "",
+    relayed: bool = False,
+    program: Launch | None = None,
 ) -> AsyncIterator[Cluster]:
     """Own a site; it is not started, and ended with the block."""
     with tempfile.TemporaryDirectory(prefix="burdockgap-") as folder:
         cluster = Cluster(
-            folder=Path(folder), plans=plans, extra=extra, relayed=relayed
+            folder=Path(folder),
+            plans=plans,
+            extra=extra,
+            relayed=relayed,
+            program=program,
         )
         try:
             yield cluster
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
+from standins.cluster.launch import Launch
 from standins.cluster.process import Process
 
 if TYPE_CHECKING:
@@ -53,6 +55,8 @@
     :param extra: further settings as TOML text.
     :param relay: IP address at which a relay passes on what other
         daemons send to this one, "" without a relay.
+    :param program: how the daemon's program is started, by default
+        from the project's tree.
     """
 
     __slots__ = (
@@ -74,6 +78,7 @@
         folder: Path,
         extra: str = "",
         relay: str = "",
+        program: Launch | None = None,
     ) -> None:
         self.plan = plan
         self.ip = address
@@ -98,8 +103,10 @@
         )
         self.daemon = Process(
             plan.name,
-            ["-m", "burdockgap", "daemon", "--settings", str(self.settings)],
+            ["daemon", "--settings", str(self.settings)],
             folder,
+            launch=program
+            or Launch(command=[sys.executable, "-m", "burdockgap"]),
         )
         self.target = Process(
             f"{plan.name}-target", self._target_args(), folder
--- a/tests/target/test_transports.py
+++ b/tests/target/test_transports.py
@@ -4,7 +4,7 @@
 import pytest
 
 from burdockgap.target.transports import Transports
-from burdockgap.tls.verification import verification
+from burdockgap.tls.trust import trust_for
 
 
 def test_lend_gives_each_user_another_transport():
@@ -35,5 +35,5 @@
 
 
 def test_verification_only_with_tls():
-    assert verification("http://log:80") is False
-    assert verification("https://log") is verification("https://target")
+    assert trust_for("http://log:80") is False
+    assert trust_for("https://log") is trust_for("https://target")
