Ask others before claiming against a silent coordinator

A daemon that was cut off from the coordinator, but not from the log, claimed the next term after 1.5 s; nobody could reach it, so another one claimed back, and so on: four terms in four seconds, each with a balancing round. A daemon without a proof of the coordinator's end now asks up to three others to try the coordinator, and claims if more of them miss it than reach it. A daemon that reaches nobody waits 4 s, twice as long each time. A coordinator whose appends fail for 2 s counts as missed.

--- a/src/burdockgap/coordinator/candidacy.py
+++ b/src/burdockgap/coordinator/candidacy.py
@@ -13,6 +13,8 @@
 from burdockgap.wire.ids import new_id
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from burdockgap.clock import Clock
     from burdockgap.fold.folds import Folds
     from burdockgap.fold.touched import Touched
@@ -38,6 +40,9 @@
       coordinator is dead or because it cannot write.
     - A daemon that the coordinator does not answer claims.
 
+    Without a proof of the coordinator's end other daemons are asked
+    first.
+
     The log's order decides between several claims.
 
     :param incarnation: id of this process run.
@@ -48,10 +53,12 @@
     :param witness: sees sessions expire.
     :param writer: appends the claim.
     :param clock: source of time.
+    :param confirm: asks others whether they miss the coordinator too.
     """
 
     __slots__ = (
         "_certificates",
+        "_confirm",
         "_clock",
         "_expired",
         "_folds",
@@ -59,6 +66,7 @@
         "_incarnation",
         "_name",
         "_peer_address",
+        "_proved_term",
         "_rng",
         "_wanted",
         "_writer",
@@ -75,6 +83,7 @@
         witness: Witness,
         writer: Writer,
         clock: Clock,
+        confirm: Callable[[], Awaitable[bool]],
     ) -> None:
         self._incarnation = incarnation
         self._name = name
@@ -85,6 +94,8 @@
         self._rng = random.Random(incarnation)
         self._wanted = anyio.Event()
         self._certificates = certificates
+        self._confirm = confirm
+        self._proved_term = -1
         self._had_session = 0
         self._expired: dict[int, float] = {}
         certificates.listen(self._certified)
@@ -105,9 +116,13 @@
         while True:
             with anyio.move_on_after(_PATIENCE_S):
                 await self._wanted.wait()
-            if self._wanted.is_set() or self.overdue():
+            if not self._wanted.is_set() and not self.overdue():
+                continue
+            # What is wanted from now on counts for the next turn.
+            self._wanted = anyio.Event()
+            proved = self._proved_term == self._folds.control.term
+            if proved or await self._confirm():
                 await self._claim_after(self._stagger_s())
-                self._wanted = anyio.Event()
 
     def _session_expired(self, session_id: int) -> None:
         self._expired[session_id] = self._clock.now()
@@ -118,7 +133,7 @@
         if entry is None or claim is None:
             return
         if entry.incarnation == claim.incarnation and not self._sound():
-            self._wanted.set()
+            self._want()
 
     def _touched(self, touched: Touched) -> None:
         """Note when the coordinator's last session has ended."""
@@ -130,7 +145,11 @@
             self._had_session = claim.incarnation
         elif self._had_session == claim.incarnation:
             self._had_session = 0
-            self._wanted.set()
+            self._want()
+
+    def _want(self) -> None:
+        self._proved_term = self._folds.control.term
+        self._wanted.set()
 
     def _forget_ended(self, touched: Touched) -> None:
         gone = list(self._expired) if touched.everything else touched.sessions
--- a/src/burdockgap/coordinator/coordinator.py
+++ b/src/burdockgap/coordinator/coordinator.py
@@ -33,6 +33,7 @@
 _IDLE_ROUND_S = 0.5
 _JOINS_QUIET_S = 0.6
 _APPEND_TIMEOUT_S = 5.0
+_UNABLE_AFTER_S = 2.0
 
 
 class Coordinator:
@@ -52,6 +53,7 @@
         "_balanced_at",
         "_clock",
         "_elected_at",
+        "_failing_since",
         "_folds",
         "_incarnation",
         "_joined_at",
@@ -89,6 +91,7 @@
         )
         certificates.listen(self._certified)
         self._elected_at = 0.0
+        self._failing_since: float | None = None
         self._balanced_at = 0.0
         self._joined_at = 0.0
         self._seen_version = -1
@@ -99,6 +102,12 @@
         claim = self._folds.control.coordinator
         return claim is not None and claim.incarnation == self._incarnation
 
+    def is_able(self) -> bool:
+        """Tell whether appends succeed, or failed only just now."""
+        if self._failing_since is None:
+            return True
+        return self._clock.now() - self._failing_since < _UNABLE_AFTER_S
+
     async def run(self) -> None:
         """Wait for terms of this daemon and serve them, for ever."""
         while True:
@@ -213,10 +222,13 @@
     async def _append_all(self, records: Iterable[ControlRecord]) -> bool:
         """Append records one by one; stop at the first that fails."""
         for record in records:
+            started = self._clock.now()
             outcome = await self._writer.append_once(
                 CONTROL, record, _APPEND_TIMEOUT_S
             )
             if not is_successful(outcome):
                 logger.warning("append failed: {}", outcome.failure())
+                self._failing_since = self._failing_since or started
                 return False
+            self._failing_since = None
         return True
--- a/src/burdockgap/daemon/core.py
+++ b/src/burdockgap/daemon/core.py
@@ -8,6 +8,7 @@
 from burdockgap.clock import BootClock
 from burdockgap.coordinator.candidacy import Candidacy
 from burdockgap.coordinator.coordinator import Coordinator
+from burdockgap.coordinator.second_opinion import SecondOpinion
 from burdockgap.daemon.catch_up import CatchUp
 from burdockgap.daemon.coordinator_client import CoordinatorClient
 from burdockgap.daemon.identity import Identity
@@ -65,6 +66,7 @@
         "leaving",
         "log",
         "metrics",
+        "opinion",
         "parties",
         "pool",
         "router",
@@ -152,6 +154,13 @@
             settings=self.settings,
             clock=self.clock,
         )
+        self.opinion = SecondOpinion(
+            incarnation=self.identity.incarnation,
+            folds=self.folds,
+            pool=self.pool,
+            local=self.coordinator,
+            clock=self.clock,
+        )
         self.candidacy = Candidacy(
             incarnation=self.identity.incarnation,
             name=self.identity.name,
@@ -161,6 +170,7 @@
             witness=self.witness,
             writer=self.writer,
             clock=self.clock,
+            confirm=self.opinion.confirms_loss,
         )
         self.client = CoordinatorClient(
             folds=self.folds,
--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -16,7 +16,7 @@
 from burdockgap.http.app import CallerApp
 from burdockgap.http.request_parser import RequestParser
 from burdockgap.peer.auth import PeerAuth
-from burdockgap.peer.method import ACTIVATION, JOIN, LEAVE, LOAD, PULL
+from burdockgap.peer.method import ACTIVATION, HEARD, JOIN, LEAVE, LOAD, PULL
 from burdockgap.peer.service import PeerService, serve_peers
 
 if TYPE_CHECKING:
@@ -82,6 +82,7 @@
     service.add(LEAVE, core.coordinator.leave)
     service.add(ACTIVATION, core.coordinator.activation)
     service.add(LOAD, core.coordinator.load)
+    service.add(HEARD, core.opinion.answer)
     service.add(PULL, core.catch_up.answer)
     roles.add_calls(service)
     return service
--- a/src/burdockgap/peer/method.py
+++ b/src/burdockgap/peer/method.py
@@ -12,6 +12,7 @@
 from burdockgap.peer.messages.body_part import BodyPart
 from burdockgap.peer.messages.done import Done
 from burdockgap.peer.messages.forward_head import ForwardHead
+from burdockgap.peer.messages.heard import Heard
 from burdockgap.peer.messages.join import Join
 from burdockgap.peer.messages.leave import Leave
 from burdockgap.peer.messages.load_report import LoadReport
@@ -50,6 +51,7 @@
 LOAD = Method("/burdockgap.Peer/Load", LoadReport, Done)
 RELEASE = Method("/burdockgap.Peer/Release", Release, Released)
 PULL = Method("/burdockgap.Peer/Pull", Pull, Pulled)
+HEARD = Method("/burdockgap.Peer/Heard", Heard, Done)
 PING = Method("/burdockgap.Peer/Ping", Ping, Done)
 
 FORWARD_PATH = "/burdockgap.Peer/Forward"
--- a/tests/coordinator/test_candidacy.py
+++ b/tests/coordinator/test_candidacy.py
@@ -53,9 +53,14 @@
             witness=SimpleNamespace(listen=self._listen),
             writer=SimpleNamespace(append_once=self._append),
             clock=self.clock,
+            confirm=self._confirm,
         )
+        self.confirmed = True
         self.certificates = certificates
 
+    async def _confirm(self):
+        return self.confirmed
+
     def _listen(self, callback):
         self.expire = callback
 
@@ -155,3 +160,19 @@
     site.claim(TERM + 1, 999)
     site.run()
     assert site.claims == []
+
+
+def test_claim_of_a_daemon_that_is_cut_off(site):
+    site.confirmed = False
+    site.candidacy.coordinator_silent()
+    site.expire(3)
+    site.clock.time += 10.0
+    site.run()
+    assert site.claims == []
+
+
+def test_claim_with_proof_needs_no_confirmation(site):
+    site.confirmed = False
+    promise(site, 1)
+    site.run()
+    assert site.claims
--- /dev/null
+++ b/tests/coordinator/test_second_opinion.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from burdockgap.coordinator.second_opinion import SecondOpinion
+from burdockgap.peer.messages.done import Done
+from burdockgap.peer.messages.heard import Heard
+from tests.builders import FakeClock, FakeFolds, make_session
+
+OWN = 11
+
+
+class _Pool:
+    """Peers that answer as told; ``None`` stands for no answer."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def call(self, address, _method, _msg, _timeout_s):
+        self.asked.append(address)
+        answer = self.answers.pop(0)
+        if answer is None:
+            raise ConnectionError
+        return Done(taken=answer)
+
+
+def _opinion(answers, *, elected=False, able=True, members=5):
+    folds = FakeFolds()
+    folds.claim(peer_address="coordinator")
+    entries = [
+        make_session(
+            session_id=number,
+            incarnation=1 if number == 1 else 10 + number - 1,
+            peer_address=f"peer-{number}",
+        )
+        for number in range(1, members + 1)
+    ]
+    if entries:
+        folds.admit(*entries)
+    pool = _Pool(answers)
+    clock = FakeClock()
+    local = SimpleNamespace(is_elected=lambda: elected, is_able=lambda: able)
+    opinion = SecondOpinion(
+        incarnation=OWN, folds=folds, pool=pool, local=local, clock=clock
+    )
+    return opinion, pool, clock
+
+
+@pytest.mark.parametrize(
+    ("answers", "confirmed"),
+    [
+        pytest.param([False, False, False], True, id="all miss it"),
+        pytest.param([False, False, True], True, id="most miss it"),
+        pytest.param([True, None, False], False, id="undecided"),
+        pytest.param([True, True, False], False, id="most reach it"),
+        pytest.param([None, None, None], False, id="nobody answers"),
+    ],
+)
+def test_confirms_loss(answers, confirmed):
+    opinion, pool, _ = _opinion(answers)
+    assert anyio.run(opinion.confirms_loss) is confirmed
+    assert not {"peer-1", "peer-2"} & set(pool.asked)
+
+
+def test_confirms_loss_without_peers():
+    opinion, _, _ = _opinion([], members=0)
+    assert anyio.run(opinion.confirms_loss)
+
+
+def test_isolated_daemon_claims_less_and_less_often():
+    opinion, _, clock = _opinion([None] * 100)
+    claims = []
+    for _ in range(30):
+        if anyio.run(opinion.confirms_loss):
+            claims.append(clock.now())
+        clock.time += 1.0
+    assert [int(at - 1000) for at in claims] == [4, 13, 30][: len(claims)]
+    assert len(claims) == 2
+
+
+@pytest.mark.parametrize(
+    ("elected", "able", "term", "taken"),
+    [
+        pytest.param(True, True, 1, True, id="coordinator"),
+        pytest.param(True, False, 1, False, id="cannot write"),
+        pytest.param(False, True, 1, False, id="not elected"),
+        pytest.param(True, True, 2, False, id="behind"),
+        pytest.param(False, True, 0, True, id="ahead"),
+    ],
+)
+def test_answer(elected, able, term, taken):
+    opinion, _, _ = _opinion([], elected=elected, able=able)
+    msg = Heard(term=term, indirect=False)
+    assert anyio.run(opinion.answer, msg).taken is taken
+
+
+@pytest.mark.parametrize("reached", [True, False, None])
+def test_answer_indirect(reached):
+    opinion, pool, _ = _opinion([reached])
+    msg = Heard(term=1, indirect=True)
+    assert anyio.run(opinion.answer, msg).taken is bool(reached)
+    assert pool.asked == ["coordinator"]
