--- a/standins/history/checks.py
+++ b/standins/history/checks.py
@@ -70,7 +70,7 @@
     once = {told.request_id for told in answers if not told.idempotent}
     by_id: dict[str, list[RunRecord]] = defaultdict(list)
     for run in runs:
-        if run.request_id in once:
+        if run.request_id in once and run.may_count:
             by_id[run.request_id].append(run)
     return [
         f"ran {len(group)} times: " + "; ".join(map(str, group))
--- a/standins/history/run_record.py
+++ b/standins/history/run_record.py
@@ -55,6 +55,16 @@
         self.ended = ended
         self.took_effect = took_effect
 
+    @property
+    def may_count(self) -> bool:
+        """
+        Tell whether the run had its effect, or may have had it.
+
+        A run that the target refused or cancelled before its effect
+        counts as none; one that the process did not outlive may count.
+        """
+        return self.took_effect or self.ended is None
+
     @property
     def last_seen(self) -> float:
         """
--- a/standins/scenario/observer.py
+++ b/standins/scenario/observer.py
@@ -76,6 +76,15 @@
         }
         return sorted(found)
 
+    def owners(self) -> dict[int, str]:
+        """Return the owner's name of each slice, "" for none."""
+        sessions = self.folds.control.sessions
+        found = {}
+        for unit in range(self.table.slices):
+            entry = sessions.get(self.table.owner(unit))
+            found[unit] = entry.name if entry else ""
+        return found
+
     def all_owned(self) -> bool:
         """Tell whether each unit belongs to a live session."""
         table = self.folds.control.tables.get(self._service)
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -55,6 +55,7 @@
     :ivar loads: every load so far.
     :ivar fault_at: clock time of the last fault.
     :ivar cut_off: names of the daemons that are cut off.
+    :ivar owners: the owner of each slice, if remembered.
     :ivar accepted: versions that operators were told.
     """
 
@@ -82,6 +83,7 @@
         self.fault_at = boottime()
         self.cut_off: set[str] = set()
         self.accepted: list[int] = []
+        self.owners: dict[int, str] = {}
         self._began = time.monotonic()
         self._cluster: Cluster | None = None
         self._observer: Observer | None = None
@@ -187,6 +189,12 @@
             raise UnmetError(f"no server is named {name!r}")
         return self.cluster.servers[name]
 
+    def servers(self, references: str) -> list[Server]:
+        """Return the servers that references with commas mean now."""
+        if references == "all":
+            return list(self.cluster.servers.values())
+        return [self.server(one.strip()) for one in references.split(",")]
+
     def group(self, reference: str) -> set[str]:
         """
         Return the ends that a reference means now.
--- a/tests/standins/history/test_checks.py
+++ b/tests/standins/history/test_checks.py
@@ -89,6 +89,14 @@
     assert checks.at_most_once(runs, [make_told("r", idempotent=True)]) == []
 
 
+def test_at_most_once_counts_runs_that_a_process_did_not_outlive():
+    refused = make_run("a", 1, 2, request_id="r", took_effect=False)
+    killed = make_run("a", 1, None, request_id="r", took_effect=False)
+    again = make_run("b", 3, 4, request_id="r")
+    assert checks.at_most_once([refused, again], [make_told("r")]) == []
+    assert checks.at_most_once([killed, again], [make_told("r")])
+
+
 def test_not_run_is_true_finds_an_effect():
     told = [make_told("r", verdict="not-run", status=503)]
     run = make_run("a", 1, 2, request_id="r")
