--- a/src/burdockgap/coordinator/coordinator.py
+++ b/src/burdockgap/coordinator/coordinator.py
@@ -19,6 +19,8 @@
 
     from burdockgap.clock import Clock
     from burdockgap.fold.folds import Folds
+    from burdockgap.fold.messages.decision import Decision
+    from burdockgap.fold.touched import Touched
     from burdockgap.lease.certificates import Certificates
     from burdockgap.ownership.messages.activation_report import (
         ActivationReport,
@@ -33,6 +35,7 @@
 _IDLE_ROUND_S = 0.5
 _JOINS_QUIET_S = 0.6
 _APPEND_TIMEOUT_S = 5.0
+_UNABLE_AFTER_S = 2.0
 
 
 class Coordinator:
@@ -52,11 +55,12 @@
         "_balanced_at",
         "_clock",
         "_elected_at",
+        "_failing_since",
         "_folds",
         "_incarnation",
         "_joined_at",
+        "_owners_changed",
         "_rounds",
-        "_seen_version",
         "_settings",
         "_snapshot_offset",
         "_writer",
@@ -89,9 +93,12 @@
         )
         certificates.listen(self._certified)
         self._elected_at = 0.0
+        self._failing_since: float | None = None
         self._balanced_at = 0.0
         self._joined_at = 0.0
-        self._seen_version = -1
+        self._owners_changed = True
+        folds.listen(self._touched)
+        folds.listen_config(self._config_changed)
         self._snapshot_offset = 0
 
     def is_elected(self) -> bool:
@@ -99,6 +106,12 @@
         claim = self._folds.control.coordinator
         return claim is not None and claim.incarnation == self._incarnation
 
+    def is_able(self) -> bool:
+        """Tell whether appends succeed, or failed only just now."""
+        if self._failing_since is None:
+            return True
+        return self._clock.now() - self._failing_since < _UNABLE_AFTER_S
+
     async def run(self) -> None:
         """Wait for terms of this daemon and serve them, for ever."""
         while True:
@@ -126,6 +139,7 @@
         if self._folds.control.is_live(msg.session_id):
             known = self.inbox.left if msg.final else self.inbox.leaving
             known.add(msg.session_id)
+            self._owners_changed = True
             self.inbox.notify()
         return Done(taken=True)
 
@@ -146,6 +160,16 @@
         self.inbox.loads.add(msg, owned)
         return Done(taken=True)
 
+    def _touched(self, touched: Touched) -> None:
+        """Note when sessions or services come or go."""
+        new_service = bool(touched.service) and not touched.units
+        if touched.sessions or touched.everything or new_service:
+            self._owners_changed = True
+
+    def _config_changed(self, _decision: Decision) -> None:
+        self._owners_changed = True
+        self.inbox.notify()
+
     def _certified(self, _session_id: int) -> None:
         self.inbox.notify()
 
@@ -153,7 +177,7 @@
         logger.info("coordinator of term {}", term)
         self.inbox.clear()
         self._elected_at = self._clock.now()
-        self._seen_version = -1
+        self._owners_changed = True
         while self.is_elected() and self._folds.control.term == term:
             await self._round()
             await self.inbox.wait(_IDLE_ROUND_S)
@@ -172,9 +196,9 @@
             )
         await self._append_all(rounds.layouts())
         await self._append_all(rounds.activations())
-        if self._seen_version != self._folds.version:
+        if self._owners_changed:
+            self._owners_changed = False
             await self._append_all(rounds.required_moves())
-            self._seen_version = self._folds.version
         await self._balance()
         await self._snapshot()
 
@@ -213,10 +237,13 @@
     async def _append_all(self, records: Iterable[ControlRecord]) -> bool:
         """Append records one by one; stop at the first that fails."""
         for record in records:
+            started = self._clock.now()
             outcome = await self._writer.append_once(
                 CONTROL, record, _APPEND_TIMEOUT_S
             )
             if not is_successful(outcome):
                 logger.warning("append failed: {}", outcome.failure())
+                self._failing_since = self._failing_since or started
                 return False
+            self._failing_since = None
         return True
--- a/src/burdockgap/lease/certificates.py
+++ b/src/burdockgap/lease/certificates.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from burdockgap.lease.counters import IGNORED
+from burdockgap.lease.quorum import promises_needed
 from burdockgap.wire.ids import show_id
 
 if TYPE_CHECKING:
@@ -66,7 +67,7 @@
             return
         promised = self._promised.setdefault(entry.session_id, set())
         promised.add(promise.witness_incarnation)
-        if len(promised) > len(named) // 2:
+        if len(promised) >= promises_needed(len(named)):
             self._completed(entry)
 
     def _completed(self, entry: SessionEntry) -> None:
@@ -89,6 +90,9 @@
 
     def on_touched(self, touched: Touched) -> None:
         """Take in admitted and ended sessions."""
+        if touched.everything:
+            self.resync()
+            return
         for session_id in touched.sessions:
             if self._folds.control.is_live(session_id):
                 self._add_kept(session_id)
--- a/src/burdockgap/ownership/holdings.py
+++ b/src/burdockgap/ownership/holdings.py
@@ -8,7 +8,8 @@
 from burdockgap.ownership.work_item import WorkItem
 
 if TYPE_CHECKING:
-    from burdockgap.gate.permit import Permit
+    from burdockgap.ownership.lease_permit import LeasePermit
+    from burdockgap.ownership.own_session import OwnSession
 
 
 class Holdings:
@@ -20,10 +21,11 @@
     :ivar active: epoch at which each unit is active.
     """
 
-    __slots__ = ("_floors", "_pins", "_work", "active")
+    __slots__ = ("_closed", "_floors", "_pins", "_work", "active")
 
     def __init__(self) -> None:
         self.active: dict[int, int] = {}
+        self._closed = False
         self._floors: dict[int, int] = {}
         self._pins: set[int] = set()
         self._work: set[WorkItem] = set()
@@ -37,8 +39,12 @@
         return self._floors.get(unit, 0)
 
     def activate(self, unit: int, epoch: int) -> bool:
-        """Make a unit active; ``False`` if its floor forbids it."""
-        if epoch < self.floor(unit) or epoch <= self.epoch(unit):
+        """Make a unit active; ``False`` if that is not allowed."""
+        if (
+            self._closed
+            or epoch < self.floor(unit)
+            or epoch <= self.epoch(unit)
+        ):
             return False
         self.active[unit] = epoch
         if is_pin(unit):
@@ -74,17 +80,38 @@
         self.active.clear()
         self._pins.clear()
 
-    def enter(self, key_hash: int, permit: Permit) -> WorkItem:
+    def close(self) -> None:
+        """Stop holding anything, and never activate a unit again."""
+        self._closed = True
+        self.clear()
+
+    def enter(self, key_hash: int, permit: LeasePermit) -> WorkItem:
         """Count a request in flight."""
-        item = WorkItem(key_hash, permit)
-        self._work.add(item)
+        item = WorkItem(key_hash, permit, self)
+        self.adopt(item)
         return item
 
     def leave(self, item: WorkItem) -> None:
-        """Note that a request has ended."""
-        self._work.discard(item)
+        """Note that a request has ended, wherever it counts by now."""
+        item.holdings.forget(item)
         item.ended.set()
 
+    def forget(self, item: WorkItem) -> None:
+        """Count a request no more."""
+        self._work.discard(item)
+
+    def hand_over(self, work: list[WorkItem], session: OwnSession) -> None:
+        """Pass requests in flight on to another session's holdings."""
+        for item in work:
+            self._work.discard(item)
+            item.permit.hand_over(session)
+            session.holdings.adopt(item)
+
+    def adopt(self, item: WorkItem) -> None:
+        """Count a request in flight that began elsewhere."""
+        item.holdings = self
+        self._work.add(item)
+
     def work_in(self, units: set[int], slices: int) -> list[WorkItem]:
         """Return the requests in flight whose keys fall into units."""
         return [item for item in self._work if item.units(slices) & units]
--- a/src/burdockgap/router/dispatcher.py
+++ b/src/burdockgap/router/dispatcher.py
@@ -20,6 +20,11 @@
     from burdockgap.router.route_request import RouteRequest
     from burdockgap.router.server_stats import ServerStats
 
+_FAILURES = frozenset(
+    {Reason.UNREACHABLE, Reason.TARGET_DOWN, Reason.CONNECTION_LOST}
+)
+"""Refusals that tell that a server is not there."""
+
 
 class Dispatcher:
     """
@@ -72,7 +77,7 @@
             idempotent=req.idempotent,
             deadline=deadline,
             fingerprint=req.fingerprint,
-            whole=req.body.whole(),
+            whole=req.body.content(),
         )
         started = self._clock.now()
         stats.in_flight += 1
@@ -81,7 +86,7 @@
                 stats.answered(self._clock.now() - started)
                 yield reply
         except Refusal as refusal:
-            if refusal.reason in (Reason.UNREACHABLE, Reason.TARGET_DOWN):
+            if refusal.reason in _FAILURES:
                 stats.failed(self._clock.now())
             raise
         finally:
--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -13,6 +13,7 @@
 
 from burdockgap.target import http_headers
 from burdockgap.target.exchange import Exchange
+from burdockgap.target.request_body_error import RequestBodyError
 from burdockgap.target.target_reply import TargetReply
 from burdockgap.target.target_status import TargetStatus
 from burdockgap.target.transports import Transports
@@ -151,10 +152,16 @@
     async def _exchange(
         self, req: TargetRequest, exchange: Exchange
     ) -> AsyncIterator[TargetReply]:
-        request = await self._request(req, exchange)
         with self._transports.lend() as transport:
             try:
+                request = await self._request(req, exchange)
+                self._check_current()
                 resp = await transport.handle_async_request(request)
+            except RequestBodyError as exc:
+                detail = "The request's body ended early; send it again."
+                raise Refusal(
+                    _verdict(exchange), Reason.BAD_REQUEST, detail
+                ) from exc
             except httpx.TransportError as exc:
                 raise _send_failure(exchange, exc) from exc
             async with _closing(resp):
@@ -165,6 +172,11 @@
                     body=_read_body(req.method, resp, exchange),
                 )
 
+    def _check_current(self) -> None:
+        if self._transports.is_closed:
+            detail = "Another target took its place; retry."
+            raise Refusal(Verdict.NOT_RUN, Reason.TARGET_DOWN, detail)
+
     async def _request(
         self, req: TargetRequest, exchange: Exchange
     ) -> httpx.Request:
@@ -208,6 +220,8 @@
     async def _control(
         self, method: str, name: str, payload: dict[str, Any] | None
     ) -> httpx.Response:
+        if self._transports.is_closed:
+            raise ConnectionError("the target was replaced by another")
         url = self._base.copy_with(path=f"{_CONTROL_PATH}/{name}")
         request = httpx.Request(
             method, url, json=payload, extensions={"timeout": _TIMEOUTS}
@@ -254,19 +268,27 @@
     if req.whole is not None:
         return req.whole or None
     # A request without a body must not be sent with an empty chunk.
-    async for part in req.body:
-        if part:
-            return _chain(part, req.body)
+    parts = _request_parts(req.body)
+    async for part in parts:
+        return _chain(part, parts)
     return None
 
 
+async def _request_parts(body: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    try:
+        async for part in body:
+            if part:
+                yield part
+    except Exception as exc:
+        raise RequestBodyError from exc
+
+
 async def _chain(
     first: bytes, rest: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
     yield first
     async for part in rest:
-        if part:
-            yield part
+        yield part
 
 
 def _header_list(resp: httpx.Response) -> list[tuple[str, str]]:
@@ -300,7 +322,8 @@
     if resp.headers.get(http_headers.NOT_RUN) != "1":
         return
     exchange.whole = True
-    detail = "The target refused the request unrun; retry elsewhere."
+    cause = resp.headers.get(http_headers.DETAIL, "no detail")
+    detail = f"The target refused the request unrun ({cause})."
     raise Refusal(Verdict.NOT_RUN, Reason.TARGET_SHED, detail)
 
 
--- a/src/burdockgap/target/transports.py
+++ b/src/burdockgap/target/transports.py
@@ -7,7 +7,7 @@
 
 import httpx
 
-from burdockgap.tls.verification import verification
+from burdockgap.tls.trust import trust_for
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -22,9 +22,10 @@
 
     :param url: base URL of the target.
     :param keepalive_s: idle time after which a connection is replaced.
+    :ivar is_closed: whether all connections were closed for good.
     """
 
-    __slots__ = ("_all", "_closed", "_idle", "_limits", "_url")
+    __slots__ = ("_all", "is_closed", "_idle", "_limits", "_url")
 
     def __init__(self, url: str, keepalive_s: float) -> None:
         self._url = url
@@ -35,7 +36,7 @@
         )
         self._all: set[httpx.AsyncHTTPTransport] = set()
         self._idle: list[httpx.AsyncHTTPTransport] = []
-        self._closed = False
+        self.is_closed = False
 
     @contextmanager
     def lend(self) -> Iterator[httpx.AsyncHTTPTransport]:
@@ -48,12 +49,12 @@
         try:
             yield transport
         finally:
-            if not self._closed:
+            if not self.is_closed:
                 self._idle.append(transport)
 
     def _open(self) -> httpx.AsyncHTTPTransport:
         transport = httpx.AsyncHTTPTransport(
-            verify=verification(self._url),
+            verify=trust_for(self._url),
             trust_env=False,
             limits=self._limits,
         )
@@ -62,7 +63,7 @@
 
     async def aclose(self) -> None:
         """Close all connections, those in use included."""
-        self._closed = True
+        self.is_closed = True
         self._idle.clear()
         for transport in self._all:
             await transport.aclose()
--- a/src/burdockgap/tls/__init__.py
+++ b/src/burdockgap/tls/__init__.py
@@ -1,1 +1,1 @@
-"""Verification of servers that are reached over TLS."""
+"""Certificates for connections over TLS."""
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
+from standins.cluster.launch import Launch
 from standins.cluster.process import Process
 
 if TYPE_CHECKING:
@@ -29,6 +31,7 @@
 
 [peer]
 bind = "{ip}:{peer}"
+advertise = "{advertise}"
 secret = "{secret}"
 
 [admin]
@@ -50,9 +53,21 @@
     :param log_url: URL of the log.
     :param folder: where settings and outputs go.
     :param extra: further settings as TOML text.
+    :param relay: IP address at which a relay passes on what other
+        daemons send to this one, "" without a relay.
+    :param program: how the daemon's program is started, by default
+        from the project's tree.
     """
 
-    __slots__ = ("daemon", "folder", "ip", "plan", "settings", "target")
+    __slots__ = (
+        "daemon",
+        "folder",
+        "ip",
+        "plan",
+        "relay",
+        "settings",
+        "target",
+    )
 
     def __init__(
         self,
@@ -62,9 +77,12 @@
         log_url: str,
         folder: Path,
         extra: str = "",
+        relay: str = "",
+        program: Launch | None = None,
     ) -> None:
         self.plan = plan
         self.ip = address
+        self.relay = relay
         self.folder = folder
         self.settings = folder / f"{plan.name}.toml"
         self.settings.write_text(
@@ -75,6 +93,7 @@
                 ip=address,
                 http=HTTP_PORT,
                 peer=PEER_PORT,
+                advertise=f"{relay}:{PEER_PORT}" if relay else "",
                 admin=ADMIN_PORT,
                 secret=SECRET,
                 token=TOKEN,
@@ -84,8 +103,10 @@
         )
         self.daemon = Process(
             plan.name,
-            ["-m", "burdockgap", "daemon", "--settings", str(self.settings)],
+            ["daemon", "--settings", str(self.settings)],
             folder,
+            launch=program
+            or Launch(command=[sys.executable, "-m", "burdockgap"]),
         )
         self.target = Process(
             f"{plan.name}-target", self._target_args(), folder
@@ -111,6 +132,11 @@
         """Return the base URL of the target's stand-in."""
         return f"http://{self.ip}:{TARGET_PORT}"
 
+    @property
+    def history_file(self) -> Path:
+        """Return the file of the runs of all the target's processes."""
+        return self.folder / f"{self.name}-history.jsonl"
+
     def start(self) -> None:
         """Start the daemon and the target."""
         self.daemon.start()
@@ -137,5 +163,7 @@
             str(TARGET_PORT),
             "--slots",
             str(self.plan.slots),
+            "--history-file",
+            str(self.history_file),
             *self.plan.target_args,
         ]
--- /dev/null
+++ b/standins/scenario/statements/site.py
@@ -0,0 +1,157 @@
+"""Statements that plan and start the site."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from standins.cluster import ServerPlan
+from standins.scenario.scenario_error import UnmetError
+from standins.scenario.verb import verb
+
+if TYPE_CHECKING:
+    from standins.scenario.run import Run
+
+_OWNED_TIMEOUT_S = 20.0
+_POLL_S = 0.05
+_STOP_TIMEOUT_S = 30.0
+
+
+@verb(
+    r"servers (?P<service>[\w-]+) (?P<count>\d+) in "
+    r"(?P<places>[\w-]+(?: [\w-]+)*?)( region (?P<region>[\w-]+))?"
+    r"( slots (?P<slots>\d+))?( target (?P<options>--.+))?"
+)
+async def plan_servers(
+    run: Run,
+    *,
+    service: str,
+    count: str,
+    places: str,
+    region: str | None,
+    slots: str | None,
+    options: str | None,
+) -> None:
+    """Plan servers, dealt out over data centres."""
+    run.service = run.service or service
+    data_centres = places.split()
+    first = sum(plan.service == service for plan in run.plans)
+    for index in range(int(count)):
+        run.plans.append(
+            ServerPlan(
+                name=f"{service}-{first + index + 1}",
+                service=service,
+                data_centre=data_centres[index % len(data_centres)],
+                region=region or "r1",
+                slots=int(slots or 6),
+                target_args=tuple((options or "").split()),
+            )
+        )
+
+
+@verb(r"add (?P<count>\d+) servers in (?P<places>[\w-]+(?: [\w-]+)*)")
+async def add_servers(run: Run, *, count: str, places: str) -> None:
+    """Start more servers of the first service at the same moment."""
+    first = len(run.plans)
+    await plan_servers(
+        run,
+        service=run.service,
+        count=count,
+        places=places,
+        region=None,
+        slots=None,
+        options=None,
+    )
+    run.fault()
+    added = [run.cluster.add(plan) for plan in run.plans[first:]]
+    for server in added:
+        server.start()
+    await run.cluster.wait_admitted(added)
+
+
+@verb(r"slices (?P<count>\d+)")
+async def set_slices(run: Run, *, count: str) -> None:
+    """Set the number of slices of the keyed service."""
+    run.slices = int(count)
+
+
+@verb(r"settings (?P<line>.+)")
+async def add_settings(run: Run, *, line: str) -> None:
+    """Add a line to every daemon's settings."""
+    run.settings.append(line)
+
+
+@verb(r"start")
+async def start_site(run: Run) -> None:
+    """Start everything and wait until each unit is served."""
+    cluster = await run.open()
+    await cluster.start()
+    await run.observe()
+    await cluster.publish(run.document())
+    run.accepted.append(1)
+    await wait_owned(run)
+
+
+async def wait_owned(run: Run) -> None:
+    """Wait until each unit of the keyed service has a live owner."""
+    with anyio.fail_after(_OWNED_TIMEOUT_S):
+        while not run.observer.all_owned():
+            await anyio.sleep(_POLL_S)
+
+
+@verb(r"wait (?P<seconds>[\d.]+)s")
+async def wait(_run: Run, *, seconds: str) -> None:
+    """Let time pass."""
+    await anyio.sleep(float(seconds))
+
+
+@verb(r"let (?P<name>[\w-]+) be (?P<reference>.+)")
+async def let(run: Run, *, name: str, reference: str) -> None:
+    """Give a name to what a reference means now."""
+    run.names[name] = run.server(reference).name
+    run.say(f"          {name} is {run.names[name]}")
+
+
+@verb(r"start (?P<references>.+)")
+async def start_servers(run: Run, *, references: str) -> None:
+    """Start servers' processes again, those that don't run."""
+    run.fault()
+    for server in run.servers(references):
+        for process in (server.daemon, server.target):
+            if not process.is_running:
+                process.start()
+
+
+@verb(r"wait admitted")
+async def wait_admitted(run: Run) -> None:
+    """Wait until all daemons that run hold a lease."""
+    await run.cluster.wait_admitted(run.entries())
+
+
+@verb(r"remember owners")
+async def remember_owners(run: Run) -> None:
+    """Keep the assignment for a comparison."""
+    run.owners = run.observer.owners()
+
+
+@verb(r"expect at most (?P<count>\d+) units? moved")
+async def expect_moved(run: Run, *, count: str) -> None:
+    """Check how many units have another owner than remembered."""
+    now = run.observer.owners()
+    moved = sum(now[unit] != owner for unit, owner in run.owners.items())
+    run.say(f"          {moved} of {len(now)} units moved")
+    if moved > int(count):
+        raise UnmetError(f"{moved} units moved")
+
+
+@verb(r"terminate (?P<references>.+)")
+async def terminate_servers(run: Run, *, references: str) -> None:
+    """Stop daemons gracefully at the same moment, then the targets."""
+    servers = run.servers(references)
+    run.fault()
+    async with anyio.create_task_group() as tasks:
+        for server in servers:
+            tasks.start_soon(server.daemon.terminate, _STOP_TIMEOUT_S)
+    for server in servers:
+        server.target.kill()
