--- a/src/burdockgap/fold/unit_table.py
+++ b/src/burdockgap/fold/unit_table.py
@@ -30,6 +30,7 @@
     __slots__ = (
         "_earlier",
         "_epochs",
+        "_lists",
         "_owners",
         "_pin_epochs",
         "_pin_owners",
@@ -43,6 +44,7 @@
         self._pin_owners: dict[int, int] = {}
         self._pin_epochs: dict[int, int] = {}
         self._earlier: dict[int, tuple[int, ...]] = {}
+        self._lists: dict[tuple[int, ...], tuple[int, ...]] = {}
 
     def unit_of(self, key_hash: int) -> int:
         """Return the unit that a key belongs to."""
@@ -107,11 +109,9 @@
         """
         previous = self.owner(unit)
         holders = [*self.earlier(unit), previous, successor]
-        self._earlier[unit] = tuple(
-            dict.fromkeys(holder for holder in holders if holder)
+        self._set_earlier(
+            unit, tuple(dict.fromkeys(holder for holder in holders if holder))
         )
-        if not self._earlier[unit]:
-            del self._earlier[unit]
         self._set(unit, owner, self.epoch(unit) + _EPOCH_STEP)
 
     def activated(self, unit: int, epoch: int) -> bool:
@@ -123,7 +123,7 @@
         """
         if epoch != self.epoch(unit):
             return False
-        self._earlier.pop(unit, None)
+        self._forget_earlier(unit)
         return True
 
     def add_pin(self, unit: int) -> None:
@@ -145,15 +145,14 @@
         self._set(parent, self.owner(parent), epoch)
         del self._pin_owners[unit]
         del self._pin_epochs[unit]
-        self._earlier.pop(unit, None)
+        self._forget_earlier(unit)
 
     def restore(
         self, unit: int, owner: int, epoch: int, earlier: tuple[int, ...]
     ) -> None:
         """Set a unit's whole state, as read from a snapshot."""
         self._set(unit, owner, epoch)
-        if earlier:
-            self._earlier[unit] = earlier
+        self._set_earlier(unit, earlier)
 
     def owners_as_bytes(self) -> bytes:
         """Return the slices' owners, 8 bytes little-endian each."""
@@ -178,6 +177,16 @@
         self._owners = _from_bytes(owners)
         self._epochs = _from_bytes(epochs)
 
+    def _set_earlier(self, unit: int, holders: tuple[int, ...]) -> None:
+        """Keep a list of holders once for all units that share it."""
+        if holders:
+            self._earlier[unit] = self._lists.setdefault(holders, holders)
+
+    def _forget_earlier(self, unit: int) -> None:
+        self._earlier.pop(unit, None)
+        if not self._earlier:
+            self._lists.clear()
+
     def _set(self, unit: int, owner: int, epoch: int) -> None:
         if is_pin(unit):
             self._pin_owners[unit] = owner
