Weigh units by owner in one pass

Each balancing round asked for the owner and the weight of every unit one by one, for every service.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -9,6 +9,7 @@
 from measure.baseline import measure_baseline
 from measure.control import STEPS, measure_control
 from measure.datapath import measure_datapath
+from measure.decisions import measure_decisions
 from measure.recorder import Recorder
 from measure.slopes import fit_slopes
 from measure.table_sizes import measure_tables
@@ -30,12 +31,15 @@
     parts.add_parser("baseline", help="interpreters that only import")
     parts.add_parser("path", help="requests a second, local and one hop")
     parts.add_parser("slopes", help="fits and plots of what was measured")
+    parts.add_parser("decisions", help="the coordinator's decisions")
     parts.add_parser("table", help="fold and routing table at full size")
     args = parser.parse_args()
     if args.part in (None, "baseline"):
         measure_baseline(Recorder("baseline", args.seed))
     if args.part in (None, "table"):
         measure_tables(args.seed)
+    if args.part in (None, "decisions"):
+        measure_decisions(Recorder("decisions", args.seed), args.seed)
     if args.part in (None, "path"):
         anyio.run(_path, args.seed)
     if args.part in (None, "control"):
--- a/measure/table.py
+++ b/measure/table.py
@@ -186,7 +186,7 @@
     }
     before = usage(os.getpid()).private_bytes
     table = FullTable(random.Random(seed), services=services, slices=slices)
-    _fill(table, daemons, pins)
+    fill(table, daemons, pins)
     memory = usage(os.getpid()).private_bytes - before
     _assign_all(table)
     moving = usage(os.getpid()).private_bytes - before
@@ -201,7 +201,8 @@
     recorder.add("table-records", **sizes, **_records(table, daemons))
 
 
-def _fill(table: FullTable, daemons: int, pins: int) -> None:
+def fill(table: FullTable, daemons: int, pins: int) -> None:
+    """Admit sessions, assign every slice and pin some keys."""
     for first in range(0, daemons, _SESSIONS_PER_RECORD):
         count = min(_SESSIONS_PER_RECORD, daemons - first)
         table.apply(table.admit(count, first))
--- a/src/burdockgap/coordinator/balance.py
+++ b/src/burdockgap/coordinator/balance.py
@@ -39,15 +39,15 @@
         self._roster = roster
         self._weights = weights
         self._base = base_weight
-        self._owned: dict[int, list[int]] = {}
-        for unit in table.units():
-            self._owned.setdefault(table.owner(unit), []).append(unit)
+        self._owned = table.by_owner()
         self._loads = {
-            session_id: sum(
-                self._weight(unit) for unit in self._owned.get(session_id, [])
-            )
+            session_id: self._base * len(self._owned.get(session_id, ()))
             for session_id in roster.eligible
         }
+        for unit, weight in weights.items():
+            owner = table.owner(unit) if table.knows(unit) else 0
+            if owner in self._loads:
+                self._loads[owner] += max(weight - self._base, 0.0)
 
     def required(self) -> list[Move]:
         """
--- a/src/burdockgap/fold/unit_table.py
+++ b/src/burdockgap/fold/unit_table.py
@@ -94,6 +94,17 @@
         ]
         return owned
 
+    def by_owner(self) -> dict[int, list[int]]:
+        """Return the units of each session, and of 0."""
+        owned: dict[int, list[int]] = {}
+        for unit, owner in enumerate(self._owners):
+            if owner not in owned:
+                owned[owner] = []
+            owned[owner].append(unit)
+        for unit, owner in self._pin_owners.items():
+            owned.setdefault(owner, []).append(unit)
+        return owned
+
     def counts(self) -> Counter[int]:
         """Return the number of units of each session, and of 0."""
         counts = Counter(self._owners)
--- a/tests/fold/test_control_state.py
+++ b/tests/fold/test_control_state.py
@@ -184,3 +184,6 @@
     assert table.units_of(9) == [2, 3, 4, 7, pin]
     assert table.units_of(0) == [0, 1, 5, 6]
     assert table.counts() == {0: 4, 9: 5}
+    assert table.by_owner() == {
+        session: table.units_of(session) for session in (0, 9)
+    }
