Replace sessions once after a loss, and lapsed ones at once

After a loss in a site of five, the daemons replaced their sessions without end, every 8 s: a replaced session was given up, other sessions that named it as a successor lacked one then and were replaced in turn. A replaced session is kept while another one names it.

A daemon whose session lost two of its three witnesses had no lease, nor could anybody prove that; it waited up to 6 s before it replaced the session, and its keys had no owner. It replaces a session now once the lease has been over for 0.5 s, but none while its target makes no progress.

--- a/src/burdockgap/daemon/service_side.py
+++ b/src/burdockgap/daemon/service_side.py
@@ -292,7 +292,7 @@
             slot=slot,
             sessions=sessions,
             takeover=takeover,
-            keeper=_make_keeper(core, info, sessions, grants),
+            keeper=_make_keeper(core, info, sessions, grants, gate),
             releaser=releaser,
             grants=grants,
             meter=meter,
@@ -310,7 +310,11 @@
 
 
 def _make_keeper(
-    core: Core, info: TargetInfo, sessions: OwnSessions, grants: Grants
+    core: Core,
+    info: TargetInfo,
+    sessions: OwnSessions,
+    grants: Grants,
+    gate: Gate,
 ) -> SessionKeeper:
     return SessionKeeper(
         identity=core.identity,
@@ -322,4 +326,6 @@
         parties=core.parties,
         sender=core.lease_socket,
         witnesses=core.settings.lease.witnesses,
+        clock=core.clock,
+        may_open=lambda: gate.progressing,
     )
--- a/src/burdockgap/daemon/session_keeper.py
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -14,8 +14,11 @@
 from burdockgap.wire.ids import new_id, show_id
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskGroup
 
+    from burdockgap.clock import Clock
     from burdockgap.daemon.coordinator_client import CoordinatorClient
     from burdockgap.daemon.identity import Identity
     from burdockgap.fold.folds import Folds
@@ -31,15 +34,20 @@
 _CHECK_EVERY_S = 0.5
 _WORN_AFTER_S = 3.0
 _WORN_SPREAD_S = 3.0
+_LAPSED_S = 0.5
+_SESSIONS_KEPT = 3
 
 
 class SessionKeeper:
     """
     Opens this daemon's sessions, one after another.
 
-    A new session is opened when the current one has ended or has lost a
-    witness or its successors. The coordinator then moves the units of
-    the older session to the newer one, and the older one is given up.
+    A new session is opened when the current one has ended, has no lease
+    any more, or has lost a witness or its successors. The coordinator
+    then moves the units of the older session to the newer one. The
+    older one is given up once no session names it as a successor:
+    otherwise each replacement would cause the next. None is opened
+    while the target makes no progress.
 
     :param identity: who this process is.
     :param slots: requests that the target can run at once.
@@ -50,14 +58,18 @@
     :param parties: receivers of lease datagrams.
     :param sender: sends lease datagrams.
     :param witnesses: number of witnesses that a session should have.
+    :param clock: source of elapsed time.
+    :param may_open: tells whether the target could serve.
     """
 
     __slots__ = (
         "_client",
+        "_clock",
         "_folds",
         "_grants",
         "_identity",
         "_leaving",
+        "_may_open",
         "_parties",
         "_sender",
         "_sessions",
@@ -78,6 +90,8 @@
         parties: Parties,
         sender: Sender,
         witnesses: int,
+        clock: Clock,
+        may_open: Callable[[], bool],
     ) -> None:
         self._identity = identity
         self._slots = slots
@@ -88,6 +102,8 @@
         self._parties = parties
         self._sender = sender
         self._witnesses = witnesses
+        self._clock = clock
+        self._may_open = may_open
         self._leaving = False
         self._tasks: TaskGroup | None = None
 
@@ -96,7 +112,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                if self._leaving:
+                if self._leaving or not self._may_open():
                     await anyio.sleep(_CHECK_EVERY_S)
                     continue
                 older = self._sessions.admitted()
@@ -178,9 +194,18 @@
             with anyio.move_on_after(_CHECK_EVERY_S):
                 await session.ended.wait()
             worn_s = worn_s + _CHECK_EVERY_S if self._is_worn(session) else 0
+            if self._has_lapsed(session):
+                break
         if not session.ended.is_set():
             logger.info("session {} is replaced", show_id(session.session_id))
 
+    def _has_lapsed(self, session: OwnSession) -> bool:
+        """Tell whether the lease ended and will hardly come back."""
+        if session.lease is None or self._leaving:
+            return False
+        ended_at = session.lease.expires_at()
+        return self._clock.now() - ended_at > _LAPSED_S
+
     def _is_worn(self, session: OwnSession) -> bool:
         entry = self._folds.control.sessions.get(session.session_id)
         if entry is None or self._leaving:
@@ -188,15 +213,25 @@
         return is_worn(self._folds.control, entry, witnesses=self._witnesses)
 
     async def _retire(self, session: OwnSession) -> None:
-        """Give up a replaced session once it owns nothing any more."""
+        """Give up a replaced session once it is of no use any more."""
         while not session.ended.is_set():
-            if not self._owns_units(session):
+            if not self._owns_units(session) and not self._is_needed(session):
                 # The fold could yet pass it units of an ended session.
                 session.holdings.close()
                 await self._leave(session, final=True)
             with anyio.move_on_after(_LEAVE_EVERY_S):
                 await session.ended.wait()
 
+    def _is_needed(self, session: OwnSession) -> bool:
+        """Tell whether another daemon relies on it as a successor."""
+        if self._has_lapsed(session):
+            return False
+        kept = self._sessions.admitted()[-_SESSIONS_KEPT:]
+        return session in kept and any(
+            session.session_id in entry.successors
+            for entry in self._folds.control.sessions.values()
+        )
+
     async def _leave(self, session: OwnSession, *, final: bool) -> None:
         msg = Leave(session_id=session.session_id, final=final)
         await self._client.leave(msg)
--- a/standins/cluster/cluster.py
+++ b/standins/cluster/cluster.py
@@ -13,7 +13,7 @@
 
 from standins.cluster.process import Process
 from standins.cluster.server import PEER_PORT, TOKEN, Server
-from standins.relay import Relay, Route
+from standins.relay import Relay
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -100,12 +100,8 @@
 
     def relay(self, links: Links) -> Relay:
         """Return the relay of a site that is relayed."""
-        routes = [
-            Route(name=name, real=server.ip, advertised=server.relay)
-            for name, server in self.servers.items()
-        ]
         return Relay(
-            routes=routes,
+            routes=[server.route() for server in self.servers.values()],
             links=links,
             peer_port=PEER_PORT,
             log_host=f"{self._prefix}.{_LOG_HOST}",
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -7,6 +7,7 @@
 
 from standins.cluster.launch import Launch
 from standins.cluster.process import Process
+from standins.relay import Route
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -137,6 +138,10 @@
         """Return the file of the runs of all the target's processes."""
         return self.folder / f"{self.name}-history.jsonl"
 
+    def route(self) -> Route:
+        """Return the server's addresses as a relay needs them."""
+        return Route(name=self.name, real=self.ip, advertised=self.relay)
+
     def start(self) -> None:
         """Start the daemon and the target."""
         self.daemon.start()
--- a/standins/relay/relay.py
+++ b/standins/relay/relay.py
@@ -47,6 +47,8 @@
         "_pids",
         "_routes",
         "_sockets",
+        "_stack",
+        "_tasks",
     )
 
     def __init__(
@@ -59,7 +61,9 @@
         log_port: int,
         pids: Callable[[], Mapping[int, str]],
     ) -> None:
-        self._routes = routes
+        self._routes = list(routes)
+        self._stack: AsyncExitStack | None = None
+        self._tasks: TaskGroup | None = None
         self._links = links
         self._peer_port = peer_port
         self._log_host = log_host
@@ -71,11 +75,20 @@
         """Relay until cancelled; started once all ports are bound."""
         async with AsyncExitStack() as stack:
             tasks = await stack.enter_async_context(anyio.create_task_group())
-            for route in self._routes:
+            self._stack = stack
+            self._tasks = tasks
+            for route in list(self._routes):
                 await self._open(stack, tasks, route)
             task_status.started()
             await anyio.sleep_forever()
 
+    async def add(self, route: Route) -> None:
+        """Listen for one more daemon while the relay runs."""
+        if self._stack is None or self._tasks is None:
+            raise RuntimeError("run the relay first")
+        self._routes.append(route)
+        await self._open(self._stack, self._tasks, route)
+
     async def _open(
         self, stack: AsyncExitStack, tasks: TaskGroup, route: Route
     ) -> None:
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -25,6 +25,7 @@
     from standins.cluster import Cluster, Server, ServerPlan
     from standins.history.run_record import RunRecord
     from standins.history.told import Told
+    from standins.relay import Relay
     from standins.scenario.load import Load
 
 DOCUMENT = """\
@@ -74,6 +75,7 @@
         self.say = say
         self.links = Links()
         self._relayed = relayed
+        self._relay: Relay | None = None
         self.plans: list[ServerPlan] = []
         self.settings: list[str] = []
         self.service = ""
@@ -120,9 +122,18 @@
             open_cluster(self.plans, extra=extra, relayed=self._relayed)
         )
         if self._relayed:
-            await self.tasks.start(self._cluster.relay(self.links).run)
+            self._relay = self._cluster.relay(self.links)
+            await self.tasks.start(self._relay.run)
         return self._cluster
 
+    async def add(self, plan: ServerPlan) -> Server:
+        """Start one more server."""
+        server = self.cluster.add(plan)
+        if self._relay is not None:
+            await self._relay.add(server.route())
+        server.start()
+        return server
+
     async def observe(self) -> None:
         """Begin to read the log."""
         self._observer = await self.stack.enter_async_context(
--- a/standins/scenario/statements/site.py
+++ b/standins/scenario/statements/site.py
@@ -64,9 +64,7 @@
         options=None,
     )
     run.fault()
-    added = [run.cluster.add(plan) for plan in run.plans[first:]]
-    for server in added:
-        server.start()
+    added = [await run.add(plan) for plan in run.plans[first:]]
     await run.cluster.wait_admitted(added)
 
 
@@ -155,3 +153,15 @@
             tasks.start_soon(server.daemon.terminate, _STOP_TIMEOUT_S)
     for server in servers:
         server.target.kill()
+
+
+@verb(r"expect same sessions for (?P<seconds>[\d.]+)s")
+async def expect_same_sessions(run: Run, *, seconds: str) -> None:
+    """Check that no daemon replaces its session."""
+    before = set(run.observer.folds.control.sessions)
+    await anyio.sleep(float(seconds))
+    now = set(run.observer.folds.control.sessions)
+    if before != now:
+        raise UnmetError(
+            f"{len(before - now)} sessions ended, {len(now - before)} began"
+        )
--- a/tests/daemon/test_session_keeper.py
+++ b/tests/daemon/test_session_keeper.py
@@ -7,7 +7,9 @@
 
 from burdockgap.daemon.session_keeper import SessionKeeper
 from burdockgap.ownership.own_session import OwnSession
+from tests.builders import FakeClock, FixedLease, make_session
 
+CLOCK = FakeClock()
 UNIT = 3
 EPOCH = 8
 
@@ -51,17 +53,19 @@
     return Sessions()
 
 
-def make_keeper(sessions, client):
+def make_keeper(sessions, client, others=None):
     return SessionKeeper(
         identity=SimpleNamespace(),
         slots=1,
         sessions=sessions,
-        folds=SimpleNamespace(),
+        folds=SimpleNamespace(control=SimpleNamespace(sessions=others or {})),
         client=client,
         grants=SimpleNamespace(),
         parties=SimpleNamespace(),
         sender=SimpleNamespace(),
         witnesses=3,
+        clock=CLOCK,
+        may_open=lambda: True,
     )
 
 
@@ -86,3 +90,40 @@
     anyio.run(retire)
     assert client.notices
     assert not client.activated_after_notice
+
+
+@pytest.mark.parametrize(
+    ("successors", "lease_s", "given_up"),
+    [
+        pytest.param([1], 1.0, False, id="named as successor"),
+        pytest.param([7], 1.0, True, id="not named"),
+        pytest.param([1], -1.0, True, id="named, but lapsed"),
+    ],
+)
+def test_retire_waits_while_named(sessions, successors, lease_s, given_up):
+    client = Client(sessions)
+    other = make_session(session_id=2, successors=successors)
+    keeper = make_keeper(sessions, client, {2: other})
+    sessions.session.holdings.release(UNIT, EPOCH)
+    sessions.session.lease = FixedLease(CLOCK.now() + lease_s)
+
+    async def retire():
+        with anyio.move_on_after(0.1):
+            await keeper._retire(sessions.session)
+
+    anyio.run(retire)
+    assert bool(client.notices) is given_up
+
+
+@pytest.mark.parametrize("lapsed", [False, True])
+def test_session_without_lease_is_due_at_once(sessions, lapsed):
+    keeper = make_keeper(sessions, Client(sessions))
+    left_s = -1.0 if lapsed else 1.0
+    sessions.session.lease = FixedLease(CLOCK.now() + left_s)
+
+    async def wait():
+        with anyio.move_on_after(0.8) as scope:
+            await keeper._until_due(sessions.session)
+        return not scope.cancelled_caught
+
+    assert anyio.run(wait) is lapsed
