Give a new session time to get its first lease

A session without a lease counted as lapsed half a second after its admission, so that a daemon whose witnesses had not folded the admission yet opened one session after another.

--- a/src/burdockgap/daemon/session_keeper.py
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -35,6 +35,7 @@
 _WORN_AFTER_S = 3.0
 _WORN_SPREAD_S = 3.0
 _LAPSED_S = 0.5
+_FIRST_LEASE_S = 3.0
 _SESSIONS_KEPT = 3
 
 
@@ -189,12 +190,14 @@
     async def _until_due(self, session: OwnSession) -> None:
         """Wait until the session has ended or should be replaced."""
         worn_s = 0.0
+        first_due_at = self._clock.now() + _FIRST_LEASE_S
         patience_s = _WORN_AFTER_S + random.random() * _WORN_SPREAD_S
         while not session.ended.is_set() and worn_s < patience_s:
             with anyio.move_on_after(_CHECK_EVERY_S):
                 await session.ended.wait()
             worn_s = worn_s + _CHECK_EVERY_S if self._is_worn(session) else 0
-            if self._has_lapsed(session):
+            is_new = self._clock.now() < first_due_at
+            if self._has_lapsed(session) and not is_new:
                 break
         if not session.ended.is_set():
             logger.info("session {} is replaced", show_id(session.session_id))
--- a/standins/relay/relay.py
+++ b/standins/relay/relay.py
@@ -43,6 +43,7 @@
         "_links",
         "_log_host",
         "_log_port",
+        "_names",
         "_peer_port",
         "_pids",
         "_routes",
@@ -69,6 +70,7 @@
         self._log_host = log_host
         self._log_port = log_port
         self._pids = pids
+        self._names: dict[str, str] = {}
         self._sockets: dict[str, socket.socket] = {}
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
@@ -96,6 +98,7 @@
         stack.enter_context(datagrams)
         datagrams.setblocking(False)
         datagrams.bind((route.advertised, self._peer_port))
+        self._names[route.real] = route.name
         self._sockets[route.name] = datagrams
         tasks.start_soon(self._pass_datagrams, tasks, route, datagrams)
         peers = await anyio.create_tcp_listener(
@@ -114,11 +117,10 @@
     async def _pass_datagrams(
         self, tasks: TaskGroup, route: Route, datagrams: socket.socket
     ) -> None:
-        names = {other.real: other.name for other in self._routes}
         while True:
             await anyio.wait_readable(datagrams)
             data, (host, _) = datagrams.recvfrom(_CHUNK_BYTES)
-            source = names.get(host)
+            source = self._names.get(host)
             if source is None:
                 continue
             link = self._links.link(source, route.name)
--- a/tests/daemon/test_session_keeper.py
+++ b/tests/daemon/test_session_keeper.py
@@ -115,15 +115,24 @@
     assert bool(client.notices) is given_up
 
 
-@pytest.mark.parametrize("lapsed", [False, True])
-def test_session_without_lease_is_due_at_once(sessions, lapsed):
+@pytest.mark.parametrize(
+    ("left_s", "age_s", "due"),
+    [
+        pytest.param(9.0, 4.0, False, id="has a lease"),
+        pytest.param(-1.0, 4.0, True, id="lapsed"),
+        pytest.param(-1.0, 1.0, False, id="has no lease yet"),
+    ],
+)
+def test_session_without_lease_is_due(sessions, left_s, age_s, due):
     keeper = make_keeper(sessions, Client(sessions))
-    left_s = -1.0 if lapsed else 1.0
     sessions.session.lease = FixedLease(CLOCK.now() + left_s)
 
     async def wait():
         with anyio.move_on_after(0.8) as scope:
-            await keeper._until_due(sessions.session)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keeper._until_due, sessions.session)
+                await anyio.sleep(0.1)
+                CLOCK.time += age_s
         return not scope.cancelled_caught
 
-    assert anyio.run(wait) is lapsed
+    assert anyio.run(wait) is due
