--- a/src/burdockgap/router/replay_body.py
+++ b/src/burdockgap/router/replay_body.py
@@ -51,6 +51,12 @@
             self._keep(part)
         return b"".join(self._kept)[:size]
 
+    def content(self) -> bytes | None:
+        """Return the body if its end was met and its start is kept."""
+        if not (self.whole and self.replayable):
+            return None
+        return b"".join(self._kept)
+
     def _keep(self, part: bytes) -> None:
         if not self.replayable:
             return
