Judge servers by waiting time, queue and decay instead of fixed probes

Cause, by reading and from trials of measure.traffic on the code before: an attempt that was cancelled by a hedge or its deadline was never measured; the load on a reply left out the queue although the message says that it is in it; load was never normalised by the limit, so a cold target with one slot looked like a warm one; an old measurement counted for ever, and only idempotent requests, two in a hundred of all of them, probed at random, also in far data centres.

Now an unanswered attempt counts as slow for as long as it waits, loads are shares of the limit with the queue, excess latency decays toward what is usual for the service, with a longer half-life each time that a probe is still slow, and differences below a fifth decide nothing. Near servers come first unless they are three times slower or above the spill load. Adds measure.traffic.

--- a/measure/recorder.py
+++ b/measure/recorder.py
@@ -43,7 +43,7 @@
             "step": step,
             **{name: _rounded(value) for name, value in values.items()},
             "version": self._version,
-            "command": "python -m measure " + " ".join(sys.argv[1:]),
+            "command": " ".join(["python -m", _program(), *sys.argv[1:]]),
             "seed": self._seed,
             "load1": round(os.getloadavg()[0], 1),
             "at": time.strftime("%Y-%m-%dT%H:%M:%S"),
@@ -63,6 +63,12 @@
     return [line for line in found if line["version"] == found[-1]["version"]]
 
 
+def _program() -> str:
+    """Return the name of the package that runs."""
+    folder = Path(sys.argv[0]).resolve().parent
+    return ".".join(folder.relative_to(ROOT).parts)
+
+
 def _rounded(value: Any) -> Any:
     return float(f"{value:.5g}") if isinstance(value, float) else value
 
--- /dev/null
+++ b/measure/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the traffic policy on small sites of processes."""
--- /dev/null
+++ b/measure/traffic/callers.py
@@ -0,0 +1,130 @@
+"""Callers that send at a rate that answers don't slow down."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import deque
+from typing import TYPE_CHECKING
+
+import anyio
+
+from measure.traffic.answer import Answer
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from standins.cluster import Server
+
+_TIMEOUT_S = 10.0
+_PORT = 8080
+
+
+class Callers:
+    """
+    Sends requests to daemons in turn over kept connections.
+
+    :param service: the service that is called.
+    :param servers: daemons that are called.
+    :param seed: seed of the order of the daemons.
+    :param timeout_ms: deadline given with each request.
+    """
+
+    __slots__ = (
+        "_idle",
+        "_numbers",
+        "_rng",
+        "_servers",
+        "_service",
+        "_timeout_ms",
+        "answers",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        servers: Sequence[Server],
+        *,
+        seed: int,
+        timeout_ms: int = 3000,
+    ) -> None:
+        self.answers: list[Answer] = []
+        self._service = service
+        self._servers = list(servers)
+        self._rng = random.Random(seed)
+        self._timeout_ms = timeout_ms
+        self._numbers = itertools.count()
+        self._idle: dict[
+            str, deque[tuple[asyncio.StreamReader, asyncio.StreamWriter]]
+        ] = {server.ip: deque() for server in servers}
+
+    async def run(self, rate: float, seconds: float) -> list[Answer]:
+        """Send for some time and return the answers in order."""
+        loop = asyncio.get_running_loop()
+        found: list[Answer] = []
+        started = loop.time()
+        async with anyio.create_task_group() as tasks:
+            for count in range(int(rate * seconds)):
+                due = started + count / rate
+                await anyio.sleep(max(0.0, due - loop.time()))
+                tasks.start_soon(self._send, due, found)
+        found.sort(key=lambda answer: answer.sent_at)
+        self.answers += found
+        return found
+
+    async def one(self) -> Answer:
+        """Send one request and wait for its answer."""
+        found: list[Answer] = []
+        await self._send(asyncio.get_running_loop().time(), found)
+        return found[0]
+
+    async def _send(self, due: float, found: list[Answer]) -> None:
+        loop = asyncio.get_running_loop()
+        ip = self._rng.choice(self._servers).ip
+        status, verdict, server = 0, "", ""
+        try:
+            with anyio.fail_after(_TIMEOUT_S):
+                status, verdict, server = await self._exchange(ip)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            verdict = "lost"
+        found.append(
+            Answer(
+                sent_at=due,
+                elapsed_s=loop.time() - due,
+                status=status,
+                verdict=verdict,
+                server=server,
+            )
+        )
+
+    async def _exchange(self, ip: str) -> tuple[int, str, str]:
+        idle = self._idle[ip]
+        if idle:
+            reader, writer = idle.pop()
+        else:
+            reader, writer = await asyncio.open_connection(ip, _PORT)
+        try:
+            writer.write(self._request())
+            head = await reader.readuntil(b"\r\n\r\n")
+            fields = _fields(head)
+            await reader.readexactly(int(fields.get("content-length", "0")))
+        except BaseException:
+            writer.close()
+            raise
+        idle.append((reader, writer))
+        status = int(head.split(b" ", 2)[1])
+        verdict = fields.get("burdockgap-verdict", "")
+        return status, verdict, fields.get("burdockgap-owner", "")
+
+    def _request(self) -> bytes:
+        return (
+            f"GET /{self._service}/x?n={next(self._numbers)} HTTP/1.1\r\n"
+            f"host: a\r\nburdockgap-timeout-ms: {self._timeout_ms}\r\n\r\n"
+        ).encode()
+
+
+def _fields(head: bytes) -> dict[str, str]:
+    lines = head.decode("latin-1").split("\r\n")[1:]
+    pairs = (line.partition(":") for line in lines if line)
+    return {name.lower(): value.strip() for name, _, value in pairs}
--- /dev/null
+++ b/measure/traffic/cold.py
@@ -0,0 +1,59 @@
+"""Work that a cold target gets, against what it can bear."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from measure.traffic.callers import Callers
+from measure.traffic.site import SERVICE, history, open_site, set_fault
+from measure.traffic.summary import summary
+
+if TYPE_CHECKING:
+    from measure.recorder import Recorder
+
+_SERVERS = 3
+_RATE = 120.0
+_SECONDS = 8.0
+_TARGET = "--service-ms 30 --cold-slots 1 --warm-step 8"
+_PROFILE = "ramp_step = 8\n"
+
+
+async def measure_cold(recorder: Recorder, seed: int) -> None:
+    """Restart a target, and let one turn cold without a word."""
+    for variant in ("product", "no-ramp"):
+        for announced in (True, False):
+            await _measure(recorder, variant, seed, announced=announced)
+
+
+async def _measure(
+    recorder: Recorder, variant: str, seed: int, *, announced: bool
+) -> None:
+    async with open_site(
+        _SERVERS, variant=variant, profile=_PROFILE, target=_TARGET
+    ) as cluster:
+        servers = list(cluster.servers.values())
+        callers = Callers(SERVICE, servers, seed=seed)
+        await callers.run(_RATE, 6.0)
+        victim = servers[0]
+        before = (await history(victim))["overloaded"]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(callers.run, _RATE, _SECONDS)
+            await anyio.sleep(1.0)
+            if announced:
+                before = 0
+                victim.target.kill()
+                victim.target.start()
+            else:
+                await set_fault(victim, cold=True)
+        found = await history(victim)
+        recorder.add(
+            "cold",
+            policy=variant,
+            announced=announced,
+            overloaded=found["overloaded"] - before,
+            most_running=found["most_running"],
+            runs=len(found["runs"]),
+            **summary(callers.answers[-int(_RATE * _SECONDS) :]),
+        )
--- /dev/null
+++ b/measure/traffic/summary.py
@@ -0,0 +1,38 @@
+"""Figures of many answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from measure.traffic.answer import Answer
+
+_MS = 1000.0
+
+
+def summary(answers: Sequence[Answer]) -> dict[str, float]:
+    """Return counts and the latencies of the good answers."""
+    good = [answer for answer in answers if answer.good]
+    refused = [answer for answer in answers if answer.verdict == "not-run"]
+    times = sorted(answer.elapsed_s for answer in good)
+    late = sorted(answer.elapsed_s for answer in refused)
+    return {
+        "sent": len(answers),
+        "good": len(good),
+        "not_run": len(refused),
+        "other": len(answers) - len(good) - len(refused),
+        "p50_ms": percentile(times, 0.50),
+        "p99_ms": percentile(times, 0.99),
+        "p999_ms": percentile(times, 0.999),
+        "refusal_p50_ms": percentile(late, 0.50),
+        "refusal_p99_ms": percentile(late, 0.99),
+    }
+
+
+def percentile(times: Sequence[float], share: float) -> float:
+    """Return a percentile in milliseconds, 0 if there is none."""
+    if not times:
+        return 0.0
+    return times[min(int(len(times) * share), len(times) - 1)] * _MS
--- /dev/null
+++ b/measure/traffic/zones.py
@@ -0,0 +1,86 @@
+"""Service while a data centre leaves and returns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from measure.traffic.callers import Callers
+from measure.traffic.site import SERVICE, history, open_site
+from measure.traffic.summary import summary
+from standins.target_grants import boottime
+
+if TYPE_CHECKING:
+    from measure.recorder import Recorder
+    from standins.cluster import Cluster
+
+_SERVERS = 6
+_RATE = 80.0
+_STEP_S = 6.0
+_DELAYED_S = 0.1
+_OUT = "d1"
+
+
+async def measure_data_centre(recorder: Recorder, seed: int) -> None:
+    """Take a data centre out and back under load."""
+    async with open_site(_SERVERS) as cluster:
+        callers = Callers(SERVICE, list(cluster.servers.values()), seed=seed)
+        await callers.run(_RATE, 3.0)
+        for name, out in (("leaves", True), ("returns", False)):
+            await _measure(recorder, cluster, callers, name, out)
+
+
+async def _measure(
+    recorder: Recorder,
+    cluster: Cluster,
+    callers: Callers,
+    name: str,
+    out: bool,
+) -> None:
+    before = len(callers.answers)
+    changed_at = 0.0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(callers.run, _RATE, _STEP_S)
+        await anyio.sleep(1.0)
+        changed_at = boottime()
+        await _set(cluster, out)
+    answers = callers.answers[before:]
+    recorder.add(
+        "data-centre",
+        change=name,
+        delayed=sum(answer.elapsed_s > _DELAYED_S for answer in answers),
+        last_start_after_s=await _last_start(cluster) - changed_at,
+        at_data_centre=sum(
+            cluster.servers[answer.server].plan.data_centre == _OUT
+            for answer in answers
+            if answer.server
+        ),
+        **summary(answers),
+    )
+
+
+async def _set(cluster: Cluster, out: bool) -> None:
+    server = next(iter(cluster.servers.values()))
+    async with cluster.operator() as client:
+        status = await cluster.status(server)
+        reply = await client.post(
+            f"{server.admin_url}/v1/data-centres/{_OUT}",
+            json={
+                "out": out,
+                "author": "measure",
+                "against": status["config_version"],
+            },
+        )
+        reply.raise_for_status()
+
+
+async def _last_start(cluster: Cluster) -> float:
+    starts = [
+        run["started"]
+        for server in cluster.servers.values()
+        if server.plan.data_centre == _OUT
+        for run in (await history(server))["runs"]
+        if run["started"] is not None
+    ]
+    return max(starts, default=0.0)
--- a/src/burdockgap/gate/gate_stats.py
+++ b/src/burdockgap/gate/gate_stats.py
@@ -36,3 +36,8 @@
         self.queue_length = queue_length
         self.service_ewma_s = service_ewma_s
         self.completions = completions
+
+    @property
+    def demand(self) -> int:
+        """Requests that run or wait."""
+        return self.in_flight + self.queue_length
--- a/src/burdockgap/peer/forward_handler.py
+++ b/src/burdockgap/peer/forward_handler.py
@@ -67,7 +67,7 @@
                             [name, value] for name, value in answer.headers
                         ],
                         name=self._name,
-                        in_flight=gate.stats.in_flight,
+                        in_flight=gate.stats.demand,
                         limit=gate.stats.limit,
                     )
                 )
@@ -99,7 +99,7 @@
             reason=refusal.reason.value,
             detail=refusal.detail,
             owner=refusal.owner,
-            in_flight=stats.in_flight if stats else 0,
+            in_flight=stats.demand if stats else 0,
             limit=stats.limit if stats else 0,
         )
 
--- a/src/burdockgap/router/dispatcher.py
+++ b/src/burdockgap/router/dispatcher.py
@@ -73,18 +73,17 @@
             deadline=deadline,
             fingerprint=req.fingerprint,
         )
-        started = self._clock.now()
-        stats.in_flight += 1
+        token = stats.begin()
         try:
             async with self._attempt(entry, gate_req, stats) as reply:
-                stats.answered(self._clock.now() - started)
+                stats.answered(token)
                 yield reply
         except Refusal as refusal:
             if refusal.reason in (Reason.UNREACHABLE, Reason.TARGET_DOWN):
-                stats.failed(self._clock.now())
+                stats.failed()
             raise
         finally:
-            stats.in_flight -= 1
+            stats.end(token)
 
     @asynccontextmanager
     async def _attempt(
@@ -110,7 +109,7 @@
             )
         async with self.gate.serve(req) as answer:
             stats.load(
-                in_flight=self.gate.stats.in_flight,
+                in_flight=self.gate.stats.demand,
                 limit=self.gate.stats.limit,
             )
             yield RouteReply(
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -161,7 +161,7 @@
         return race.result()
 
     def _has_another(self, req: RouteRequest) -> bool:
-        """Tell whether a second server could take an unkeyed request."""
+        """Tell whether there is a second server for a hedge."""
         folds = self._folds
         servers = unkeyed_candidates(folds.control, folds.config, req.service)
         return len(servers) > 1
@@ -195,9 +195,7 @@
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server is in service"
             )
         return self._chooser.choose(
-            history.untried(servers),
-            spill_load=req.profile.spill_load,
-            idempotent=req.idempotent,
+            history.untried(servers), spill_load=req.profile.spill_load
         )
 
     def _attempt_deadline(
--- a/src/burdockgap/router/server_table.py
+++ b/src/burdockgap/router/server_table.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import statistics
 from typing import TYPE_CHECKING
 
 from burdockgap.router.server_stats import ServerStats
+from burdockgap.router.typical_latency import TypicalLatency
 
 if TYPE_CHECKING:
     from burdockgap.clock import Clock
     from burdockgap.records.session_entry import SessionEntry
 
-_LATENCY_FLOOR_S = 0.001
-_STRAGGLER_FACTOR = 3.0
-
 
 class ServerTable:
     """
@@ -22,34 +19,40 @@
     :param clock: source of elapsed time.
     """
 
-    __slots__ = ("_by_incarnation", "_clock")
+    __slots__ = ("_by_incarnation", "_clock", "_typical")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._by_incarnation: dict[int, ServerStats] = {}
+        self._typical: dict[str, TypicalLatency] = {}
 
     def stats(self, entry: SessionEntry) -> ServerStats:
         """Return the statistics of a server, empty for a new one."""
-        return self._by_incarnation.setdefault(
-            entry.incarnation, ServerStats()
-        )
+        known = self._by_incarnation.get(entry.incarnation)
+        if known is None:
+            known = self._by_incarnation[entry.incarnation] = ServerStats(
+                clock=self._clock,
+                typical=self._typical_of(entry.service),
+                limit=entry.slots,
+            )
+        return known
 
     def cost(self, entry: SessionEntry) -> float:
         """Return the expected cost of one more request."""
-        now = self._clock.now()
-        return self.stats(entry).cost(now, _LATENCY_FLOOR_S)
-
-    def is_straggler(
-        self, entry: SessionEntry, others: list[SessionEntry]
-    ) -> bool:
-        """Tell whether a server is much slower than the median."""
-        median_s = statistics.median(
-            max(self.stats(other).latency_s, _LATENCY_FLOOR_S)
-            for other in others
-        )
-        return self.stats(entry).latency_s > _STRAGGLER_FACTOR * median_s
+        return self.stats(entry).cost(self._clock.now())
+
+    def slowness_s(self, entry: SessionEntry) -> float:
+        """Return a server's latency, worse after a recent failure."""
+        return self.stats(entry).slowness_s(self._clock.now())
+
+    def load_share(self, entry: SessionEntry) -> float:
+        """Return a server's load as a share of its limit."""
+        return self.stats(entry).load_share(self._clock.now())
 
     def keep(self, incarnations: set[int]) -> None:
         """Forget all other servers."""
         for gone in set(self._by_incarnation) - incarnations:
             del self._by_incarnation[gone]
+
+    def _typical_of(self, service: str) -> TypicalLatency:
+        return self._typical.setdefault(service, TypicalLatency())
--- a/tests/router/test_router.py
+++ b/tests/router/test_router.py
@@ -65,9 +65,7 @@
         yield body
 
 
-def make_request(
-    *, idempotent, hedge=0, body=b"b", whole=True, timeout_s=3.0
-):
+def make_request(*, idempotent, hedge=0, body=b"b", whole=True, timeout_s=3.0):
     profile = parse_document(PROFILE.format(hedge=hedge)).unwrap()
     replay = ReplayBody(parts_of(body))
     replay.whole = whole
