Find silent peer connections under requests and don't cut live ones

Cause: a connection that went silent under requests was only noticed by the library's pings after five seconds plus one, and each attempt at a key whose owner is behind it used the same dead connection. A probe that took longer than 0.4 s closed the connection with all that was in flight on it, and concurrent requests each probed and closed one another's new connection. A router that took no answer any more held its gate's slot for ever.

Connections whose requests hear nothing for 0.5 s are probed by one task of the pool; they are given up only once the peer answers on another one. One probe runs at a time, idle connections are retired after their last stream, a head that cannot be sent ends with its deadline, a peer must take each part of an answer within 30 s, and a stopping daemon waits for forwarded answers too.

--- a/src/burdockgap/daemon/role_tasks.py
+++ b/src/burdockgap/daemon/role_tasks.py
@@ -81,6 +81,7 @@
             tasks.start_soon(core.witness.run, core.lease_socket)
             tasks.start_soon(core.coordinator.run)
             tasks.start_soon(core.candidacy.run)
+            tasks.start_soon(core.pool.watch)
             tasks.start_soon(self._tidy)
             tasks.start_soon(self._serve_target)
 
--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -100,6 +100,7 @@
     callers.leaving = True
     clean = await roles.leave()
     with anyio.move_on_after(core.settings.drain.request_timeout_s):
-        while callers.in_flight:
+        while callers.in_flight or core.forward_handler.in_flight:
             await anyio.sleep(_POLL_S)
-    return clean and not callers.in_flight
+    cut_off = callers.in_flight + core.forward_handler.in_flight
+    return clean and not cut_off
--- a/src/burdockgap/peer/connection.py
+++ b/src/burdockgap/peer/connection.py
@@ -1,10 +1,13 @@
-"""A connection to one peer."""
+"""One connection to a peer."""
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from grpclib.client import Channel
 
 
@@ -14,21 +17,53 @@
 
     :param channel: the channel.
     :param metadata: metadata of each call.
-    :param last_used: clock time of the last answer, in seconds.
+    :param now: clock time, in seconds.
+    :ivar heard_at: clock time of the last sign of the peer on it.
     :ivar proved: whether a call on it has been answered.
+    :ivar streams: requests that are on it now.
     """
 
-    __slots__ = ("channel", "last_used", "metadata", "proved")
+    __slots__ = (
+        "_retired",
+        "channel",
+        "heard_at",
+        "metadata",
+        "proved",
+        "streams",
+    )
 
     def __init__(
-        self, channel: Channel, metadata: dict[str, str], last_used: float
+        self, channel: Channel, metadata: dict[str, str], now: float
     ) -> None:
         self.channel = channel
         self.metadata = metadata
-        self.last_used = last_used
+        self.heard_at = now
         self.proved = False
+        self.streams = 0
+        self._retired = False
 
-    def mark_used(self, now: float) -> None:
-        """Note that the peer answered on this connection."""
-        self.last_used = now
+    def heard(self, now: float) -> None:
+        """Note a sign of the peer."""
+        self.heard_at = now
         self.proved = True
+
+    @contextmanager
+    def stream(self) -> Iterator[None]:
+        """Count a request; a retired connection ends with the last."""
+        self.streams += 1
+        try:
+            yield
+        finally:
+            self.streams -= 1
+            if self._retired and self.streams == 0:
+                self.close()
+
+    def retire(self) -> None:
+        """Let requests on it end, then close it."""
+        self._retired = True
+        if self.streams == 0:
+            self.close()
+
+    def close(self) -> None:
+        """Close it at once; requests on it fail."""
+        self.channel.close()
--- a/src/burdockgap/peer/forward.py
+++ b/src/burdockgap/peer/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -21,11 +22,13 @@
 from burdockgap.router.route_reply import RouteReply
 from burdockgap.tasks.background import background
 from burdockgap.verdict import Reason, Refusal, Verdict
+from burdockgap.wire import DecodeError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from burdockgap.gate.gate_request import GateRequest
+    from burdockgap.peer.connection import Connection
     from burdockgap.peer.messages.reply_head import ReplyHead
     from burdockgap.peer.pool import PeerPool
     from burdockgap.records.session_entry import SessionEntry
@@ -38,6 +41,7 @@
 
 _CONNECT_TIMEOUT_S = 0.5
 _BODY_SILENCE_S = 30.0
+_STREAM_ERRORS = (*PEER_ERRORS, ProtocolError, DecodeError)
 
 
 @asynccontextmanager
@@ -59,17 +63,18 @@
     :raises Refusal: ``not-run`` if the peer was not reached or its gate
         said so, else ``may-have-run``.
     """
-    async with _open_stream(pool, entry, timeout_s) as stream:
+    async with _open_stream(pool, entry, timeout_s) as (conn, stream):
         await _send_head(stream, entry, req, timeout_s)
         async with background(_send_body, stream, req):
             head = await _receive_head(stream, entry, timeout_s)
+            pool.heard(conn)
             stats.load(in_flight=head.in_flight, limit=head.limit)
             if isinstance(head, ReplyRefusal):
                 raise _refusal_of(head)
             yield RouteReply(
                 status=head.status,
                 headers=[(name, value) for name, value in head.headers],
-                body=_receive_body(stream),
+                body=_receive_body(stream, partial(pool.heard, conn)),
                 owner=head.name,
                 owner_address=entry.http_address,
             )
@@ -78,30 +83,36 @@
 @asynccontextmanager
 async def _open_stream(
     pool: PeerPool, entry: SessionEntry, timeout_s: float
-) -> AsyncIterator[Any]:
+) -> AsyncIterator[tuple[Connection, Any]]:
     try:
         with anyio.fail_after(min(_CONNECT_TIMEOUT_S, timeout_s)):
             conn = await pool.connection(entry.peer_address)
-            stream: Any = conn.channel.request(
-                FORWARD_PATH,
-                Cardinality.STREAM_STREAM,
-                FORWARD_REQUEST,
-                FORWARD_REPLY,
-                metadata=conn.metadata,
-            )
-            await stream.__aenter__()
-            await stream.send_request()
+            stream = await _new_stream(conn)
     except PEER_ERRORS as exc:
         raise Refusal(
             Verdict.NOT_RUN, Reason.UNREACHABLE, f"{entry.name}: {exc!r}"
         ) from exc
-    try:
-        yield stream
-    finally:
-        # With an error, the stream is reset unless it has ended.
-        # Without one this would wait for an answer nobody wants.
-        left = _StreamLeft()
-        await stream.__aexit__(type(left), left, None)
+    with pool.stream(conn, entry.peer_address):
+        try:
+            yield conn, stream
+        finally:
+            # With an error, the stream is reset unless it has ended.
+            # Without one this would wait for an answer nobody wants.
+            left = _StreamLeft()
+            await stream.__aexit__(type(left), left, None)
+
+
+async def _new_stream(conn: Connection) -> Any:
+    stream: Any = conn.channel.request(
+        FORWARD_PATH,
+        Cardinality.STREAM_STREAM,
+        FORWARD_REQUEST,
+        FORWARD_REPLY,
+        metadata=conn.metadata,
+    )
+    await stream.__aenter__()
+    await stream.send_request()
+    return stream
 
 
 async def _send_head(
@@ -119,8 +130,9 @@
         fingerprint=req.fingerprint,
     )
     try:
-        await stream.send_message(head)
-    except PEER_ERRORS as exc:
+        with anyio.fail_after(timeout_s):
+            await stream.send_message(head)
+    except _STREAM_ERRORS as exc:
         raise _lost(entry, exc) from exc
 
 
@@ -129,7 +141,7 @@
         async for data in req.body:
             await stream.send_message(BodyPart(data=data))
         await stream.end()
-    except (*PEER_ERRORS, ProtocolError):
+    except _STREAM_ERRORS:
         return
 
 
@@ -145,14 +157,16 @@
             Reason.DEADLINE,
             f"{entry.name} gave no answer in {timeout_s:.3f} s",
         ) from exc
-    except PEER_ERRORS as exc:
+    except _STREAM_ERRORS as exc:
         raise _lost(entry, exc) from exc
     if head is None:
         raise _lost(entry, None)
     return head
 
 
-async def _receive_body(stream: Any) -> AsyncIterator[bytes]:
+async def _receive_body(
+    stream: Any, heard: Callable[[], None]
+) -> AsyncIterator[bytes]:
     try:
         while True:
             with anyio.fail_after(_BODY_SILENCE_S):
@@ -160,8 +174,9 @@
             if part is None:
                 await stream.recv_trailing_metadata()
                 return
+            heard()
             yield part.data
-    except (*PEER_ERRORS, ProtocolError) as exc:
+    except _STREAM_ERRORS as exc:
         raise Refusal(
             Verdict.MAY_HAVE_RUN,
             Reason.TRUNCATED,
--- a/src/burdockgap/peer/forward_handler.py
+++ b/src/burdockgap/peer/forward_handler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+import anyio
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
@@ -19,6 +20,11 @@
 
     from burdockgap.clock import Clock
     from burdockgap.gate.gate import Gate
+    from burdockgap.target import TargetReply
+    from burdockgap.wire import Message
+
+
+_SEND_TIMEOUT_S = 30.0
 
 
 class ForwardHandler:
@@ -27,15 +33,26 @@
 
     :param name: this daemon's name.
     :param clock: source of elapsed time.
+    :param send_timeout_s: longest time in which the peer must take a
+        part of an answer.
     :ivar gate: the gate, ``None`` while no target is announced.
+    :ivar in_flight: requests whose answers are not sent yet.
     """
 
-    __slots__ = ("_clock", "_name", "gate")
+    __slots__ = ("_clock", "_name", "_send_timeout_s", "gate", "in_flight")
 
-    def __init__(self, *, name: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: Clock,
+        send_timeout_s: float = _SEND_TIMEOUT_S,
+    ) -> None:
         self._name = name
         self._clock = clock
+        self._send_timeout_s = send_timeout_s
         self.gate: Gate | None = None
+        self.in_flight = 0
 
     async def serve(self, stream: Any, head: ForwardHead) -> None:
         """
@@ -47,36 +64,47 @@
         """
         if not isinstance(head, ForwardHead):
             raise GRPCError(Status.INVALID_ARGUMENT, "the head comes first")
+        self.in_flight += 1
+        try:
+            await self._serve(stream, head)
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, stream: Any, head: ForwardHead) -> None:
         if self.gate is None:
             refusal = Refusal(
                 Verdict.NOT_RUN, Reason.TARGET_DOWN, "no target is announced"
             )
-            await stream.send_message(self._refusal(refusal))
+            await self._send(stream, self._refusal(refusal))
             return
-        await self._serve(self.gate, stream, head)
-
-    async def _serve(self, gate: Gate, stream: Any, head: ForwardHead) -> None:
         answered = False
         try:
-            async with gate.serve(self._request(stream, head)) as answer:
+            async with self.gate.serve(self._request(stream, head)) as answer:
                 answered = True
-                await stream.send_message(
-                    ReplyHead(
-                        status=answer.status,
-                        headers=[
-                            [name, value] for name, value in answer.headers
-                        ],
-                        name=self._name,
-                        in_flight=gate.stats.demand,
-                        limit=gate.stats.limit,
-                    )
-                )
+                await self._send(stream, self._head(self.gate, answer))
                 async for data in answer.body:
-                    await stream.send_message(BodyPart(data=data))
+                    await self._send(stream, BodyPart(data=data))
         except Refusal as refusal:
             if answered:
                 raise GRPCError(Status.DATA_LOSS, refusal.detail) from refusal
-            await stream.send_message(self._refusal(refusal))
+            await self._send(stream, self._refusal(refusal))
+
+    async def _send(self, stream: Any, msg: Message) -> None:
+        """Send a message unless the peer takes nothing any more."""
+        with anyio.move_on_after(self._send_timeout_s) as scope:
+            await stream.send_message(msg)
+        if scope.cancelled_caught:
+            raise GRPCError(Status.CANCELLED, "the peer takes nothing")
+
+    def _head(self, gate: Gate, answer: TargetReply) -> ReplyHead:
+        stats = gate.stats
+        return ReplyHead(
+            status=answer.status,
+            headers=[[name, value] for name, value in answer.headers],
+            name=self._name,
+            in_flight=stats.demand,
+            limit=stats.limit,
+        )
 
     def _request(self, stream: Any, head: ForwardHead) -> GateRequest:
         return GateRequest(
--- a/src/burdockgap/peer/pool.py
+++ b/src/burdockgap/peer/pool.py
@@ -7,8 +7,8 @@
 
 import anyio
 from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+from loguru import logger
 
 from burdockgap.peer.address import split_address
 from burdockgap.peer.codec import PeerCodec
@@ -25,8 +25,10 @@
     from burdockgap.peer.method import Method
     from burdockgap.wire import Message
 
-_PROBE_TIMEOUT_S = 0.4
-_KEEPALIVE_TIMEOUT_S = 1.0
+_PROBE_TIMEOUT_S = 0.2
+_CONNECT_TIMEOUT_S = 1.0
+_WATCH_INTERVAL_S = 0.25
+_SILENCE_S = 0.5
 
 PEER_ERRORS = (
     OSError,
@@ -41,17 +43,28 @@
     """
     One connection to each peer that is called, opened on first use.
 
-    A connection that was idle for longer than the keepalive time is
-    probed before it carries a request, since something between the two
-    ends may have dropped it without a word.
+    Something between the two ends may drop a connection without a word.
+    So one that was idle for longer than the keepalive time is probed
+    before it carries a request, and one whose requests hear nothing for
+    0.5 s is probed while they wait. A silent connection is replaced for
+    new requests. Those on it are given up only once the peer answers on
+    another connection; a peer that is merely slow keeps them.
 
     :param auth: proof added to each call.
     :param clock: source of elapsed time.
     :param metrics: counters.
-    :param keepalive_s: seconds of silence before a ping.
+    :param keepalive_s: seconds of silence before a probe.
     """
 
-    __slots__ = ("_auth", "_clock", "_conns", "_keepalive_s", "_metrics")
+    __slots__ = (
+        "_auth",
+        "_carrying",
+        "_clock",
+        "_conns",
+        "_keepalive_s",
+        "_locks",
+        "_metrics",
+    )
 
     def __init__(
         self,
@@ -66,6 +79,8 @@
         self._metrics = metrics
         self._keepalive_s = keepalive_s
         self._conns: dict[str, Connection] = {}
+        self._locks: dict[str, anyio.Lock] = {}
+        self._carrying: dict[Connection, str] = {}
 
     async def call(
         self, address: str, method: Method, msg: Message, timeout_s: float
@@ -82,54 +97,117 @@
 
     async def connection(self, address: str) -> Connection:
         """Return a connection that is fresh or was seen working."""
-        conn = self._conns.get(address) or self._open(address)
-        idle_s = self._clock.now() - conn.last_used
-        if conn.proved and idle_s < self._keepalive_s:
+        conn = self._conns.get(address)
+        if conn is not None and self._is_fresh(conn):
             return conn
-        return await self._probe(address, conn)
-
-    def drop(self, address: str) -> None:
-        """Close the connection to a peer; the next call opens one."""
-        conn = self._conns.pop(address, None)
-        if conn is not None:
-            conn.channel.close()
+        async with self._locks.setdefault(address, anyio.Lock()):
+            return await self._probed(address)
+
+    @contextmanager
+    def stream(self, conn: Connection, address: str) -> Iterator[None]:
+        """Watch a connection while it carries a request."""
+        with conn.stream():
+            self._carrying[conn] = address
+            try:
+                yield
+            finally:
+                if conn.streams == 1:
+                    del self._carrying[conn]
+
+    def heard(self, conn: Connection) -> None:
+        """Note a sign of the peer on a connection."""
+        conn.heard(self._clock.now())
 
     def keep(self, addresses: set[str]) -> None:
-        """Close the connections to all other peers."""
+        """Close the connections to all other peers, once unused."""
         for address in set(self._conns) - addresses:
-            self.drop(address)
+            self._conns.pop(address).retire()
+            self._locks.pop(address, None)
 
     def close(self) -> None:
         """Close all connections."""
-        self.keep(set())
+        for conn in {*self._conns.values(), *self._carrying}:
+            conn.close()
+        self._conns.clear()
+
+    async def watch(self) -> None:
+        """Probe connections whose requests hear nothing, for ever."""
+        async with anyio.create_task_group() as tasks:
+            asked: set[Connection] = set()
+            while True:
+                await anyio.sleep(_WATCH_INTERVAL_S)
+                for conn, address in list(self._carrying.items()):
+                    if conn in asked or not self._is_silent(conn):
+                        continue
+                    asked.add(conn)
+                    tasks.start_soon(self._question, conn, address, asked)
+
+    async def _question(
+        self, conn: Connection, address: str, asked: set[Connection]
+    ) -> None:
+        """Give a connection up if the peer answers on another one."""
+        try:
+            if await self._answers(conn):
+                return
+            with anyio.fail_after(_SILENCE_S):
+                other = await self.connection(address)
+            if other is not conn and conn.streams:
+                logger.warning("the connection to {} went silent", address)
+                conn.close()
+        except PEER_ERRORS:
+            # The peer itself is slow or gone.
+            return
+        finally:
+            asked.discard(conn)
+
+    async def _answers(self, conn: Connection) -> bool:
+        try:
+            await self._unary(conn, PING, Ping(), _SILENCE_S)
+        except PEER_ERRORS:
+            return False
+        return True
+
+    def _is_fresh(self, conn: Connection) -> bool:
+        idle_s = self._clock.now() - conn.heard_at
+        if not conn.proved:
+            return False
+        return idle_s < (_SILENCE_S if conn.streams else self._keepalive_s)
+
+    def _is_silent(self, conn: Connection) -> bool:
+        return self._clock.now() - conn.heard_at > _SILENCE_S
 
     def _open(self, address: str) -> Connection:
         host, port = split_address(address)
-        cfg = Configuration(
-            _keepalive_time=self._keepalive_s,
-            _keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-            _keepalive_permit_without_calls=False,
-            _http2_max_pings_without_data=0,
-            _http2_min_sent_ping_interval_without_data=1.0,
-        )
-        channel = Channel(host, port, codec=PeerCodec(), config=cfg)
+        channel = Channel(host, port, codec=PeerCodec())
         conn = Connection(channel, self._auth.metadata(), self._clock.now())
         self._conns[address] = conn
         return conn
 
-    async def _probe(self, address: str, conn: Connection) -> Connection:
-        was_proved = conn.proved
+    async def _probed(self, address: str) -> Connection:
+        """Probe the connection unless another request just has."""
+        conn = self._conns.get(address)
+        if conn is not None and self._is_fresh(conn):
+            return conn
+        if conn is not None:
+            try:
+                await self._unary(conn, PING, Ping(), _PROBE_TIMEOUT_S)
+                return conn
+            except PEER_ERRORS:
+                self._forget(address, conn)
+                self._metrics.peer_connections_replaced.inc()
+        conn = self._open(address)
         try:
-            await self._unary(conn, PING, Ping(), _PROBE_TIMEOUT_S)
-        except PEER_ERRORS:
-            self.drop(address)
-            if not was_proved:
-                raise
-            self._metrics.peer_connections_replaced.inc()
-            conn = self._open(address)
-            await self._unary(conn, PING, Ping(), _PROBE_TIMEOUT_S)
+            await self._unary(conn, PING, Ping(), _CONNECT_TIMEOUT_S)
+        except BaseException:
+            self._forget(address, conn)
+            raise
         return conn
 
+    def _forget(self, address: str, conn: Connection) -> None:
+        if self._conns.get(address) is conn:
+            del self._conns[address]
+        conn.retire()
+
     async def _unary(
         self, conn: Connection, method: Method, msg: Message, timeout_s: float
     ) -> Message:
@@ -138,7 +216,7 @@
         )
         with anyio.fail_after(timeout_s):
             reply = await unary(msg, metadata=conn.metadata)
-        conn.mark_used(self._clock.now())
+        conn.heard(self._clock.now())
         return reply
 
 
