Tell crashes to the service's other daemons and clear the innocent

Cause: nothing sent what quarantine.export() gives, so a crashing request took two targets of each daemon. And a request that many callers send is in flight beside most crashes: after two of them it was refused for 60 s although it had been answered in between. A crash is now sent three times by datagram to the daemons of the service; a whole answer takes back all blame, and one answered in the last 10 s gets none. A request that turns deadly later is still blocked. An export holds 16 suspects, which fit one datagram.

--- a/src/burdockgap/daemon/service_side.py
+++ b/src/burdockgap/daemon/service_side.py
@@ -10,6 +10,7 @@
 
 from burdockgap.daemon.peer_releases import PeerReleases
 from burdockgap.daemon.session_keeper import SessionKeeper
+from burdockgap.daemon.suspect_news import SuspectNews
 from burdockgap.daemon.target_slot import TargetSlot
 from burdockgap.gate.gate_policy import GatePolicy
 from burdockgap.gate.open_gate import open_gate
@@ -108,6 +109,7 @@
             tasks.start_soon(self.keeper.run)
             tasks.start_soon(self._watch)
             tasks.start_soon(self._report_load)
+            tasks.start_soon(self._news().run)
 
     async def announced(self, info: TargetInfo) -> None:
         """Take another announcement of the target."""
@@ -203,6 +205,14 @@
                 logger.warning("the target makes no progress")
                 session.lease.withhold()
 
+    def _news(self) -> SuspectNews:
+        return SuspectNews(
+            quarantine=self.gate.quarantine,
+            folds=self._core.folds,
+            sender=self._core.lease_socket,
+            own_address=self._core.identity.peer_address,
+        )
+
     async def _report_load(self) -> None:
         """Report load, less often in a large system."""
         while True:
--- /dev/null
+++ b/src/burdockgap/daemon/suspect_news.py
@@ -0,0 +1,65 @@
+"""Telling the other daemons of a service about crashes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from burdockgap.fold.folds import Folds
+    from burdockgap.gate.quarantine import Quarantine
+    from burdockgap.lease.sender import Sender
+
+_REPEATS = 3
+_REPEAT_S = 0.3
+
+
+class SuspectNews:
+    """
+    Sends what was in flight at a crash of the own target.
+
+    Datagrams may get lost, so each is sent three times; the receivers
+    take repetitions without effect.
+
+    :param quarantine: knows the suspects.
+    :param folds: the known daemons.
+    :param sender: sends datagrams.
+    :param own_address: this daemon's peer address.
+    """
+
+    __slots__ = ("_folds", "_own_address", "_quarantine", "_sender")
+
+    def __init__(
+        self,
+        *,
+        quarantine: Quarantine,
+        folds: Folds,
+        sender: Sender,
+        own_address: str,
+    ) -> None:
+        self._quarantine = quarantine
+        self._folds = folds
+        self._sender = sender
+        self._own_address = own_address
+
+    async def run(self) -> None:
+        """Tell of each crash, for ever."""
+        while True:
+            await self._quarantine.wait_crash()
+            for _ in range(_REPEATS):
+                self._tell()
+                await anyio.sleep(_REPEAT_S)
+
+    def _tell(self) -> None:
+        msg = self._quarantine.export()
+        for address in self._others():
+            self._sender.send(msg, address)
+
+    def _others(self) -> set[str]:
+        addresses = {
+            entry.peer_address
+            for entry in self._folds.control.sessions.values()
+            if entry.service == self._quarantine.service
+        }
+        return addresses - {self._own_address}
--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -333,6 +333,7 @@
             self._failed(flight, exc)
             raise
         flight.ended = True
+        self.quarantine.answered(flight.req.fingerprint)
         self._state.completed(flight.boot_id, flight.service_s)
         self._limiter.set_limit(self._state.limit)
 
--- a/src/burdockgap/gate/quarantine.py
+++ b/src/burdockgap/gate/quarantine.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from typing import TYPE_CHECKING
 
+import anyio
+
 from burdockgap.gate.messages.suspect import Suspect
 from burdockgap.gate.messages.suspects import Suspects
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -19,7 +22,9 @@
 _CRASHES_TO_BLOCK = 2
 _CRASHES_KEPT = 8
 _MAX_SUSPECTS = 4096
-_EXPORT_ENTRIES = 32
+_EXPORT_ENTRIES = 16
+_ACQUITTED_S = 10.0
+_MAX_ACQUITTED = 4096
 _CRASH_ID_BYTES = 8
 _MASK = (1 << 63) - 1
 
@@ -29,19 +34,31 @@
     Fingerprints that were in flight when a target crashed.
 
     One that was there at two crashes is refused for 60 s after the
-    newer one. Being in flight beside it once has no effect.
+    newer one. Being in flight beside it once has no effect, and a whole
+    answer takes back all blame: what crashes each target never has one.
+    Requests that many callers send are in flight at most crashes, so
+    one that was answered in the last 10 s is not blamed at all.
 
     :param service: the target's service.
     :param clock: the time source.
     """
 
-    __slots__ = ("_clock", "_crashes", "_newest", "service")
+    __slots__ = (
+        "_acquitted",
+        "_clock",
+        "_crash",
+        "_crashes",
+        "_newest",
+        "service",
+    )
 
     def __init__(self, *, service: str, clock: Clock) -> None:
         self.service = service
         self._clock = clock
         self._crashes: dict[int, set[int]] = {}
         self._newest: dict[int, float] = {}
+        self._acquitted: dict[int, float] = {}
+        self._crash = anyio.Event()
 
     def crashed(self, boot_id: str, fingerprints: Iterable[int]) -> None:
         """
@@ -54,6 +71,21 @@
         crash = crash_id(boot_id)
         for fingerprint in set(fingerprints):
             self._add(fingerprint, [crash], self._clock.now())
+        self._crash.set()
+        self._crash = anyio.Event()
+
+    async def wait_crash(self) -> None:
+        """Wait for the next crash of the own target."""
+        await self._crash.wait()
+
+    def answered(self, fingerprint: int) -> None:
+        """Take the whole answer to a request."""
+        if fingerprint in self._crashes:
+            self._forget(fingerprint)
+        self._acquitted.pop(fingerprint, None)
+        self._acquitted[fingerprint] = self._clock.now()
+        if len(self._acquitted) > _MAX_ACQUITTED:
+            del self._acquitted[next(iter(self._acquitted))]
 
     def check(self, fingerprint: int) -> None:
         """
@@ -100,6 +132,9 @@
     def _add(
         self, fingerprint: int, crashes: Iterable[int], at: float
     ) -> None:
+        answered_at = self._acquitted.get(fingerprint, -math.inf)
+        if at < answered_at + _ACQUITTED_S:
+            return
         known = self._crashes.setdefault(fingerprint, set())
         if known.issuperset(crashes):
             # An echo must not move the time on.
--- a/src/burdockgap/lease/dispatch.py
+++ b/src/burdockgap/lease/dispatch.py
@@ -4,6 +4,7 @@
 
 from functools import singledispatch
 
+from burdockgap.gate.messages.suspects import Suspects
 from burdockgap.lease.counters import IGNORED
 from burdockgap.lease.messages.ack import Ack
 from burdockgap.lease.messages.promise import Promise
@@ -11,7 +12,7 @@
 from burdockgap.lease.parties import Parties
 from burdockgap.wire import Message
 
-KINDS = (Renew, Ack, Promise)
+KINDS = (Renew, Ack, Promise, Suspects)
 
 
 @singledispatch
@@ -50,3 +51,10 @@
 def _(msg: Promise, parties: Parties, _source: str) -> Message | None:
     parties.certificates.add(msg)
     return None
+
+
+@handle.register
+def _(msg: Suspects, parties: Parties, _source: str) -> Message | None:
+    if parties.quarantine is not None:
+        parties.quarantine.merge(msg)
+    return None
--- a/src/burdockgap/lease/parties.py
+++ b/src/burdockgap/lease/parties.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockgap.gate.quarantine import Quarantine
     from burdockgap.lease.certificates import Certificates
     from burdockgap.lease.holder import LeaseHolder
     from burdockgap.lease.witness import Witness
@@ -21,9 +22,16 @@
     :param on_offsets: called with a peer's address and its offsets of
         ``config`` and ``control``.
     :ivar holders: the leases of this daemon's sessions, by session.
+    :ivar quarantine: takes suspects, ``None`` while there is no gate.
     """
 
-    __slots__ = ("certificates", "holders", "on_offsets", "witness")
+    __slots__ = (
+        "certificates",
+        "holders",
+        "on_offsets",
+        "quarantine",
+        "witness",
+    )
 
     def __init__(
         self,
@@ -36,3 +44,4 @@
         self.certificates = certificates
         self.on_offsets = on_offsets
         self.holders: dict[int, LeaseHolder] = {}
+        self.quarantine: Quarantine | None = None
--- a/tests/gate/test_quarantine.py
+++ b/tests/gate/test_quarantine.py
@@ -78,3 +78,36 @@
     assert fingerprint_of("POST", "/", long) == fingerprint_of(
         "POST", "/", long + b"y"
     )
+
+
+def test_popular_request_is_not_locked_out(quarantine, clock):
+    """Beside the killer at each crash, but answered in between."""
+    for boot in ("boot-1", "boot-2", "boot-3"):
+        quarantine.answered(INNOCENT)
+        clock.seconds += 1
+        quarantine.crashed(boot, [KILLER, INNOCENT])
+    assert quarantine.blocks(KILLER)
+    assert not quarantine.blocks(INNOCENT)
+
+
+def test_answer_takes_back_blame(quarantine, clock):
+    quarantine.crashed("boot-1", [INNOCENT])
+    quarantine.answered(INNOCENT)
+    clock.seconds += 20
+    quarantine.crashed("boot-2", [INNOCENT])
+    assert not quarantine.blocks(INNOCENT)
+
+
+def test_request_that_turned_deadly_is_blocked(quarantine, clock):
+    """Answers of long ago do not protect it."""
+    quarantine.answered(KILLER)
+    clock.seconds += 20
+    quarantine.crashed("boot-1", [KILLER])
+    quarantine.crashed("boot-2", [KILLER])
+    assert quarantine.blocks(KILLER)
+
+
+def test_suspects_of_many_crashes_fit_a_datagram(quarantine):
+    for boot in range(20):
+        quarantine.crashed(f"boot-{boot}", range(boot, boot + 40))
+    assert len(pack(quarantine.export())) < 1400
