Hold the deadline for an answer's head, not for its body

Cause: the deadline of an attempt, a third of the caller's for idempotent requests, cut off answers whose body took longer, such as exports. Once the head is there, only a pause of 30 s between parts ends an answer.

--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -32,6 +32,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 _CONTROL_TIMEOUT_S = 0.5
 _KEEPALIVE_EXPIRY_S = 2.0
+_BODY_SILENCE_S = 30.0
 _MS_PER_S = 1000
 _SHED_STATUS = 503
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -43,11 +44,19 @@
 
     :param info: the target's announcement.
     :param clock: the time source for deadlines.
+    :param body_silence_s: longest pause between parts of an answer.
     """
 
-    __slots__ = ("_base", "_client", "_clock", "info")
+    __slots__ = ("_base", "_body_silence_s", "_client", "_clock", "info")
 
-    def __init__(self, info: TargetInfo, clock: Clock) -> None:
+    def __init__(
+        self,
+        info: TargetInfo,
+        clock: Clock,
+        *,
+        body_silence_s: float = _BODY_SILENCE_S,
+    ) -> None:
+        self._body_silence_s = body_silence_s
         self.info = info
         self._clock = clock
         self._base = httpx.URL(info.url)
@@ -64,7 +73,9 @@
 
         A request is never sent twice, not even if a connection from the
         pool turns out to be closed. Leaving the context before the
-        answer's end cancels the request at the target.
+        answer's end cancels the request at the target. The deadline
+        holds for the answer's head; its body may take longer as long as
+        its parts keep coming.
 
         :raises Refusal: with ``not-run`` if the target was not reached
             or refused the request unrun, else ``may-have-run``. The
@@ -77,6 +88,7 @@
         with scope:
             try:
                 async with self._exchange(req, exchange) as reply:
+                    scope.deadline = math.inf
                     yield reply
             finally:
                 await self._cancel_unfinished(req, exchange)
@@ -163,7 +175,9 @@
             yield TargetReply(
                 status=resp.status_code,
                 headers=http_headers.end_to_end(_header_list(resp)),
-                body=_read_body(req.method, resp, exchange),
+                body=_read_body(
+                    req.method, resp, exchange, self._body_silence_s
+                ),
             )
         finally:
             with anyio.CancelScope(shield=True):
@@ -319,13 +333,21 @@
     raise Refusal(Verdict.NOT_RUN, Reason.TARGET_SHED, detail)
 
 
+async def _next_part(
+    parts: AsyncIterator[bytes], silence_s: float
+) -> bytes | None:
+    with anyio.fail_after(silence_s):
+        return await anext(parts, None)
+
+
 async def _read_body(
-    method: str, resp: httpx.Response, exchange: Exchange
+    method: str, resp: httpx.Response, exchange: Exchange, silence_s: float
 ) -> AsyncIterator[bytes]:
+    parts = resp.aiter_raw()
     try:
-        async for part in resp.aiter_raw():
+        while (part := await _next_part(parts, silence_s)) is not None:
             yield part
-    except httpx.TransportError as exc:
+    except (httpx.TransportError, TimeoutError) as exc:
         detail = "The target's answer ended early; it is not whole."
         raise Refusal(Verdict.MAY_HAVE_RUN, Reason.TRUNCATED, detail) from exc
     if not _has_framing(method, resp):
--- a/tests/target/test_http_target.py
+++ b/tests/target/test_http_target.py
@@ -202,6 +202,34 @@
     assert "late" not in process.effects()
 
 
+def test_send_deadline_spares_an_answer_that_has_begun(process):
+    """A long export runs to its end."""
+    path = "/export?chunks=10&size=100&delay_ms=60"
+    req = make_target_request("export", path=path, timeout_s=0.3)
+
+    async def run():
+        async with connected(process.info()) as target:
+            return await exchange(target, req)
+
+    _, body = anyio.run(run)
+    assert len(body) == 1000
+
+
+def test_send_silent_body_is_truncated(process):
+    path = "/export?chunks=2&size=10&delay_ms=2000"
+
+    async def run():
+        target = HttpTarget(process.info(), BootClock(), body_silence_s=0.2)
+        with pytest.raises(Refusal) as caught:
+            await exchange(target, make_target_request("mute", path=path))
+        await target.aclose()
+        return caught.value
+
+    refusal = anyio.run(run)
+    assert refusal.verdict is Verdict.MAY_HAVE_RUN
+    assert refusal.reason is Reason.TRUNCATED
+
+
 def test_send_cancelled_by_caller(process):
     process.fault(hang=True)
 
