--- a/src/burdockgap/peer/pool.py
+++ b/src/burdockgap/peer/pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING
 
 import anyio
@@ -27,8 +27,9 @@
 
 _PROBE_TIMEOUT_S = 0.2
 _CONNECT_TIMEOUT_S = 1.0
-_WATCH_INTERVAL_S = 0.25
-_SILENCE_S = 0.5
+_WATCH_INTERVAL_S = 0.2
+_SILENCE_S = 0.4
+_CONFIRM_S = 0.8
 
 PEER_ERRORS = (
     OSError,
@@ -46,9 +47,10 @@
     Something between the two ends may drop a connection without a word.
     So one that was idle for longer than the keepalive time is probed
     before it carries a request, and one whose requests hear nothing for
-    0.5 s is probed while they wait. A silent connection is replaced for
-    new requests. Those on it are given up only once the peer answers on
-    another connection; a peer that is merely slow keeps them.
+    0.4 s is probed while they wait. A silent connection is replaced for
+    new requests. Those on it are given up if it stays silent once the
+    peer has answered on another one, or has not for longer than a
+    lease; a peer that is merely slow keeps them.
 
     :param auth: proof added to each call.
     :param clock: source of elapsed time.
@@ -145,18 +147,17 @@
     async def _question(
         self, conn: Connection, address: str, asked: set[Connection]
     ) -> None:
-        """Give a connection up if the peer answers on another one."""
+        """Give a connection up unless the peer is merely slow."""
         try:
             if await self._answers(conn):
                 return
-            with anyio.fail_after(_SILENCE_S):
-                other = await self.connection(address)
-            if other is not conn and conn.streams:
+            with suppress(*PEER_ERRORS), anyio.fail_after(_CONFIRM_S):
+                await self.connection(address)
+            if await self._answers(conn):
+                return
+            if conn.streams:
                 logger.warning("the connection to {} went silent", address)
                 conn.close()
-        except PEER_ERRORS:
-            # The peer itself is slow or gone.
-            return
         finally:
             asked.discard(conn)
 
--- a/src/burdockgap/router/dispatcher.py
+++ b/src/burdockgap/router/dispatcher.py
@@ -20,6 +20,11 @@
     from burdockgap.router.route_request import RouteRequest
     from burdockgap.router.server_stats import ServerStats
 
+_FAILURES = frozenset(
+    {Reason.UNREACHABLE, Reason.TARGET_DOWN, Reason.CONNECTION_LOST}
+)
+"""Refusals that tell that a server is not there."""
+
 
 class Dispatcher:
     """
@@ -79,7 +84,7 @@
                 stats.answered(token)
                 yield reply
         except Refusal as refusal:
-            if refusal.reason in (Reason.UNREACHABLE, Reason.TARGET_DOWN):
+            if refusal.reason in _FAILURES:
                 stats.failed()
             raise
         finally:
--- a/src/burdockgap/router/server_stats.py
+++ b/src/burdockgap/router/server_stats.py
@@ -14,6 +14,7 @@
 _RISE_WEIGHT = 0.5
 _PENALTY = 10.0
 _PENALTY_HALF_LIFE_S = 1.0
+_AVOIDED_S = 1.0
 _SLOW_HALF_LIFE_S = 0.5
 _MAX_DOUBLINGS = 6
 _LOAD_HALF_LIFE_S = 0.5
@@ -81,6 +82,7 @@
         started = self._waiting.pop(token, now)
         self._measured(started, now)
         self._typical.answered(now - started)
+        self._failed_at = -math.inf
 
     def end(self, token: int) -> None:
         """
@@ -98,6 +100,10 @@
         """Account for an attempt that found the server unreachable."""
         self._failed_at = self._clock.now()
 
+    def is_avoided(self, now: float) -> bool:
+        """Tell whether the server was unreachable just now."""
+        return now - self._failed_at < _AVOIDED_S
+
     def load(self, *, in_flight: int, limit: int) -> None:
         """Account for the load that rode on a reply."""
         self._reported = in_flight
--- a/src/burdockgap/router/server_table.py
+++ b/src/burdockgap/router/server_table.py
@@ -37,6 +37,15 @@
             )
         return known
 
+    def reachable_first(
+        self, entries: list[SessionEntry]
+    ) -> list[SessionEntry]:
+        """Return the same servers, those unreachable just now last."""
+        now = self._clock.now()
+        return sorted(
+            entries, key=lambda entry: self.stats(entry).is_avoided(now)
+        )
+
     def cost(self, entry: SessionEntry) -> float:
         """Return the expected cost of one more request."""
         return self.stats(entry).cost(self._clock.now())
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import shutil
 import time
 from typing import TYPE_CHECKING
 
 from standins.cluster import open_cluster
 from standins.history.read import read_runs
+from standins.relay import Links
+from standins.relay.links import LOG
 from standins.scenario.observer import Observer, open_observer
 from standins.scenario.scenario_error import UnmetError
 from standins.target_grants import boottime
@@ -15,6 +18,7 @@
     import random
     from collections.abc import Callable
     from contextlib import AsyncExitStack
+    from pathlib import Path
 
     from anyio.abc import TaskGroup
 
@@ -44,10 +48,14 @@
     :param stack: owns the site.
     :param rng: the only source of chance.
     :param say: takes a line of progress.
+    :param relayed: whether daemons are connected through a relay.
+    :ivar links: what the relay does.
     :ivar service: the keyed service of the first servers.
     :ivar names: names given by ``let``.
     :ivar loads: every load so far.
     :ivar fault_at: clock time of the last fault.
+    :ivar cut_off: names of the daemons that are cut off.
+    :ivar owners: the owner of each slice, if remembered.
     :ivar accepted: versions that operators were told.
     """
 
@@ -58,11 +66,14 @@
         stack: AsyncExitStack,
         rng: random.Random,
         say: Callable[[str], None],
+        relayed: bool,
     ) -> None:
         self.tasks = tasks
         self.stack = stack
         self.rng = rng
         self.say = say
+        self.links = Links()
+        self._relayed = relayed
         self.plans: list[ServerPlan] = []
         self.settings: list[str] = []
         self.service = ""
@@ -70,7 +81,9 @@
         self.names: dict[str, str] = {}
         self.loads: list[Load] = []
         self.fault_at = boottime()
+        self.cut_off: set[str] = set()
         self.accepted: list[int] = []
+        self.owners: dict[int, str] = {}
         self._began = time.monotonic()
         self._cluster: Cluster | None = None
         self._observer: Observer | None = None
@@ -104,8 +117,10 @@
         """Build the site from the plans; nothing is started yet."""
         extra = "\n".join(self.settings)
         self._cluster = await self.stack.enter_async_context(
-            open_cluster(self.plans, extra=extra)
+            open_cluster(self.plans, extra=extra, relayed=self._relayed)
         )
+        if self._relayed:
+            await self.tasks.start(self._cluster.relay(self.links).run)
         return self._cluster
 
     async def observe(self) -> None:
@@ -114,6 +129,12 @@
             open_observer(self.service, self.cluster.log_url)
         )
 
+    def copy_outputs(self, folder: Path) -> None:
+        """Copy what the processes wrote so far into a folder."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for file in self.cluster.folder.iterdir():
+            shutil.copy(file, folder)
+
     def document(self) -> str:
         """Return the configuration that is published first."""
         return DOCUMENT.format(service=self.service, slices=self.slices)
@@ -133,6 +154,14 @@
             raise UnmetError("no daemon runs")
         return found
 
+    def connected(self) -> list[Server]:
+        """Return those of :meth:`entries` that are not cut off."""
+        return [
+            server
+            for server in self.entries()
+            if server.name not in self.cut_off
+        ]
+
     def answers(self) -> list[Told]:
         """Return what all callers were told."""
         return [told for load in self.loads for told in load.answers]
@@ -160,6 +189,43 @@
             raise UnmetError(f"no server is named {name!r}")
         return self.cluster.servers[name]
 
+    def servers(self, references: str) -> list[Server]:
+        """Return the servers that references with commas mean now."""
+        if references == "all":
+            return list(self.cluster.servers.values())
+        return [self.server(one.strip()) for one in references.split(",")]
+
+    def group(self, reference: str) -> set[str]:
+        """
+        Return the ends that a reference means now.
+
+        :param reference: ``log``, a data centre, a region, ``witnesses
+            of KEY``, or what :meth:`server` takes.
+        """
+        if reference == LOG:
+            return {LOG}
+        if reference.startswith("witnesses of "):
+            return set(self.observer.witnesses(reference.split()[-1]))
+        members = {
+            name
+            for name, server in self.cluster.servers.items()
+            if reference in (server.plan.data_centre, server.plan.region)
+        }
+        return members or {self.server(reference).name}
+
+    def groups(self, first: str, second: str) -> tuple[set[str], set[str]]:
+        """
+        Return two groups of ends.
+
+        :param second: also ``rest``, all daemons outside the first
+            group, or ``all``, these and the log.
+        """
+        left = self.group(first)
+        if second not in ("rest", "all"):
+            return left, self.group(second)
+        right = set(self.cluster.servers) - left
+        return left, right | ({LOG} if second == "all" else set())
+
     def resolve(self, reference: str) -> str:
         """Return the name that a reference stands for."""
         role, _, key = reference.partition(" of ")
