--- a/src/burdockgap/daemon/role_tasks.py
+++ b/src/burdockgap/daemon/role_tasks.py
@@ -82,6 +82,7 @@
             tasks.start_soon(core.pool.watch)
             tasks.start_soon(core.coordinator.run)
             tasks.start_soon(core.candidacy.run)
+            tasks.start_soon(core.pool.watch)
             tasks.start_soon(self._tidy)
             tasks.start_soon(self._serve_target)
 
@@ -100,6 +101,7 @@
             self.side = side
             self._core.dispatcher.gate = side.gate
             self._core.forward_handler.gate = side.gate
+            self._core.parties.quarantine = side.gate.quarantine
             await side.run()
 
     async def _release(self, msg: Release) -> Released:
--- a/src/burdockgap/peer/connection.py
+++ b/src/burdockgap/peer/connection.py
@@ -1,4 +1,4 @@
-"""A connection to one peer."""
+"""One connection to a peer."""
 
 from __future__ import annotations
 
@@ -17,41 +17,53 @@
 
     :param channel: the channel.
     :param metadata: metadata of each call.
-    :param last_used: clock time of the last answer, in seconds.
+    :param now: clock time, in seconds.
+    :ivar heard_at: clock time of the last sign of the peer on it.
     :ivar proved: whether a call on it has been answered.
-    :ivar pending: number of forwarded requests without an answer.
-    :ivar is_checked: whether it is being probed.
+    :ivar streams: requests that are on it now.
     """
 
     __slots__ = (
+        "_retired",
         "channel",
-        "is_checked",
-        "last_used",
+        "heard_at",
         "metadata",
-        "pending",
         "proved",
+        "streams",
     )
 
     def __init__(
-        self, channel: Channel, metadata: dict[str, str], last_used: float
+        self, channel: Channel, metadata: dict[str, str], now: float
     ) -> None:
         self.channel = channel
         self.metadata = metadata
-        self.last_used = last_used
+        self.heard_at = now
         self.proved = False
-        self.pending = 0
-        self.is_checked = False
+        self.streams = 0
+        self._retired = False
 
-    def mark_used(self, now: float) -> None:
-        """Note that the peer answered on this connection."""
-        self.last_used = now
+    def heard(self, now: float) -> None:
+        """Note a sign of the peer."""
+        self.heard_at = now
         self.proved = True
 
     @contextmanager
-    def awaiting(self) -> Iterator[None]:
-        """Count a request as pending until the block ends."""
-        self.pending += 1
+    def stream(self) -> Iterator[None]:
+        """Count a request; a retired connection ends with the last."""
+        self.streams += 1
         try:
             yield
         finally:
-            self.pending -= 1
+            self.streams -= 1
+            if self._retired and self.streams == 0:
+                self.close()
+
+    def retire(self) -> None:
+        """Let requests on it end, then close it."""
+        self._retired = True
+        if self.streams == 0:
+            self.close()
+
+    def close(self) -> None:
+        """Close it at once; requests on it fail."""
+        self.channel.close()
--- a/src/burdockgap/router/dispatcher.py
+++ b/src/burdockgap/router/dispatcher.py
@@ -79,18 +79,17 @@
             fingerprint=req.fingerprint,
             whole=req.body.content(),
         )
-        started = self._clock.now()
-        stats.in_flight += 1
+        token = stats.begin()
         try:
             async with self._attempt(entry, gate_req, stats) as reply:
-                stats.answered(self._clock.now() - started)
+                stats.answered(token)
                 yield reply
         except Refusal as refusal:
             if refusal.reason in _FAILURES:
-                stats.failed(self._clock.now())
+                stats.failed()
             raise
         finally:
-            stats.in_flight -= 1
+            stats.end(token)
 
     @asynccontextmanager
     async def _attempt(
@@ -116,7 +115,7 @@
             )
         async with self.gate.serve(req) as answer:
             stats.load(
-                in_flight=self.gate.stats.in_flight,
+                in_flight=self.gate.stats.demand,
                 limit=self.gate.stats.limit,
             )
             yield RouteReply(
