--- a/binary/contents.py
+++ b/binary/contents.py
@@ -5,6 +5,8 @@
 from importlib.metadata import Distribution, distribution
 from pathlib import Path
 
+from binary.bytecode import compile_modules
+
 _PLAIN_SUFFIXES = frozenset({".py", ".pem"})
 _MAIN = b"""\
 import sys
@@ -35,7 +37,7 @@
     source = root / "src"
     for path in source.rglob("*.py"):
         found[path.relative_to(source).as_posix()] = path.read_bytes()
-    return found
+    return found | compile_modules(found)
 
 
 def _pins(path: Path) -> list[str]:
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,6 +7,7 @@
 import anyio
 
 from measure.baseline import measure_baseline
+from measure.binary import measure_binary
 from measure.control import STEPS, measure_control
 from measure.recorder import Recorder
 
@@ -25,9 +26,12 @@
     control.add_argument("--slices", type=int, nargs="+", default=[_SLICES])
     control.add_argument("--steps", nargs="+", default=STEPS, choices=STEPS)
     parts.add_parser("baseline", help="interpreters that only import")
+    parts.add_parser("binary", help="the tree against the one file")
     args = parser.parse_args()
     if args.part in (None, "baseline"):
         measure_baseline(Recorder("baseline", args.seed))
+    if args.part in (None, "binary"):
+        measure_binary(Recorder("binary", args.seed))
     if args.part in (None, "control"):
         _control(args)
 
