--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -153,13 +153,19 @@
         race.start(self._send(req, history))
         if await race.settled(req.profile.hedge_after_ms / 1000):
             return race.result()
-        if budget.spend():
+        if self._has_another(req) and budget.spend():
             self._metrics.hedges.inc()
             history.hedged()
             race.start(self._send(req, history))
         await race.settled(req.deadline - self._clock.now())
         return race.result()
 
+    def _has_another(self, req: RouteRequest) -> bool:
+        """Tell whether a second server could take a request."""
+        folds = self._folds
+        servers = unkeyed_candidates(folds.control, folds.config, req.service)
+        return len(servers) > 1
+
     def _send(
         self, req: RouteRequest, history: AttemptHistory
     ) -> AbstractAsyncContextManager[RouteReply]:
@@ -179,7 +185,7 @@
         if req.key_hash is not None:
             owners = keyed_candidates(control, req.service, req.key_hash)
             if owners:
-                return history.prefer(owners)
+                return history.prefer(self._table.reachable_first(owners))
             raise Refusal(
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server owns the key yet"
             )
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -31,6 +31,7 @@
 
 [peer]
 bind = "{ip}:{peer}"
+advertise = "{advertise}"
 secret = "{secret}"
 
 [admin]
@@ -54,9 +55,19 @@
     :param extra: further settings as TOML text.
     :param program: how the daemon's program is started, by default
         from the project's tree.
+    :param relay: IP address at which a relay passes on what other
+        daemons send to this one, "" without a relay.
     """
 
-    __slots__ = ("daemon", "folder", "ip", "plan", "settings", "target")
+    __slots__ = (
+        "daemon",
+        "folder",
+        "ip",
+        "plan",
+        "relay",
+        "settings",
+        "target",
+    )
 
     def __init__(
         self,
@@ -67,9 +78,11 @@
         folder: Path,
         extra: str = "",
         program: Launch | None = None,
+        relay: str = "",
     ) -> None:
         self.plan = plan
         self.ip = address
+        self.relay = relay
         self.folder = folder
         self.settings = folder / f"{plan.name}.toml"
         self.settings.write_text(
@@ -80,6 +93,7 @@
                 ip=address,
                 http=HTTP_PORT,
                 peer=PEER_PORT,
+                advertise=f"{relay}:{PEER_PORT}" if relay else "",
                 admin=ADMIN_PORT,
                 secret=SECRET,
                 token=TOKEN,
--- a/tests/binary/test_archive.py
+++ b/tests/binary/test_archive.py
@@ -84,3 +84,21 @@
         f"{binary}/{name}/__init__.pyc",
         "[]",
     ]
+
+
+def test_certificates_are_read_in_place(bare, binary, tmp_path):
+    program = tmp_path / "program.py"
+    program.write_text(
+        f"import sys; sys.path.insert(0, {str(binary)!r})\n"
+        "from burdockgap.tls.verification import verification\n"
+        "print(len(verification('https://log.example').get_ca_certs()) > 9)\n"
+    )
+    done = subprocess.run(
+        [*bare.command[:-1], str(program)],
+        capture_output=True,
+        text=True,
+        env=bare.env,
+        cwd=bare.cwd,
+        timeout=30,
+    )
+    assert (done.stdout, done.stderr) == ("True\n", "")
