Show only metrics that are set, and the daemon's state

Twenty-two declared metrics were set by no code: the lease, the log, the folds and the gate count on the library's registry under other names. Added: time left of the lease, sessions, whether the log and a coordinator are known, progress of the target, lapses, activations, releases, waits for a slot and hedges that won.

--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import prometheus_client
 from loguru import logger
 
 from burdockgap.admin import AdminApp
@@ -13,6 +14,7 @@
 from burdockgap.daemon.core import open_core
 from burdockgap.daemon.listener import serve_http
 from burdockgap.daemon.role_tasks import RoleTasks
+from burdockgap.daemon.state_collector import StateCollector
 from burdockgap.http.app import CallerApp
 from burdockgap.http.request_parser import RequestParser
 from burdockgap.peer.auth import PeerAuth
@@ -35,12 +37,14 @@
     :return: 0 if nothing was cut off, else 1.
     """
     settle_async_library()
+    prometheus_client.disable_created_metrics()  # type: ignore[no-untyped-call]
     return anyio.run(_run, settings)
 
 
 async def _run(settings: Settings) -> int:
     async with open_core(settings) as core:
         roles = RoleTasks(core)
+        core.metrics.registry.register(StateCollector(core, roles))
         callers = CallerApp(
             parser=RequestParser(folds=core.folds, clock=core.clock),
             router=core.router,
--- a/src/burdockgap/daemon/service_side.py
+++ b/src/burdockgap/daemon/service_side.py
@@ -8,6 +8,7 @@
 import anyio
 from loguru import logger
 
+from burdockgap.daemon.lease_watch import LeaseWatch
 from burdockgap.daemon.peer_releases import PeerReleases
 from burdockgap.daemon.session_keeper import SessionKeeper
 from burdockgap.daemon.target_slot import TargetSlot
@@ -61,6 +62,7 @@
 
     __slots__ = (
         "_core",
+        "_lease_watch",
         "_out_since",
         "gate",
         "grants",
@@ -98,6 +100,7 @@
         self.releaser = releaser
         self.grants = grants
         self.meter = meter
+        self._lease_watch = LeaseWatch(sessions, core.clock)
         self._out_since: float | None = None
         self.target_leaves = False
 
@@ -157,6 +160,7 @@
             self._follow_policy()
             self._follow_service_state()
             self._follow_progress()
+            self._lease_watch.look()
             await anyio.sleep(_WATCH_EVERY_S)
 
     def _follow_policy(self) -> None:
--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -226,9 +226,11 @@
         self.quarantine.check(req.fingerprint)
         self._permits.check(req.key_hash)
         self._state.check()
+        asked_at = self._clock.now()
         await self._limiter.acquire(
             deadline=req.deadline, wait_s=self._policy.queue_wait_s
         )
+        metrics.queue_wait.observe(self._clock.now() - asked_at)
         with self._in_flight(req, entry) as flight:
             permit = self._enter(flight)
             async with self._exchange(flight, permit) as reply:
--- a/src/burdockgap/ownership/holdings.py
+++ b/src/burdockgap/ownership/holdings.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from burdockgap.ownership.counters import ACTIVATIONS, RELEASES
 from burdockgap.ownership.unit import is_pin, slice_of
 from burdockgap.ownership.work_item import WorkItem
 
@@ -47,6 +48,7 @@
         ):
             return False
         self.active[unit] = epoch
+        ACTIVATIONS.inc()
         if is_pin(unit):
             self._pins.add(unit)
         return True
@@ -54,7 +56,8 @@
     def release(self, unit: int, floor: int) -> None:
         """Raise a unit's floor and stop holding it below the floor."""
         self._floors[unit] = max(floor, self.floor(unit))
-        if self.epoch(unit) < floor:
+        if 0 < self.epoch(unit) < floor:
+            RELEASES.inc()
             self._drop(unit)
 
     def active_pins(self, slice_index: int, slices: int) -> list[int]:
--- a/src/burdockgap/router/race.py
+++ b/src/burdockgap/router/race.py
@@ -66,6 +66,11 @@
             raise self._worst_refusal()
         return winner.reply
 
+    @property
+    def is_won_by_first(self) -> bool:
+        """Tell whether the attempt started first has answered."""
+        return self._runners[0].reply is not None
+
     def _is_settled(self) -> bool:
         answered = any(runner.reply for runner in self._runners)
         return answered or all(runner.refusal for runner in self._runners)
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -158,7 +158,10 @@
             history.hedged()
             race.start(self._send(req, history))
         await race.settled(req.deadline - self._clock.now())
-        return race.result()
+        reply = race.result()
+        if not race.is_won_by_first:
+            self._metrics.hedges_won.inc()
+        return reply
 
     def _has_another(self, req: RouteRequest) -> bool:
         """Tell whether a second server could take a request."""
