Count malformed connections, stop cleanly from the start, name taken addresses

Seen on a running daemon: malformed or oversized HTTP heads and garbage on the peer port were answered or closed but counted nowhere, since the libraries tell no one; a SIGTERM right after the start ended the process with -15, since the receiver was opened after the listeners; and a taken address ended it with a traceback and exit code 1.

--- a/src/burdockgap/cli/daemon.py
+++ b/src/burdockgap/cli/daemon.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from burdockgap.cli.exit_code import ExitCode
+from burdockgap.cli.failure import CliFailure
 from burdockgap.cli.settings_file import read_settings
+from burdockgap.settings.bind_error import BindError
 
 if TYPE_CHECKING:
     import argparse
@@ -30,5 +33,8 @@
     from burdockgap.logs import set_up_logs
 
     set_up_logs(settings.logging)
-    code: int = run_daemon(settings)
+    try:
+        code: int = run_daemon(settings)
+    except BindError as exc:
+        raise CliFailure(ExitCode.BAD_INPUT, str(exc)) from exc
     return code
--- a/src/burdockgap/daemon/core.py
+++ b/src/burdockgap/daemon/core.py
@@ -31,6 +31,7 @@
 from burdockgap.router.dispatcher import Dispatcher
 from burdockgap.router.router import Router
 from burdockgap.router.server_table import ServerTable
+from burdockgap.settings.bind_error import binding
 from burdockgap.wire.seal import Sealer
 
 if TYPE_CHECKING:
@@ -199,7 +200,7 @@
     """
     Bind the datagram socket and build the shared parts.
 
-    :raises OSError: if the peer address cannot be bound.
+    :raises BindError: if the peer address cannot be bound.
     """
     clock = BootClock()
     metrics = Metrics()
@@ -212,6 +213,10 @@
         keepalive_s=settings.peer.keepalive_s,
     )
     async with AsyncExitStack() as stack:
+        with binding("peer.bind", settings.peer.bind):
+            lease_socket = await stack.enter_async_context(
+                open_lease_socket(Sealer(secret), host=host, port=port)
+            )
         yield Core(
             settings=settings,
             identity=Identity(settings),
@@ -221,7 +226,5 @@
                 open_http_log(settings.log.url, settings.log.timeout_s)
             ),
             pool=stack.enter_context(pool),
-            lease_socket=await stack.enter_async_context(
-                open_lease_socket(Sealer(secret), host=host, port=port)
-            ),
+            lease_socket=lease_socket,
         )
--- a/src/burdockgap/daemon/listener.py
+++ b/src/burdockgap/daemon/listener.py
@@ -2,34 +2,58 @@
 
 from __future__ import annotations
 
+import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
 import anyio
 from hypercorn.asyncio import serve
-from hypercorn.config import Config
+
+from burdockgap.http import counted_protocol
+from burdockgap.http.counted_protocol import ListenerConfig
+from burdockgap.peer.address import split_address
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
 _GRACE_S = 1.0
 _BACKLOG = 1024
 _KEEP_ALIVE_S = 75
 
 
+def listen(bind: str) -> socket.socket:
+    """
+    Listen on ``ip:port``.
+
+    :raises OSError: if the address cannot be bound.
+    """
+    host, port = split_address(bind)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.create_server((host, port), family=family, backlog=_BACKLOG)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 @asynccontextmanager
 async def serve_http(
-    app: Any, bind: str, *, header_bytes: int
+    app: Any,
+    sock: socket.socket,
+    *,
+    header_bytes: int,
+    on_malformed: Callable[[], None],
 ) -> AsyncIterator[None]:
     """
-    Serve an application on ``ip:port`` until the block ends.
+    Serve an application on a socket until the block ends.
 
+    :param sock: a listening socket, which is taken over.
     :param header_bytes: largest size of a request's head.
-    :raises OSError: if the address cannot be bound.
+    :param on_malformed: called when a request's head is malformed.
     """
+    counted_protocol.install()
     stop = anyio.Event()
-    cfg = Config()
-    cfg.bind = [bind]
+    cfg = ListenerConfig()
+    cfg.on_malformed = on_malformed
+    cfg.bind = [f"fd://{sock.detach()}"]
     cfg.backlog = _BACKLOG
     cfg.accesslog = None
     cfg.errorlog = None
@@ -45,5 +69,5 @@
             stop.set()
 
 
-async def _serve(app: Any, cfg: Config, stop: anyio.Event) -> None:
+async def _serve(app: Any, cfg: ListenerConfig, stop: anyio.Event) -> None:
     await serve(app, cfg, shutdown_trigger=stop.wait, mode="asgi")
--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -12,7 +12,7 @@
 from burdockgap.admin import AdminApp
 from burdockgap.daemon.backend import Backend
 from burdockgap.daemon.core import open_core
-from burdockgap.daemon.listener import serve_http
+from burdockgap.daemon.listener import listen, serve_http
 from burdockgap.daemon.role_tasks import RoleTasks
 from burdockgap.daemon.state_collector import StateCollector
 from burdockgap.http.app import CallerApp
@@ -20,9 +20,13 @@
 from burdockgap.peer.auth import PeerAuth
 from burdockgap.peer.method import ACTIVATION, JOIN, LEAVE, LOAD, PULL
 from burdockgap.peer.service import PeerService, serve_peers
+from burdockgap.settings.bind_error import BindError, binding
 from burdockgap.tasks.async_library import settle_async_library
 
 if TYPE_CHECKING:
+    import socket
+    from collections.abc import AsyncIterator
+
     from burdockgap.daemon.core import Core
     from burdockgap.settings import Settings
 
@@ -35,13 +39,36 @@
     Run a daemon until it is told to stop.
 
     :return: 0 if nothing was cut off, else 1.
+    :raises BindError: if an address of the settings cannot be bound.
     """
     settle_async_library()
     prometheus_client.disable_created_metrics()  # type: ignore[no-untyped-call]
-    return anyio.run(_run, settings)
+    failures: list[BindError] = []
+    code = 0
+    try:
+        code = anyio.run(_run, settings)
+    except* BindError as group:
+        failures = _leaves(group)
+    if failures:
+        raise failures[0]
+    return code
+
+
+def _leaves(group: BaseExceptionGroup[BindError]) -> list[BindError]:
+    found = []
+    for exc in group.exceptions:
+        found += _leaves(exc) if isinstance(exc, BaseExceptionGroup) else [exc]
+    return found
 
 
 async def _run(settings: Settings) -> int:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        return await _serve(settings, signals)
+
+
+async def _serve(
+    settings: Settings, signals: AsyncIterator[signal.Signals]
+) -> int:
     async with open_core(settings) as core:
         roles = RoleTasks(core)
         core.metrics.registry.register(StateCollector(core, roles))
@@ -55,23 +82,26 @@
             Backend(core, roles), core.metrics, token=settings.admin.token
         )
         service = _peer_service(core, roles)
+        bad_requests = core.metrics.bad_requests
         async with (
             serve_peers(service, settings.peer.bind),
             serve_http(
                 callers,
-                settings.http.bind,
+                _listen("http.bind", settings.http.bind),
                 header_bytes=settings.http.max_header_bytes,
+                on_malformed=bad_requests.labels("http").inc,
             ),
             serve_http(
                 admin,
-                settings.admin.bind,
+                _listen("admin.bind", settings.admin.bind),
                 header_bytes=_ADMIN_HEADER_BYTES,
+                on_malformed=bad_requests.labels("admin").inc,
             ),
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(roles.run)
             logger.info("daemon {} started", core.identity.name)
-            await _wait_for_stop()
+            await _wait_for_stop(signals)
             clean = await _leave(core, roles, callers)
             tasks.cancel_scope.cancel()
     logger.info("daemon {} stopped", core.identity.name)
@@ -93,11 +123,15 @@
     return service
 
 
-async def _wait_for_stop() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            logger.info("told to stop by {}", number.name)
-            return
+async def _wait_for_stop(signals: AsyncIterator[signal.Signals]) -> None:
+    async for number in signals:
+        logger.info("told to stop by {}", number.name)
+        return
+
+
+def _listen(option: str, address: str) -> socket.socket:
+    with binding(option, address):
+        return listen(address)
 
 
 async def _leave(core: Core, roles: RoleTasks, callers: CallerApp) -> bool:
--- /dev/null
+++ b/src/burdockgap/peer/counted_server.py
@@ -0,0 +1,64 @@
+"""A gRPC server that counts connections with garbage."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from grpclib.protocol import EventsProcessor, H2Protocol
+from grpclib.server import Server
+
+if TYPE_CHECKING:
+    from asyncio import BaseTransport
+    from collections.abc import Callable, Collection
+
+_GARBAGE = "Protocol error"
+
+
+class _Processor(EventsProcessor):
+    """Processes a connection's events and tells how it was closed."""
+
+    def __init__(
+        self, protocol: H2Protocol, on_garbage: Callable[[], None]
+    ) -> None:
+        super().__init__(protocol.handler, protocol.connection)
+        self._on_garbage = on_garbage
+
+    def close(self, reason: str = "") -> None:
+        if reason == _GARBAGE:
+            self._on_garbage()
+        super().close(reason)
+
+
+class _Protocol(H2Protocol):
+    """One connection; the library itself only logs what is garbage."""
+
+    on_garbage: Callable[[], None]
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        super().connection_made(transport)
+        self.processor = _Processor(self, self.on_garbage)
+
+
+class CountedServer(Server):
+    """
+    A server that tells of connections closed for breaking HTTP/2.
+
+    :param handlers: as for the library's server.
+    :param on_garbage: called once for each such connection.
+    """
+
+    def __init__(
+        self,
+        handlers: Collection[Any],
+        *,
+        codec: Any,
+        on_garbage: Callable[[], None],
+    ) -> None:
+        super().__init__(handlers, codec=codec)
+        self._on_garbage = on_garbage
+
+    def _protocol_factory(self) -> H2Protocol:
+        made = super()._protocol_factory()
+        protocol = _Protocol(made.handler, made.config, made.h2_config)
+        protocol.on_garbage = self._on_garbage
+        return protocol
--- a/src/burdockgap/peer/service.py
+++ b/src/burdockgap/peer/service.py
@@ -8,15 +8,16 @@
 
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server
 
 from burdockgap.peer.address import split_address
 from burdockgap.peer.codec import PeerCodec
+from burdockgap.peer.counted_server import CountedServer
 from burdockgap.peer.method import (
     FORWARD_PATH,
     FORWARD_REPLY,
     FORWARD_REQUEST,
 )
+from burdockgap.settings.bind_error import binding
 from burdockgap.wire import DecodeError
 
 if TYPE_CHECKING:
@@ -54,6 +55,10 @@
         """Offer a unary call."""
         self._unary.append((method, handler))
 
+    def count_rejected(self) -> None:
+        """Count a call or connection that was refused."""
+        self._metrics.peer_calls_rejected.inc()
+
     def __mapping__(self) -> dict[str, Handler]:
         calls = {
             method.path: Handler(
@@ -85,17 +90,17 @@
     def _check_proof(self, stream: Any) -> None:
         if self._auth.accepts(stream.metadata):
             return
-        self._metrics.peer_calls_rejected.inc()
+        self.count_rejected()
         raise GRPCError(Status.UNAUTHENTICATED, "no proof of the secret")
 
     async def _receive(self, stream: Any) -> Any:
         try:
             msg = await stream.recv_message()
         except DecodeError as exc:
-            self._metrics.peer_calls_rejected.inc()
+            self.count_rejected()
             raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
         if msg is None:
-            self._metrics.peer_calls_rejected.inc()
+            self.count_rejected()
             raise GRPCError(Status.INVALID_ARGUMENT, "no message")
         return msg
 
@@ -103,15 +108,18 @@
 @asynccontextmanager
 async def serve_peers(
     service: PeerService, bind: str
-) -> AsyncIterator[Server]:
+) -> AsyncIterator[CountedServer]:
     """
     Serve peers on ``ip:port`` until the block ends.
 
-    :raises OSError: if the address cannot be bound.
+    :raises BindError: if the address cannot be bound.
     """
     host, port = split_address(bind)
-    server = Server([service], codec=PeerCodec())
-    await server.start(host, port)
+    server = CountedServer(
+        [service], codec=PeerCodec(), on_garbage=service.count_rejected
+    )
+    with binding("peer.bind", bind):
+        await server.start(host, port)
     try:
         yield server
     finally:
