--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,6 +7,7 @@
 import anyio
 
 from measure.baseline import measure_baseline
+from measure.binary import measure_binary
 from measure.control import STEPS, measure_control
 from measure.datapath import measure_datapath
 from measure.recorder import Recorder
@@ -31,9 +32,12 @@
     parts.add_parser("path", help="requests a second, local and one hop")
     parts.add_parser("slopes", help="fits and plots of what was measured")
     parts.add_parser("table", help="fold and routing table at full size")
+    parts.add_parser("binary", help="the tree against the one file")
     args = parser.parse_args()
     if args.part in (None, "baseline"):
         measure_baseline(Recorder("baseline", args.seed))
+    if args.part in (None, "binary"):
+        measure_binary(Recorder("binary", args.seed))
     if args.part in (None, "table"):
         measure_tables(args.seed)
     if args.part in (None, "path"):
--- a/src/burdockgap/target/transports.py
+++ b/src/burdockgap/target/transports.py
@@ -7,7 +7,7 @@
 
 import httpx
 
-from burdockgap.tls.trust import trust_for
+from burdockgap.tls.verification import verification
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -54,7 +54,7 @@
 
     def _open(self) -> httpx.AsyncHTTPTransport:
         transport = httpx.AsyncHTTPTransport(
-            verify=trust_for(self._url),
+            verify=verification(self._url),
             trust_env=False,
             limits=self._limits,
         )
--- a/src/burdockgap/tls/__init__.py
+++ b/src/burdockgap/tls/__init__.py
@@ -1,1 +1,1 @@
-"""Certificates for connections over TLS."""
+"""Verification of servers that are reached over TLS."""
