--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -228,9 +228,11 @@
         self.quarantine.check(req.fingerprint)
         self._permits.check(req.key_hash)
         self._state.check()
+        asked_at = self._clock.now()
         await self._limiter.acquire(
             deadline=req.deadline, wait_s=self._policy.queue_wait_s
         )
+        metrics.queue_wait.observe(self._clock.now() - asked_at)
         with self._in_flight(req, entry) as flight:
             permit = self._enter(flight)
             async with self._exchange(flight, permit) as reply:
@@ -337,6 +339,7 @@
             self._failed(flight, exc)
             raise
         flight.ended = True
+        self.quarantine.answered(flight.req.fingerprint)
         self._state.completed(flight.boot_id, flight.service_s)
         self._limiter.set_limit(self._state.limit)
 
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -158,10 +158,13 @@
             history.hedged()
             race.start(self._send(req, history))
         await race.settled(req.deadline - self._clock.now())
-        return race.result()
+        reply = race.result()
+        if not race.is_won_by_first:
+            self._metrics.hedges_won.inc()
+        return reply
 
     def _has_another(self, req: RouteRequest) -> bool:
-        """Tell whether another server could take an unkeyed request."""
+        """Tell whether there is a second server for a hedge."""
         folds = self._folds
         servers = unkeyed_candidates(folds.control, folds.config, req.service)
         return len(servers) > 1
@@ -185,7 +188,7 @@
         if req.key_hash is not None:
             owners = keyed_candidates(control, req.service, req.key_hash)
             if owners:
-                return history.prefer(self._table.reachable_first(owners))
+                return history.prefer(owners)
             raise Refusal(
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server owns the key yet"
             )
@@ -195,9 +198,7 @@
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server is in service"
             )
         return self._chooser.choose(
-            history.untried(servers),
-            spill_load=req.profile.spill_load,
-            idempotent=req.idempotent,
+            history.untried(servers), spill_load=req.profile.spill_load
         )
 
     def _attempt_deadline(
