--- a/tests/peer/test_forward_body.py
+++ b/tests/peer/test_forward_body.py
@@ -15,7 +15,7 @@
 from burdockgap.peer.method import PING
 from burdockgap.peer.pool import open_pool
 from burdockgap.peer.service import PeerService, serve_peers
-from burdockgap.router.server_stats import ServerStats
+from burdockgap.router.server_table import ServerTable
 from burdockgap.target import TargetReply
 from tests.builders import make_body, make_gate_request, make_session
 
@@ -25,7 +25,7 @@
 class EchoGate:
     """A gate whose target answers with the request's body."""
 
-    stats = SimpleNamespace(in_flight=1, limit=2)
+    stats = SimpleNamespace(demand=1, in_flight=1, limit=2)
 
     def __init__(self):
         self.wholes = []
@@ -52,7 +52,8 @@
     async with serve_peers(service, address):
         with pool as conns:
             entry = make_session(peer_address=address)
-            async with forward(conns, entry, req, 5.0, ServerStats()) as reply:
+            stats = ServerTable(clock).stats(entry)
+            async with forward(conns, entry, req, 5.0, stats) as reply:
                 return b"".join([part async for part in reply.body])
 
 
