--- /dev/null
+++ b/standins/mutants/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons with a seeded fault, to see checks fail."""
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import shutil
+import sys
 import time
 from typing import TYPE_CHECKING
 
 from standins.cluster import open_cluster
+from standins.cluster.launch import Launch
 from standins.history.read import read_runs
 from standins.relay import Links
 from standins.relay.links import LOG
@@ -52,6 +54,7 @@
     :param relayed: whether daemons are connected through a relay.
     :ivar links: what the relay does.
     :ivar service: the keyed service of the first servers.
+    :ivar mutant: name of the daemons' seeded fault, "" for none.
     :ivar names: names given by ``let``.
     :ivar loads: every load so far.
     :ivar fault_at: clock time of the last fault.
@@ -78,6 +81,7 @@
         self._relay: Relay | None = None
         self.plans: list[ServerPlan] = []
         self.settings: list[str] = []
+        self.mutant = ""
         self.service = ""
         self.slices = 32
         self.names: dict[str, str] = {}
@@ -119,7 +123,12 @@
         """Build the site from the plans; nothing is started yet."""
         extra = "\n".join(self.settings)
         self._cluster = await self.stack.enter_async_context(
-            open_cluster(self.plans, extra=extra, relayed=self._relayed)
+            open_cluster(
+                self.plans,
+                extra=extra,
+                program=_mutant(self.mutant) if self.mutant else None,
+                relayed=self._relayed,
+            )
         )
         if self._relayed:
             self._relay = self._cluster.relay(self.links)
@@ -256,3 +265,7 @@
         if not 0 < rank <= len(witnesses):
             raise UnmetError(f"{key} has {len(witnesses)} witnesses")
         return witnesses[rank - 1]
+
+
+def _mutant(name: str) -> Launch:
+    return Launch(command=[sys.executable, "-m", "standins.mutants", name])
--- a/standins/scenario/statements/loads.py
+++ b/standins/scenario/statements/loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -10,9 +11,10 @@
 from standins.scenario.verb import verb
 
 if TYPE_CHECKING:
+    from standins.history.told import Told
     from standins.scenario.run import Run
 
-_POLL_S = 0.02
+_REASON_CHARS = 40
 _DRAIN_TIMEOUT_S = 10.0
 
 
@@ -55,3 +57,11 @@
     told = run.answers()
     good = sum(one.succeeded for one in told)
     run.say(f"          {good} of {len(told)} requests were answered")
+    kinds = Counter(_kind(one) for one in told if not one.succeeded)
+    for kind, count in kinds.most_common():
+        run.say(f"          {count} {kind}")
+
+
+def _kind(told: Told) -> str:
+    reason = told.detail.partition(": ")[2].partition(":")[0]
+    return f"{told.verdict or 'no answer'} ({reason[:_REASON_CHARS]})"
--- a/standins/scenario/statements/site.py
+++ b/standins/scenario/statements/site.py
@@ -68,6 +68,12 @@
     await run.cluster.wait_admitted(added)
 
 
+@verb(r"mutant (?P<name>[\w-]+)")
+async def set_mutant(run: Run, *, name: str) -> None:
+    """Give all daemons a seeded fault."""
+    run.mutant = name
+
+
 @verb(r"slices (?P<count>\d+)")
 async def set_slices(run: Run, *, count: str) -> None:
     """Set the number of slices of the keyed service."""
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 
 import anyio
@@ -9,8 +10,11 @@
 from loguru import logger
 
 from standins.scenario.runner import run_scenario
+from standins.scenario.scenario_error import ScenarioError
 
-_FILES = sorted(Path(__file__).parent.glob("*.scn"))
+_FOLDER = Path(__file__).parent
+_FILES = sorted(_FOLDER.glob("*.scn"))
+_MUTANTS = sorted((_FOLDER / "mutants").glob("*.scn"))
 
 
 def _case(path):
@@ -23,3 +27,11 @@
 def test_scenario(path):
     logger.remove()
     anyio.run(run_scenario, path, print)
+
+
+@pytest.mark.parametrize("path", [_case(path) for path in _MUTANTS])
+def test_seeded_fault_is_found(path):
+    logger.remove()
+    pattern = re.search("^# fails: (.+)$", path.read_text(), re.MULTILINE)
+    with pytest.raises(ScenarioError, match=pattern[1]):
+        anyio.run(run_scenario, path, print)
