--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -60,6 +60,8 @@
     :ivar fault_at: clock time of the last fault.
     :ivar cut_off: names of the daemons that are cut off.
     :ivar owners: the owner of each slice, if remembered.
+    :ivar served_after: seconds from the last fault to the first answer
+        for each key, as last expected.
     :ivar accepted: versions that operators were told.
     """
 
@@ -88,6 +90,7 @@
         self.loads: list[Load] = []
         self.fault_at = boottime()
         self.cut_off: set[str] = set()
+        self.served_after: dict[str, float] = {}
         self.accepted: list[int] = []
         self.owners: dict[int, str] = {}
         self._began = time.monotonic()
--- a/standins/scenario/runner.py
+++ b/standins/scenario/runner.py
@@ -25,13 +25,14 @@
 
 async def run_scenario(
     path: Path, say: Callable[[str], None], outputs: Path | None = None
-) -> None:
+) -> Run:
     """
     Run a scenario to its end.
 
     :param path: the scenario's file.
     :param say: takes a line of progress.
     :param outputs: folder that gets the outputs of all processes.
+    :return: what it came to.
     :raises ScenarioError: with the line that failed.
     """
     statements = parse(path)
@@ -59,6 +60,7 @@
         tasks.cancel_scope.cancel()
     if failure is not None:
         raise failure
+    return run
 
 
 def _needs_relay(statement: Statement) -> bool:
--- a/standins/scenario/statements/expectations.py
+++ b/standins/scenario/statements/expectations.py
@@ -78,6 +78,7 @@
         if key not in served
     ]
     _require_none(missing)
+    run.served_after = served
     last = max(served, key=lambda key: served[key])
     why = refusals.get(last, "")
     run.say(f"          {last} came last, {served[last]:.2f} s after {why}")
