--- a/standins/scenario/observer.py
+++ b/standins/scenario/observer.py
@@ -9,14 +9,14 @@
 
 from burdockgap.fold.folds import Folds
 from burdockgap.fold.loader import Loader
-from burdockgap.ownership.unit import hash_key
+from burdockgap.ownership.unit import hash_key, slice_of
 from burdockgap.platform.http_log import open_http_log
 from burdockgap.platform.tail import Tail
 from burdockgap.records.streams import CONFIG, CONTROL
 from standins.scenario.scenario_error import UnmetError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterable
 
     from burdockgap.fold.unit_table import UnitTable
     from burdockgap.records.session_entry import SessionEntry
@@ -85,6 +85,12 @@
             found[unit] = entry.name if entry else ""
         return found
 
+    def key_owners(self, keys: Iterable[str]) -> dict[str, str]:
+        """Return the owner's name of each key that has one."""
+        owners = self.owners()
+        slices = self.table.slices
+        return {key: owners[slice_of(hash_key(key), slices)] for key in keys}
+
     def all_owned(self) -> bool:
         """Tell whether each unit belongs to a live session."""
         table = self.folds.control.tables.get(self._service)
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -60,6 +60,7 @@
     :ivar fault_at: clock time of the last fault.
     :ivar cut_off: names of the daemons that are cut off.
     :ivar owners: the owner of each slice, if remembered.
+    :ivar key_owners: the owner of each key at the last fault.
     :ivar served_after: seconds from the last fault to the first answer
         for each key, as last expected.
     :ivar accepted: versions that operators were told.
@@ -90,6 +91,7 @@
         self.loads: list[Load] = []
         self.fault_at = boottime()
         self.cut_off: set[str] = set()
+        self.key_owners: dict[str, str] = {}
         self.served_after: dict[str, float] = {}
         self.accepted: list[int] = []
         self.owners: dict[int, str] = {}
@@ -163,7 +165,9 @@
         return DOCUMENT.format(service=self.service, slices=self.slices)
 
     def fault(self) -> None:
-        """Note that a fault happens now."""
+        """Note that a fault happens now, and who owns which key."""
+        if self.loads and self._observer is not None:
+            self.key_owners = self._observer.key_owners(self.load.keys)
         self.fault_at = boottime()
 
     def entries(self) -> list[Server]:
