Keep goodput under overload and bodies whole over attempts

Daemons took in more than their event loop could do, each request crossed a hop although its own target was free, a request that could not get a slot in time still waited the whole time, and a gate for which one attempt's part of the time was too short ended the request.

A daemon whose tasks run late refuses a share of new requests at once; the target beside the router is the first choice until it is busier; the gate refuses at once what would wait too long at the present pace; a late attempt may be tried elsewhere.

Found on the way: a request body is a generator, which ends when an attempt is cancelled while it waits for a part. The next attempt then sent what had arrived so far as the whole body. And a caller that went away in the middle of a forwarded body ended as an internal error. Bodies are no generators any more, one that failed is not sent again, and a caller that takes or sends nothing for 30 s is given up.

--- a/src/burdockgap/daemon/core.py
+++ b/src/burdockgap/daemon/core.py
@@ -195,6 +195,7 @@
             chooser=Chooser(
                 table=self.server_table,
                 data_centre=self.identity.data_centre,
+                incarnation=self.identity.incarnation,
             ),
             clock=self.clock,
             metrics=self.metrics,
--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -15,6 +15,7 @@
 from burdockgap.daemon.role_tasks import RoleTasks
 from burdockgap.http.app import CallerApp
 from burdockgap.http.request_parser import RequestParser
+from burdockgap.http.shedder import Shedder
 from burdockgap.peer.auth import PeerAuth
 from burdockgap.peer.method import ACTIVATION, HEARD, JOIN, LEAVE, LOAD, PULL
 from burdockgap.peer.service import PeerService, serve_peers
@@ -41,11 +42,13 @@
 async def _run(settings: Settings) -> int:
     async with open_core(settings) as core:
         roles = RoleTasks(core)
+        shedder = Shedder(clock=core.clock)
         callers = CallerApp(
             parser=RequestParser(folds=core.folds, clock=core.clock),
             router=core.router,
             clock=core.clock,
             metrics=core.metrics,
+            shedder=shedder,
         )
         admin = AdminApp(
             Backend(core, roles), core.metrics, token=settings.admin.token
@@ -66,6 +69,7 @@
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(roles.run)
+            tasks.start_soon(shedder.run)
             logger.info("daemon {} started", core.identity.name)
             await _wait_for_stop()
             clean = await _leave(core, roles, callers)
--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -342,6 +342,7 @@
         flight.service_s = self._clock.now() - flight.dispatched_at
         self._state.answered(flight.service_s)
         self._limiter.least_service_s = self._state.times.least_s
+        self._limiter.service_s = self._state.times.ewma_s
 
     def _failed(self, flight: Flight, refusal: Refusal) -> None:
         if flight.failed:
--- a/src/burdockgap/gate/limiter.py
+++ b/src/burdockgap/gate/limiter.py
@@ -20,6 +20,8 @@
 
     ``least_service_s`` is the shortest time in which an answer can be
     expected; work that cannot meet its deadline gets no slot.
+    ``service_s`` is the usual time; work that would wait too long for
+    its slot at that pace is refused at once instead of after the wait.
 
     :param clock: the time source of deadlines.
     :param limit: most slots in use.
@@ -34,6 +36,7 @@
         "in_flight",
         "least_service_s",
         "queue_length",
+        "service_s",
     )
 
     def __init__(self, *, clock: Clock, limit: int, queue_length: int) -> None:
@@ -43,6 +46,7 @@
         self._waiters: deque[Waiter] = deque()
         self.in_flight = 0
         self.least_service_s = 0.0
+        self.service_s = 0.0
         self.queue_length = queue_length
 
     @property
@@ -79,6 +83,7 @@
             return
         if len(self._waiters) >= self.queue_length:
             raise _queue_full()
+        self._check_wait(deadline, wait_s)
         await self._wait(deadline, wait_s)
 
     def release(self) -> None:
@@ -117,6 +122,12 @@
             self._waiters.remove(waiter)
             raise _late() if remaining_s <= wait_s else _waited(wait_s)
 
+    def _check_wait(self, deadline: float, wait_s: float) -> None:
+        turns = (len(self._waiters) + 1) / self._limit
+        remaining_s = deadline - self._clock.now() - self.least_service_s
+        if turns * self.service_s > min(wait_s, remaining_s):
+            raise _queue_full()
+
     def _withdraw(self, waiter: Waiter) -> None:
         if waiter.granted:
             self.release()
--- a/src/burdockgap/http/app.py
+++ b/src/burdockgap/http/app.py
@@ -19,6 +19,7 @@
 
     from burdockgap.clock import Clock
     from burdockgap.http.request_parser import RequestParser
+    from burdockgap.http.shedder import Shedder
     from burdockgap.metrics import Metrics
     from burdockgap.router.route_reply import RouteReply
     from burdockgap.router.route_request import RouteRequest
@@ -28,6 +29,7 @@
     Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 _RETRY_AFTER_S = "1"
+_SILENCE_S = 30.0
 
 
 class CallerApp:
@@ -38,6 +40,9 @@
     :param router: finds their targets.
     :param clock: source of elapsed time.
     :param metrics: counters.
+    :param shedder: refuses requests while the daemon is overloaded.
+    :param silence_s: longest time in which a caller must take a part of
+        its answer or send one of its request.
     :ivar leaving: whether new requests are refused.
     """
 
@@ -46,6 +51,8 @@
         "_metrics",
         "_parser",
         "_router",
+        "_shedder",
+        "_silence_s",
         "in_flight",
         "leaving",
     )
@@ -57,7 +64,11 @@
         router: Router,
         clock: Clock,
         metrics: Metrics,
+        shedder: Shedder,
+        silence_s: float = _SILENCE_S,
     ) -> None:
+        self._silence_s = silence_s
+        self._shedder = shedder
         self._parser = parser
         self._router = router
         self._clock = clock
@@ -89,11 +100,12 @@
     async def _serve(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        answer = _Answer(send)
-        body = CallerBody(receive)
+        answer = _Answer(send, self._silence_s)
+        body = CallerBody(receive, self._silence_s)
         try:
             self._check_open()
-            req = await self._parser.parse(scope, body.parts())
+            self._shedder.check()
+            req = await self._parser.parse(scope, body)
             answer.request_id = req.request_id
             await self._route(req, answer, body)
             self._metrics.requests.labels(Verdict.RAN.value, "").inc()
@@ -126,10 +138,11 @@
 
 
 class _Answer:
-    __slots__ = ("_send", "_started", "request_id")
+    __slots__ = ("_send", "_silence_s", "_started", "request_id")
 
-    def __init__(self, send: Send) -> None:
+    def __init__(self, send: Send, silence_s: float) -> None:
         self._send = send
+        self._silence_s = silence_s
         self._started = False
         self.request_id = ""
 
@@ -183,9 +196,12 @@
         )
 
     async def _part(self, data: bytes, *, more: bool) -> None:
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": more}
-        )
+        with anyio.move_on_after(self._silence_s) as scope:
+            await self._send(
+                {"type": "http.response.body", "body": data, "more_body": more}
+            )
+        if scope.cancelled_caught:
+            raise CallerGone
 
 
 def _passed_back(
--- a/src/burdockgap/peer/forward.py
+++ b/src/burdockgap/peer/forward.py
@@ -10,7 +10,6 @@
 from grpclib.const import Cardinality
 from grpclib.exceptions import ProtocolError
 
-from burdockgap.peer.messages.body_part import BodyPart
 from burdockgap.peer.messages.forward_head import ForwardHead
 from burdockgap.peer.messages.reply_refusal import ReplyRefusal
 from burdockgap.peer.method import (
@@ -19,6 +18,7 @@
     FORWARD_REQUEST,
 )
 from burdockgap.peer.pool import PEER_ERRORS
+from burdockgap.peer.upload import Upload
 from burdockgap.router.route_reply import RouteReply
 from burdockgap.tasks.background import background
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -65,8 +65,16 @@
     """
     async with _open_stream(pool, entry, timeout_s) as (conn, stream):
         await _send_head(stream, entry, req, timeout_s)
-        async with background(_send_body, stream, req):
-            head = await _receive_head(stream, entry, timeout_s)
+        upload = Upload(stream, req.body)
+        async with background(upload.run):
+            with upload.scope:
+                head = await _receive_head(stream, entry, timeout_s)
+            if upload.failed:
+                raise Refusal(
+                    Verdict.MAY_HAVE_RUN,
+                    Reason.BAD_REQUEST,
+                    "the request's body ended early; send it again",
+                )
             pool.heard(conn)
             stats.load(in_flight=head.in_flight, limit=head.limit)
             if isinstance(head, ReplyRefusal):
@@ -136,15 +144,6 @@
         raise _lost(entry, exc) from exc
 
 
-async def _send_body(stream: Any, req: GateRequest) -> None:
-    try:
-        async for data in req.body:
-            await stream.send_message(BodyPart(data=data))
-        await stream.end()
-    except _STREAM_ERRORS:
-        return
-
-
 async def _receive_head(
     stream: Any, entry: SessionEntry, timeout_s: float
 ) -> ReplyHead | ReplyRefusal:
--- /dev/null
+++ b/src/burdockgap/peer/upload.py
@@ -0,0 +1,46 @@
+"""The sending of a request's body to a peer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from grpclib.exceptions import ProtocolError
+
+from burdockgap.peer.messages.body_part import BodyPart
+from burdockgap.peer.pool import PEER_ERRORS
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class Upload:
+    """
+    Passes a body on while the answer is awaited.
+
+    :param stream: the gRPC stream.
+    :param body: the parts as the caller sends them.
+    :ivar failed: whether the body ended early.
+    :ivar scope: around what must end if it does.
+    """
+
+    __slots__ = ("_body", "_stream", "failed", "scope")
+
+    def __init__(self, stream: Any, body: AsyncIterator[bytes]) -> None:
+        self._stream = stream
+        self._body = body
+        self.failed = False
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Send the body up to its end."""
+        try:
+            async for data in self._body:
+                await self._stream.send_message(BodyPart(data=data))
+            await self._stream.end()
+        except (*PEER_ERRORS, ProtocolError):
+            # The end of the stream shows where the answer is awaited.
+            return
+        except Exception:
+            self.failed = True
+            self.scope.cancel()
--- a/src/burdockgap/router/chooser.py
+++ b/src/burdockgap/router/chooser.py
@@ -17,22 +17,29 @@
     """
     Takes the better of two random servers, near ones first.
 
+    The target beside this daemon is the first of the two whenever it is
+    a candidate: a request to it saves a hop, and the time that a hop
+    takes is part of the cost of the others.
+
     :param table: what is known about each server.
     :param data_centre: this daemon's data centre.
+    :param incarnation: id of this process run.
     :param rng: source of random choices.
     """
 
-    __slots__ = ("_data_centre", "_rng", "_table")
+    __slots__ = ("_data_centre", "_incarnation", "_rng", "_table")
 
     def __init__(
         self,
         *,
         table: ServerTable,
         data_centre: str,
+        incarnation: int = 0,
         rng: random.Random | None = None,
     ) -> None:
         self._table = table
         self._data_centre = data_centre
+        self._incarnation = incarnation
         self._rng = rng or random.Random()
 
     def choose(
@@ -44,16 +51,20 @@
         :param spill_load: load from which a server of the own data
             centre comes first no longer.
         """
+        own: SessionEntry | None = None
         near: list[SessionEntry] = []
         far: list[SessionEntry] = []
         for entry in candidates:
-            is_near = entry.data_centre == self._data_centre
-            (near if is_near else far).append(entry)
-        if not near or not far:
-            return self._better_of_two(candidates)
-        return self._spill(
-            self._better_of_two(near), self._better_of_two(far), spill_load
-        )
+            if entry.incarnation == self._incarnation:
+                own = entry
+            elif entry.data_centre == self._data_centre:
+                near.append(entry)
+            else:
+                far.append(entry)
+        best = self._better_of_two(near, own)
+        if best is None or not far:
+            return best or self._two_of(far)
+        return self._spill(best, self._two_of(far), spill_load)
 
     def _spill(
         self, near: SessionEntry, far: SessionEntry, spill_load: float
@@ -65,10 +76,24 @@
             return near
         return far if table.cost(far) < table.cost(near) else near
 
-    def _better_of_two(self, candidates: list[SessionEntry]) -> SessionEntry:
-        if len(candidates) == 1:
-            return candidates[0]
-        first, second = self._rng.sample(candidates, 2)
+    def _better_of_two(
+        self, near: list[SessionEntry], own: SessionEntry | None
+    ) -> SessionEntry | None:
+        if own is None:
+            return self._two_of(near) if near else None
+        if not near:
+            return own
+        return self._better(own, self._rng.choice(near))
+
+    def _two_of(self, entries: list[SessionEntry]) -> SessionEntry:
+        if len(entries) == 1:
+            return entries[0]
+        first, second = self._rng.sample(entries, 2)
+        return self._better(first, second)
+
+    def _better(
+        self, first: SessionEntry, second: SessionEntry
+    ) -> SessionEntry:
         # Small differences say nothing and would starve one of them.
         bar = _CLEARLY_LESS * self._table.cost(first)
         return second if self._table.cost(second) < bar else first
--- a/src/burdockgap/router/replay_body.py
+++ b/src/burdockgap/router/replay_body.py
@@ -18,7 +18,9 @@
     have been read the start is forgotten and no other attempt may be
     made, so memory stays bounded.
 
-    :param source: the parts as the caller sends them.
+    :param source: the parts as the caller sends them. An attempt may be
+        cancelled while it waits for one, after which the next attempt
+        goes on from there; a generator would have ended.
     :ivar replayable: whether another attempt can read all of it.
     :ivar whole: whether the caller has sent all of it.
     """
@@ -36,21 +38,28 @@
         """Yield the whole body from its start."""
         for part in list(self._kept):
             yield part
-        async for part in self._source:
-            self._keep(part)
-            yield part
-        self.whole = True
+        while (fresh := await self._next()) is not None:
+            yield fresh
 
     async def peek(self, size: int) -> bytes:
         """Read ahead and return at most the first ``size`` bytes."""
         while self._kept_bytes < size:
-            part = await anext(self._source, None)
-            if part is None:
-                self.whole = True
+            if await self._next() is None:
                 break
-            self._keep(part)
         return b"".join(self._kept)[:size]
 
+    async def _next(self) -> bytes | None:
+        try:
+            part = await anext(self._source, None)
+        except Exception:
+            self.replayable = False
+            raise
+        if part is None:
+            self.whole = True
+            return None
+        self._keep(part)
+        return part
+
     def _keep(self, part: bytes) -> None:
         if not self.replayable:
             return
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -33,7 +33,6 @@
 _FINAL_REASONS = frozenset(
     {
         Reason.BAD_REQUEST,
-        Reason.DEADLINE,
         Reason.DUPLICATE,
         Reason.MISSING_KEY,
         Reason.QUARANTINED,
@@ -43,7 +42,12 @@
 """Refusals that another attempt would meet again."""
 
 _LOAD_REASONS = frozenset(
-    {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.TARGET_SHED}
+    {
+        Reason.DEADLINE,
+        Reason.QUEUE_FULL,
+        Reason.QUEUE_TIMEOUT,
+        Reason.TARGET_SHED,
+    }
 )
 """Refusals after which another attempt costs a retry."""
 
--- a/src/burdockgap/verdict/reason.py
+++ b/src/burdockgap/verdict/reason.py
@@ -17,6 +17,7 @@
     NO_OWNER = "no-owner"
     DRAINING = "draining"
     DATA_CENTRE_OUT = "data-centre-out"
+    OVERLOADED = "overloaded"
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
     TARGET_DOWN = "target-down"
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -287,3 +287,19 @@
         b.target.silent = False
         await anyio.sleep(0.3)
         assert b.gate.progressing
+
+
+async def test_wait_that_will_be_too_long_is_refused_at_once():
+    """Point 6: a refusal under overload is fast."""
+    async with bench(slots=1, queue_wait_s=0.15) as b:
+        for number in range(3):
+            b.tasks.start_soon(b.call, f"first-{number}")
+            await anyio.sleep(0.1)
+            b.target.release()
+            await anyio.wait_all_tasks_blocked()
+            b.target.open = anyio.Event()
+        await b.spawn("running")
+        await b.spawn("waits")
+        await b.spawn("refused")
+        assert b.outcomes["refused"] == not_run(Reason.QUEUE_FULL)
+        assert "waits" not in b.outcomes
--- a/tests/http/test_app.py
+++ b/tests/http/test_app.py
@@ -14,6 +14,7 @@
 from burdockgap.fold.folds import Folds
 from burdockgap.http.app import CallerApp
 from burdockgap.http.request_parser import RequestParser
+from burdockgap.http.shedder import Shedder
 from burdockgap.metrics import Metrics
 from burdockgap.router.route_reply import RouteReply
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -37,6 +38,7 @@
         self.refusal = None
         self.requests = []
         self.cancelled = threading.Event()
+        self.body_ended = threading.Event()
 
     @asynccontextmanager
     async def route(self, req):
@@ -58,8 +60,11 @@
             raise
 
     async def _body(self):
-        for part in self.parts:
-            yield part
+        try:
+            for part in self.parts:
+                yield part
+        finally:
+            self.body_ended.set()
         if self.end is not None:
             raise self.end
 
@@ -75,7 +80,12 @@
 
 
 @pytest.fixture
-def url(router, metrics):
+def shedder():
+    return Shedder(clock=BootClock())
+
+
+@pytest.fixture
+def url(router, metrics, shedder):
     folds = Folds()
     folds.config.document = parse_document(DOCUMENT).unwrap()
     clock = BootClock()
@@ -84,6 +94,8 @@
         router=router,
         clock=clock,
         metrics=metrics,
+        shedder=shedder,
+        silence_s=0.5,
     )
     with serve_in_thread(app) as url:
         yield url
@@ -201,3 +213,33 @@
 def test_unmarked_request_is_not_idempotent(url, router):
     httpx.get(url, headers={"Burdockgap-Service": "dispatch"})
     assert not router.requests[0].idempotent
+
+
+def test_overloaded_daemon_refuses_unrun(url, router, shedder):
+    shedder.share = 1.0
+    reply = httpx.get(f"{url}/x", headers={"Burdockgap-Service": "dispatch"})
+    assert reply.status_code == 503
+    assert reply.headers["burdockgap-verdict"] == "not-run"
+    assert reply.headers["burdockgap-reason"] == "overloaded"
+    assert not router.requests
+
+
+def test_caller_that_takes_nothing_is_given_up(url, router):
+    """Its connection is silent; the target's slot must come free."""
+    router.parts = [bytes(1_000_000)] * 50
+    conn = connect(url, "/big")
+    assert router.body_ended.wait(3)
+    conn.close()
+
+
+def test_caller_that_stops_sending_is_given_up(url):
+    parts = urlsplit(url)
+    conn = socket.create_connection((parts.hostname, parts.port), timeout=3)
+    conn.sendall(
+        b"POST /x HTTP/1.1\r\nHost: x\r\nBurdockgap-Service: dispatch\r\n"
+        b"Content-Length: 9\r\n\r\nabc"
+    )
+    answer = conn.recv(4096)
+    conn.close()
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b"burdockgap-verdict: not-run" in answer
--- a/tests/peer/test_forward.py
+++ b/tests/peer/test_forward.py
@@ -9,6 +9,7 @@
 import pytest
 
 from burdockgap.clock import BootClock
+from burdockgap.http.caller_gone import CallerGone
 from burdockgap.metrics import Metrics
 from burdockgap.peer.auth import PeerAuth
 from burdockgap.peer.forward import forward
@@ -72,8 +73,11 @@
         self.entry = entry
         self.stats = ServerTable(BootClock()).stats(entry)
 
-    async def call(self, request_id="r", body=b"b", timeout_s=3.0):
+    async def call(
+        self, request_id="r", body=b"b", timeout_s=3.0, source=None
+    ):
         req = make_gate_request(request_id, content=body)
+        req.body = source or req.body
         try:
             async with forward(
                 self.pool, self.entry, req, timeout_s, self.stats
@@ -239,3 +243,16 @@
             b.relay.silence()
             with anyio.fail_after(2.0):
                 await b.gate.ended.wait()
+
+
+async def test_body_that_fails_ends_the_request_at_the_peer():
+    async def broken():
+        yield b"start"
+        raise CallerGone
+
+    async with bench() as b:
+        with anyio.fail_after(1.0):
+            verdict, _ = await b.call("broken", source=broken())
+        assert verdict is Verdict.MAY_HAVE_RUN
+        await anyio.sleep(0.1)
+        assert b.gate.cancelled == ["broken"]
--- a/tests/router/test_chooser.py
+++ b/tests/router/test_chooser.py
@@ -17,11 +17,14 @@
 class Site:
     """Servers that answer after a set time, on a clock of its own."""
 
-    def __init__(self):
+    def __init__(self, incarnation=0):
         self.clock = FakeClock()
         self.table = ServerTable(self.clock)
         self.chooser = Chooser(
-            table=self.table, data_centre="dc1", rng=random.Random(1)
+            table=self.table,
+            data_centre="dc1",
+            incarnation=incarnation,
+            rng=random.Random(1),
         )
         self.latency_s = dict.fromkeys(NEAR + FAR, USUAL_S)
         self.entries = {
@@ -147,3 +150,12 @@
     assert site.send(20)[1] == 0
     site.clock.time += 10
     assert site.send(100)[1] > 10
+
+
+def test_own_server_comes_first_until_it_is_busier():
+    site = Site(incarnation=101)
+    assert site.share_of([1]) > 0.9
+    own = site.table.stats(site.entries[1])
+    for _ in range(3):
+        own.begin()
+    assert Counter(site.choose().session_id for _ in range(100))[1] == 0
--- a/tests/router/test_router.py
+++ b/tests/router/test_router.py
@@ -8,6 +8,7 @@
 from burdockgap.clock import BootClock
 from burdockgap.config.parse import parse_document
 from burdockgap.fold.folds import Folds
+from burdockgap.http.caller_gone import CallerGone
 from burdockgap.metrics import Metrics
 from burdockgap.router.chooser import Chooser
 from burdockgap.router.replay_body import ReplayBody
@@ -135,6 +136,14 @@
     assert len(dispatcher.tried) == 3
 
 
+def test_attempt_that_was_too_late_for_one_gate_is_repeated():
+    """An attempt gets only a part of the request's time."""
+    late = Refusal(Verdict.NOT_RUN, Reason.DEADLINE, "late")
+    dispatcher = FakeDispatcher([late])
+    assert route(dispatcher, make_request(idempotent=True)) == b"b"
+    assert len(set(dispatcher.tried)) == 2
+
+
 def test_verdict_covers_all_attempts():
     dispatcher = FakeDispatcher([LOST, SHED, SHED])
     with pytest.raises(Refusal) as caught:
@@ -210,3 +219,68 @@
     req = make_request(idempotent=True, hedge=20)
     assert route(dispatcher, req, servers=(1,)) == b"b"
     assert len(dispatcher.tried) == 1
+
+
+class SlowBody:
+    """Parts that arrive slowly, read as a caller's body is."""
+
+    def __init__(self, parts, fails=False):
+        self.parts = list(parts)
+        self.fails = fails
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        await anyio.sleep(0.05)
+        if self.parts:
+            return self.parts.pop(0)
+        if self.fails:
+            raise CallerGone
+        raise StopAsyncIteration
+
+
+class UploadingDispatcher(FakeDispatcher):
+    """Refuses the first attempt while its body is still arriving."""
+
+    def __init__(self, first):
+        super().__init__([])
+        self.first = first
+
+    @asynccontextmanager
+    async def send(self, entry, req, stats, deadline):
+        if not self.tried:
+            self.tried.append(entry.session_id)
+            with anyio.move_on_after(0.12):
+                async for _ in req.body.parts():
+                    pass
+            raise self.first
+        async with super().send(entry, req, stats, deadline) as reply:
+            yield reply
+
+
+def test_attempt_that_ends_in_the_upload_leaves_the_body_whole():
+    req = make_request(idempotent=False)
+    req.body = ReplayBody(SlowBody([b"a", b"b", b"c", b"d"]))
+    assert route(UploadingDispatcher(DOWN), req) == b"abcd"
+
+
+def test_body_that_failed_is_not_sent_as_whole():
+    req = make_request(idempotent=True)
+    req.body = ReplayBody(SlowBody([b"a"], fails=True))
+
+    class Broken(FakeDispatcher):
+        @asynccontextmanager
+        async def send(self, entry, req, _stats, _deadline):
+            self.tried.append(entry.session_id)
+            try:
+                async for _ in req.body.parts():
+                    pass
+            except CallerGone:
+                raise LOST from None
+            yield
+
+    dispatcher = Broken([])
+    with pytest.raises(Refusal):
+        route(dispatcher, req)
+    assert len(dispatcher.tried) == 1
