--- a/measure/recorder.py
+++ b/measure/recorder.py
@@ -10,15 +10,20 @@
 from pathlib import Path
 from typing import Any
 
+import burdockgap
+
 ROOT = Path(__file__).resolve().parents[1]
 FOLDER = ROOT / "docs" / "measurements"
+_LOOP_TURNS = 200_000
 
 
 class Recorder:
     """
     Appends the results of one run to a file.
 
-    Each line carries the version, command, seed and the machine's load.
+    Each line carries the version, command, seed and the machine's load;
+    ``loop_ms`` is the processor time of a fixed loop, which grows while
+    other work shares the processors.
 
     :param name: name of the file without its extension.
     :param seed: seed of the run's random choices.
@@ -27,6 +32,8 @@
     __slots__ = ("_path", "_seed", "_version")
 
     def __init__(self, name: str, seed: int) -> None:
+        if not Path(burdockgap.__file__).is_relative_to(ROOT):
+            raise RuntimeError("set PYTHONPATH to this copy's src")
         FOLDER.mkdir(parents=True, exist_ok=True)
         self._path = FOLDER / f"{name}.jsonl"
         self._seed = seed
@@ -43,9 +50,10 @@
             "step": step,
             **{name: _rounded(value) for name, value in values.items()},
             "version": self._version,
-            "command": "python -m measure " + " ".join(sys.argv[1:]),
+            "command": " ".join(["python -m", _program(), *sys.argv[1:]]),
             "seed": self._seed,
             "load1": round(os.getloadavg()[0], 1),
+            "loop_ms": round(_loop_ms(), 2),
             "at": time.strftime("%Y-%m-%dT%H:%M:%S"),
         }
         with self._path.open("a") as file:
@@ -63,10 +71,26 @@
     return [line for line in found if line["version"] == found[-1]["version"]]
 
 
+def _program() -> str:
+    """Return the name of the package that runs."""
+    folder = Path(sys.argv[0]).resolve().parent
+    return ".".join(folder.relative_to(ROOT).parts)
+
+
 def _rounded(value: Any) -> Any:
     return float(f"{value:.5g}") if isinstance(value, float) else value
 
 
+def _loop_ms() -> float:
+    """Return the least processor time of three runs of a loop."""
+    times = []
+    for _ in range(3):
+        started = time.process_time()
+        sum(index * index for index in range(_LOOP_TURNS))
+        times.append(time.process_time() - started)
+    return 1000 * min(times)
+
+
 def _version() -> str:
     """Return the revision, marked if the product's code differs."""
     revision = _git("rev-parse", "--short=10", "HEAD")
--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -18,7 +18,7 @@
 from burdockgap.http.app import CallerApp
 from burdockgap.http.request_parser import RequestParser
 from burdockgap.peer.auth import PeerAuth
-from burdockgap.peer.method import ACTIVATION, JOIN, LEAVE, LOAD, PULL
+from burdockgap.peer.method import ACTIVATION, HEARD, JOIN, LEAVE, LOAD, PULL
 from burdockgap.peer.service import PeerService, serve_peers
 from burdockgap.settings.bind_error import BindError, binding
 from burdockgap.tasks.async_library import settle_async_library
@@ -118,6 +118,7 @@
     service.add(LEAVE, core.coordinator.leave)
     service.add(ACTIVATION, core.coordinator.activation)
     service.add(LOAD, core.coordinator.load)
+    service.add(HEARD, core.opinion.answer)
     service.add(PULL, core.catch_up.answer)
     roles.add_calls(service)
     return service
@@ -140,6 +141,7 @@
     callers.leaving = True
     clean = await roles.leave()
     with anyio.move_on_after(core.settings.drain.request_timeout_s):
-        while callers.in_flight:
+        while callers.in_flight or core.forward_handler.in_flight:
             await anyio.sleep(_POLL_S)
-    return clean and not callers.in_flight
+    cut_off = callers.in_flight + core.forward_handler.in_flight
+    return clean and not cut_off
--- a/src/burdockgap/daemon/service_side.py
+++ b/src/burdockgap/daemon/service_side.py
@@ -11,6 +11,7 @@
 from burdockgap.daemon.lease_watch import LeaseWatch
 from burdockgap.daemon.peer_releases import PeerReleases
 from burdockgap.daemon.session_keeper import SessionKeeper
+from burdockgap.daemon.suspect_news import SuspectNews
 from burdockgap.daemon.target_slot import TargetSlot
 from burdockgap.gate.gate_policy import GatePolicy
 from burdockgap.gate.open_gate import open_gate
@@ -34,7 +35,7 @@
     from burdockgap.records.session_entry import SessionEntry
     from burdockgap.target import TargetInfo
 
-_WATCH_EVERY_S = 0.1
+_WATCH_EVERY_S = 0.25
 _REPORT_MIN_S = 2.0
 _REPORTS_PER_S = 25
 _MOVE_AWAY_TIMEOUT_S = 2.5
@@ -111,6 +112,7 @@
             tasks.start_soon(self.keeper.run)
             tasks.start_soon(self._watch)
             tasks.start_soon(self._report_load)
+            tasks.start_soon(self._news().run)
 
     async def announced(self, info: TargetInfo) -> None:
         """Take another announcement of the target."""
@@ -207,6 +209,14 @@
                 logger.warning("the target makes no progress")
                 session.lease.withhold()
 
+    def _news(self) -> SuspectNews:
+        return SuspectNews(
+            quarantine=self.gate.quarantine,
+            folds=self._core.folds,
+            sender=self._core.lease_socket,
+            own_address=self._core.identity.peer_address,
+        )
+
     async def _report_load(self) -> None:
         """Report load, less often in a large system."""
         while True:
@@ -296,7 +306,7 @@
             slot=slot,
             sessions=sessions,
             takeover=takeover,
-            keeper=_make_keeper(core, info, sessions, grants),
+            keeper=_make_keeper(core, info, sessions, grants, gate),
             releaser=releaser,
             grants=grants,
             meter=meter,
@@ -314,7 +324,11 @@
 
 
 def _make_keeper(
-    core: Core, info: TargetInfo, sessions: OwnSessions, grants: Grants
+    core: Core,
+    info: TargetInfo,
+    sessions: OwnSessions,
+    grants: Grants,
+    gate: Gate,
 ) -> SessionKeeper:
     return SessionKeeper(
         identity=core.identity,
@@ -326,4 +340,6 @@
         parties=core.parties,
         sender=core.lease_socket,
         witnesses=core.settings.lease.witnesses,
+        clock=core.clock,
+        may_open=lambda: gate.progressing,
     )
--- a/src/burdockgap/platform/client_slot.py
+++ b/src/burdockgap/platform/client_slot.py
@@ -60,9 +60,9 @@
         if self._client is None:
             self._client = httpx.AsyncClient(
                 base_url=self._url,
+                verify=verification(self._url),
                 timeout=self._timeout,
                 trust_env=False,
-                verify=verification(self._url),
             )
         return self._client
 
--- a/standins/cluster/cluster.py
+++ b/standins/cluster/cluster.py
@@ -13,7 +13,7 @@
 
 from standins.cluster.process import Process
 from standins.cluster.server import PEER_PORT, TOKEN, Server
-from standins.relay import Relay, Route
+from standins.relay import Relay
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -37,9 +37,9 @@
     :param folder: where settings and outputs go.
     :param plans: the servers.
     :param extra: further settings of every daemon as TOML text.
-    :param program: how the daemons' program is started.
     :param relayed: whether daemons reach each other and the log through
         a relay, see :meth:`relay`.
+    :param program: how the daemons' program is started.
     :ivar log: the platform's stand-in.
     :ivar servers: the servers by name.
     """
@@ -47,8 +47,8 @@
     __slots__ = (
         "_extra",
         "_prefix",
-        "_program",
         "_relayed",
+        "_program",
         "folder",
         "log",
         "log_url",
@@ -61,8 +61,8 @@
         folder: Path,
         plans: Sequence[ServerPlan],
         extra: str = "",
-        program: Launch | None = None,
         relayed: bool = False,
+        program: Launch | None = None,
     ) -> None:
         self._program = program
         rng = random.SystemRandom()
@@ -92,20 +92,16 @@
             else self.log_url,
             folder=self.folder,
             extra=self._extra,
-            program=self._program,
             relay=relay if self._relayed else "",
+            program=self._program,
         )
         self.servers[plan.name] = server
         return server
 
     def relay(self, links: Links) -> Relay:
         """Return the relay of a site that is relayed."""
-        routes = [
-            Route(name=name, real=server.ip, advertised=server.relay)
-            for name, server in self.servers.items()
-        ]
         return Relay(
-            routes=routes,
+            routes=[server.route() for server in self.servers.values()],
             links=links,
             peer_port=PEER_PORT,
             log_host=f"{self._prefix}.{_LOG_HOST}",
@@ -198,8 +194,8 @@
     plans: Sequence[ServerPlan],
     *,
     extra: str = "",
-    program: Launch | None = None,
     relayed: bool = False,
+    program: Launch | None = None,
 ) -> AsyncIterator[Cluster]:
     """Own a site; it is not started, and ended with the block."""
     with tempfile.TemporaryDirectory(prefix="burdockgap-") as folder:
@@ -207,8 +203,8 @@
             folder=Path(folder),
             plans=plans,
             extra=extra,
-            program=program,
             relayed=relayed,
+            program=program,
         )
         try:
             yield cluster
--- a/standins/cluster/server.py
+++ b/standins/cluster/server.py
@@ -7,6 +7,7 @@
 
 from standins.cluster.launch import Launch
 from standins.cluster.process import Process
+from standins.relay import Route
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -53,10 +54,10 @@
     :param log_url: URL of the log.
     :param folder: where settings and outputs go.
     :param extra: further settings as TOML text.
-    :param program: how the daemon's program is started, by default
-        from the project's tree.
     :param relay: IP address at which a relay passes on what other
         daemons send to this one, "" without a relay.
+    :param program: how the daemon's program is started, by default
+        from the project's tree.
     """
 
     __slots__ = (
@@ -77,8 +78,8 @@
         log_url: str,
         folder: Path,
         extra: str = "",
-        program: Launch | None = None,
         relay: str = "",
+        program: Launch | None = None,
     ) -> None:
         self.plan = plan
         self.ip = address
@@ -137,6 +138,10 @@
         """Return the file of the runs of all the target's processes."""
         return self.folder / f"{self.name}-history.jsonl"
 
+    def route(self) -> Route:
+        """Return the server's addresses as a relay needs them."""
+        return Route(name=self.name, real=self.ip, advertised=self.relay)
+
     def start(self) -> None:
         """Start the daemon and the target."""
         self.daemon.start()
--- a/standins/relay/relay.py
+++ b/standins/relay/relay.py
@@ -43,10 +43,13 @@
         "_links",
         "_log_host",
         "_log_port",
+        "_names",
         "_peer_port",
         "_pids",
         "_routes",
         "_sockets",
+        "_stack",
+        "_tasks",
     )
 
     def __init__(
@@ -59,23 +62,35 @@
         log_port: int,
         pids: Callable[[], Mapping[int, str]],
     ) -> None:
-        self._routes = routes
+        self._routes = list(routes)
+        self._stack: AsyncExitStack | None = None
+        self._tasks: TaskGroup | None = None
         self._links = links
         self._peer_port = peer_port
         self._log_host = log_host
         self._log_port = log_port
         self._pids = pids
+        self._names: dict[str, str] = {}
         self._sockets: dict[str, socket.socket] = {}
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Relay until cancelled; started once all ports are bound."""
         async with AsyncExitStack() as stack:
             tasks = await stack.enter_async_context(anyio.create_task_group())
-            for route in self._routes:
+            self._stack = stack
+            self._tasks = tasks
+            for route in list(self._routes):
                 await self._open(stack, tasks, route)
             task_status.started()
             await anyio.sleep_forever()
 
+    async def add(self, route: Route) -> None:
+        """Listen for one more daemon while the relay runs."""
+        if self._stack is None or self._tasks is None:
+            raise RuntimeError("run the relay first")
+        self._routes.append(route)
+        await self._open(self._stack, self._tasks, route)
+
     async def _open(
         self, stack: AsyncExitStack, tasks: TaskGroup, route: Route
     ) -> None:
@@ -83,6 +98,7 @@
         stack.enter_context(datagrams)
         datagrams.setblocking(False)
         datagrams.bind((route.advertised, self._peer_port))
+        self._names[route.real] = route.name
         self._sockets[route.name] = datagrams
         tasks.start_soon(self._pass_datagrams, tasks, route, datagrams)
         peers = await anyio.create_tcp_listener(
@@ -101,11 +117,10 @@
     async def _pass_datagrams(
         self, tasks: TaskGroup, route: Route, datagrams: socket.socket
     ) -> None:
-        names = {other.real: other.name for other in self._routes}
         while True:
             await anyio.wait_readable(datagrams)
             data, (host, _) = datagrams.recvfrom(_CHUNK_BYTES)
-            source = names.get(host)
+            source = self._names.get(host)
             if source is None:
                 continue
             link = self._links.link(source, route.name)
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -25,6 +25,7 @@
     from standins.cluster import Cluster, Server, ServerPlan
     from standins.history.run_record import RunRecord
     from standins.history.told import Told
+    from standins.relay import Relay
     from standins.scenario.load import Load
 
 DOCUMENT = """\
@@ -55,6 +56,7 @@
     :ivar loads: every load so far.
     :ivar fault_at: clock time of the last fault.
     :ivar cut_off: names of the daemons that are cut off.
+    :ivar owners: the owner of each slice, if remembered.
     :ivar accepted: versions that operators were told.
     """
 
@@ -73,6 +75,7 @@
         self.say = say
         self.links = Links()
         self._relayed = relayed
+        self._relay: Relay | None = None
         self.plans: list[ServerPlan] = []
         self.settings: list[str] = []
         self.service = ""
@@ -82,6 +85,7 @@
         self.fault_at = boottime()
         self.cut_off: set[str] = set()
         self.accepted: list[int] = []
+        self.owners: dict[int, str] = {}
         self._began = time.monotonic()
         self._cluster: Cluster | None = None
         self._observer: Observer | None = None
@@ -118,9 +122,18 @@
             open_cluster(self.plans, extra=extra, relayed=self._relayed)
         )
         if self._relayed:
-            await self.tasks.start(self._cluster.relay(self.links).run)
+            self._relay = self._cluster.relay(self.links)
+            await self.tasks.start(self._relay.run)
         return self._cluster
 
+    async def add(self, plan: ServerPlan) -> Server:
+        """Start one more server."""
+        server = self.cluster.add(plan)
+        if self._relay is not None:
+            await self._relay.add(server.route())
+        server.start()
+        return server
+
     async def observe(self) -> None:
         """Begin to read the log."""
         self._observer = await self.stack.enter_async_context(
@@ -187,6 +200,12 @@
             raise UnmetError(f"no server is named {name!r}")
         return self.cluster.servers[name]
 
+    def servers(self, references: str) -> list[Server]:
+        """Return the servers that references with commas mean now."""
+        if references == "all":
+            return list(self.cluster.servers.values())
+        return [self.server(one.strip()) for one in references.split(",")]
+
     def group(self, reference: str) -> set[str]:
         """
         Return the ends that a reference means now.
