Answer a target of another service, show how long the log is silent

A target that announced another service than the daemon's got 500 and the daemon logged a traceback. A log that keeps connections and stays silent counted as reachable until a read ended, 22 s by default; the metric shows the time since the newest read. Connections to peers were watched by two tasks after a merge.

--- a/src/burdockgap/admin/target_handlers.py
+++ b/src/burdockgap/admin/target_handlers.py
@@ -30,7 +30,10 @@
 
     async def announce(self, req: Request) -> Response:
         """Take up the target."""
-        await self._backend.announce(_read_info(req))
+        try:
+            await self._backend.announce(_read_info(req))
+        except ValueError as exc:
+            raise ApiError(409, str(exc)) from exc
         return Response.json(DoneView())
 
     async def leaving(self, req: Request) -> Response:
--- a/src/burdockgap/daemon/role_tasks.py
+++ b/src/burdockgap/daemon/role_tasks.py
@@ -82,7 +82,6 @@
             tasks.start_soon(core.pool.watch)
             tasks.start_soon(core.coordinator.run)
             tasks.start_soon(core.candidacy.run)
-            tasks.start_soon(core.pool.watch)
             tasks.start_soon(self._tidy)
             tasks.start_soon(self._serve_target)
 
--- a/src/burdockgap/daemon/state_collector.py
+++ b/src/burdockgap/daemon/state_collector.py
@@ -58,6 +58,12 @@
             "stream",
             {stream: tail.healthy for stream, tail in core.tails.items()},
         )
+        yield _labelled(
+            "log_silent_seconds",
+            "Time since the newest read of the log that succeeded.",
+            "stream",
+            {stream: tail.silent_s for stream, tail in core.tails.items()},
+        )
 
     def _system(self) -> Iterator[GaugeMetricFamily]:
         folds = self._core.folds
--- a/src/burdockgap/platform/tail.py
+++ b/src/burdockgap/platform/tail.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -45,6 +46,7 @@
         "_log",
         "_pause_s",
         "_poked_at",
+        "_read_at",
         "_scope",
         "_stream",
         "_wait_s",
@@ -68,8 +70,14 @@
         self._healthy = False
         self._pause_s = _FIRST_PAUSE_S
         self._poked_at = -_POKE_INTERVAL_S
+        self._read_at = math.nan
         self._scope: anyio.CancelScope | None = None
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the newest read that succeeded, or NaN."""
+        return anyio.current_time() - self._read_at
+
     @property
     def healthy(self) -> bool:
         """Whether the newest read succeeded."""
@@ -135,6 +143,7 @@
 
     async def _apply(self, page: Page) -> None:
         self._end = page.end
+        self._read_at = anyio.current_time()
         self._pause_s = _FIRST_PAUSE_S
         self._set_healthy(True, "")
         for index, data in enumerate(page.records):
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -23,7 +23,7 @@
 from burdockgap.peer.method import FORWARD_PATH, FORWARD_REPLY, PING, PULL
 from burdockgap.wire import pack, unpack
 from burdockgap.wire.seal import Sealer
-from standins.cluster.server import HTTP_PORT, PEER_PORT, SECRET
+from standins.cluster.server import HTTP_PORT, PEER_PORT, SECRET, TOKEN
 
 KEY = {"Burdockgap-Key": "pump-1"}
 COUNT_TIMEOUT_S = 5
@@ -143,6 +143,33 @@
     rises()
 
 
+@pytest.mark.parametrize(
+    ("changes", "status"),
+    [
+        pytest.param({"service": "dispatch"}, 409, id="other-service"),
+        pytest.param({"cold_slots": 9}, 400, id="cold-slots"),
+        pytest.param({"url": "nonsense"}, 400, id="url"),
+        pytest.param({"slots": "six"}, 400, id="slots"),
+    ],
+)
+def test_bad_announcement_is_refused(server, changes, status):
+    fields = {
+        "service": "records",
+        "url": server.target_url,
+        "boot_id": "b",
+        "slots": 6,
+        "cold_slots": 1,
+        "checks_grants": True,
+    }
+    resp = httpx.post(
+        f"{server.admin_url}/v1/target/announce",
+        headers={"Authorization": f"Bearer {TOKEN}"},
+        json={**fields, **changes},
+    )
+    assert resp.status_code == status
+    assert resp.json()["error"]
+
+
 def test_oversized_head_is_refused(server, counted):
     rises = counted("burdockgap_bad_requests_total", listener="http")
     head = b"POST /records/1 HTTP/1.1\r\nhost: x\r\nburdockgap-key: "
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -66,6 +66,7 @@
     [
         ("burdockgap_lease_left_seconds", 0.1, 1.2),
         ("burdockgap_log_reachable", 1, 1),
+        ("burdockgap_log_silent_seconds", 0, 30),
         ("burdockgap_coordinator_known", 1, 1),
         ("burdockgap_sessions", 4, 9),
         ("burdockgap_own_sessions", 1, 2),
