--- a/src/burdockgap/daemon/serve.py
+++ b/src/burdockgap/daemon/serve.py
@@ -17,6 +17,7 @@
 from burdockgap.daemon.state_collector import StateCollector
 from burdockgap.http.app import CallerApp
 from burdockgap.http.request_parser import RequestParser
+from burdockgap.http.shedder import Shedder
 from burdockgap.peer.auth import PeerAuth
 from burdockgap.peer.method import ACTIVATION, HEARD, JOIN, LEAVE, LOAD, PULL
 from burdockgap.peer.service import PeerService, serve_peers
@@ -72,11 +73,13 @@
     async with open_core(settings) as core:
         roles = RoleTasks(core)
         core.metrics.registry.register(StateCollector(core, roles))
+        shedder = Shedder(clock=core.clock)
         callers = CallerApp(
             parser=RequestParser(folds=core.folds, clock=core.clock),
             router=core.router,
             clock=core.clock,
             metrics=core.metrics,
+            shedder=shedder,
         )
         admin = AdminApp(
             Backend(core, roles), core.metrics, token=settings.admin.token
@@ -100,6 +103,7 @@
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(roles.run)
+            tasks.start_soon(shedder.run)
             logger.info("daemon {} started", core.identity.name)
             await _wait_for_stop(signals)
             clean = await _leave(core, roles, callers)
