Admit at most 32 sessions in a record

The loss of a data centre makes half of 730 daemons join anew. Now the lease is renewed between two records.

--- a/src/burdockgap/coordinator/admission.py
+++ b/src/burdockgap/coordinator/admission.py
@@ -10,7 +10,7 @@
 from burdockgap.records.witness_ref import WitnessRef
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from burdockgap.fold.control_state import ControlState
     from burdockgap.peer.messages.join import Join
@@ -61,6 +61,16 @@
         """Return the sessions to admit, in the order of the joins."""
         return [self._entry(join) for join in self._joins]
 
+    def parts(self, size: int) -> Iterator[list[SessionEntry]]:
+        """
+        Yield the same entries in parts, worked out one by one.
+
+        A session may name witnesses and successors of a later part.
+        """
+        for start in range(0, len(self._joins), size):
+            part = self._joins[start : start + size]
+            yield [self._entry(join) for join in part]
+
     def _entry(self, join: Join) -> SessionEntry:
         return SessionEntry(
             session_id=join.session_id,
--- a/src/burdockgap/coordinator/round.py
+++ b/src/burdockgap/coordinator/round.py
@@ -37,6 +37,7 @@
 _BASE_WEIGHT_SHARE = 0.1
 _BASE_WEIGHT_MIN = 1e-3
 _UNITS_PER_RECORD = 2048
+_SESSIONS_PER_RECORD = 32
 
 
 class Round:
@@ -98,7 +99,9 @@
 
     def admissions(self, *, may_be_few: bool) -> Iterator[ControlRecord]:
         """
-        Yield the admission of all waiting joins, as one record.
+        Yield the admission of all waiting joins, some in each record.
+
+        Other tasks run between two records, however many joins wait.
 
         :param may_be_few: admit even if there are too few daemons for
             the wanted number of witnesses.
@@ -118,14 +121,15 @@
         )
         if admission.member_count() <= self._witnesses and not may_be_few:
             return
-        yield Admit(
-            record_id=new_id(),
-            term=control.term,
-            at=self._clock.wall(),
-            sessions=admission.entries(),
-        )
-        for join in joins:
-            self._inbox.joins.pop(join.session_id, None)
+        for entries in admission.parts(_SESSIONS_PER_RECORD):
+            yield Admit(
+                record_id=new_id(),
+                term=control.term,
+                at=self._clock.wall(),
+                sessions=entries,
+            )
+            for entry in entries:
+                self._inbox.joins.pop(entry.session_id, None)
 
     def layouts(self) -> Iterator[ControlRecord]:
         """Yield the layout of each keyed service that has none."""
--- a/tests/coordinator/test_admission.py
+++ b/tests/coordinator/test_admission.py
@@ -92,3 +92,13 @@
 def test_three_daemons_watch_each_other():
     joins = [make_join(n, "dc1") for n in range(1, 4)]
     assert all(len(entry.witnesses) == 2 for entry in admit(joins))
+
+
+def test_parts_are_the_entries():
+    joins = [make_join(n, f"dc{n % 4}") for n in range(1, 71)]
+    admission = Admission(
+        control=ControlState(), joins=joins, witnesses=3, excluded=set()
+    )
+    parts = list(admission.parts(32))
+    assert [len(part) for part in parts] == [32, 32, 6]
+    assert [entry for part in parts for entry in part] == admit(joins)
