--- a/measure/traffic/site.py
+++ b/measure/traffic/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -10,6 +11,7 @@
 import httpx
 
 from standins.cluster import ServerPlan, open_cluster
+from standins.cluster.launch import Launch
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -72,8 +74,9 @@
 
 
 def _vary(server: Server, variant: str) -> None:
-    args = server.daemon.args
-    args[:2] = ["-m", "measure.traffic.daemon", variant]
+    server.daemon.launch = Launch(
+        command=[sys.executable, "-m", "measure.traffic.daemon", variant]
+    )
 
 
 async def _wait_serving(server: Server) -> None:
--- a/src/burdockgap/daemon/backend.py
+++ b/src/burdockgap/daemon/backend.py
@@ -163,7 +163,7 @@
 
     async def leaving(self) -> None:
         """Send no new work to the target, since it is about to stop."""
-        await self._roles.target_leaving()
+        self._roles.target_leaving()
 
     def _knows(self, change: EndSession) -> bool:
         return self._core.folds.control.is_live(change.session_id)
--- a/src/burdockgap/daemon/role_tasks.py
+++ b/src/burdockgap/daemon/role_tasks.py
@@ -66,10 +66,10 @@
         if self.side is not None:
             await self.side.announced(info)
 
-    async def target_leaving(self) -> None:
+    def target_leaving(self) -> None:
         """Take the target's notice that it is about to stop."""
         if self.side is not None:
-            await self.side.target_leaving()
+            self.side.target_leaving()
 
     async def run(self) -> None:
         """Run all roles until cancelled."""
--- a/src/burdockgap/daemon/service_side.py
+++ b/src/burdockgap/daemon/service_side.py
@@ -33,12 +33,14 @@
     from burdockgap.gate.permit import Permit
     from burdockgap.records.session_entry import SessionEntry
     from burdockgap.target import TargetInfo
+    from burdockgap.target.http_target import HttpTarget
 
 _WATCH_EVERY_S = 0.1
 _REPORT_MIN_S = 2.0
 _REPORTS_PER_S = 25
 _MOVE_AWAY_TIMEOUT_S = 2.5
 _LEAVE_TIMEOUT_S = 5.0
+_DRAIN_ATTEMPTS = 20
 _UNCHECKED_MARGIN_S = 0.2
 _KEYED_GRACE_S = 2.0
 
@@ -63,6 +65,7 @@
     __slots__ = (
         "_core",
         "_out_since",
+        "_target_left",
         "gate",
         "grants",
         "keeper",
@@ -100,6 +103,7 @@
         self.grants = grants
         self.meter = meter
         self._out_since: float | None = None
+        self._target_left = anyio.Event()
         self.target_leaves = False
 
     async def run(self) -> None:
@@ -108,6 +112,7 @@
             tasks.start_soon(self.takeover.run)
             tasks.start_soon(self.keeper.run)
             tasks.start_soon(self._watch)
+            tasks.start_soon(self._leave_with_target)
             tasks.start_soon(self._report_load)
             tasks.start_soon(self._news().run)
 
@@ -124,14 +129,29 @@
             self.target_leaves = False
             self.keeper.come_back()
 
-    async def target_leaving(self) -> None:
-        """Give everything up because the target is about to stop."""
-        self.target_leaves = True
-        await self.leave()
-        try:
-            await self.slot.drain()
-        except ConnectionError as exc:
-            logger.info("the target was gone before it was drained: {}", exc)
+    def target_leaving(self) -> None:
+        """
+        Begin to give everything up for a target that is about to stop.
+
+        The target hears when that is done. Its notice is taken at once,
+        since work in flight can take longer than it waits for an
+        answer, and may be repeated.
+        """
+        if not self.target_leaves:
+            self.target_leaves = True
+            self._target_left.set()
+
+    async def _leave_with_target(self) -> None:
+        """Give everything up whenever the target leaves, for ever."""
+        while True:
+            await self._target_left.wait()
+            self._target_left = anyio.Event()
+            target = self.slot.current
+            await self.leave()
+            if self.target_leaves:
+                await _drain(target)
+            else:
+                self.keeper.come_back()
 
     async def leave(self) -> bool:
         """
@@ -226,6 +246,19 @@
                 await self._core.client.load(report)
 
 
+async def _drain(target: HttpTarget) -> None:
+    for _ in range(_DRAIN_ATTEMPTS):
+        try:
+            await target.drain()
+        except ConnectionRefusedError:
+            return
+        except ConnectionError as exc:
+            logger.info("the target did not take its drain: {}", exc)
+            await anyio.sleep(_WATCH_EVERY_S)
+        else:
+            return
+
+
 def gate_policy(profile: Profile) -> GatePolicy:
     """Return the part of a profile that the gate follows."""
     return GatePolicy(
--- a/src/burdockgap/http/request_parser.py
+++ b/src/burdockgap/http/request_parser.py
@@ -57,6 +57,7 @@
         replay = ReplayBody(body)
         return RouteRequest(
             request_id=_request_id(given),
+            resendable=bool(given.get(names.REQUEST_ID)),
             service=service,
             method=scope["method"],
             path=path,
--- a/src/burdockgap/router/route_request.py
+++ b/src/burdockgap/router/route_request.py
@@ -14,6 +14,8 @@
     One request of a caller.
 
     :param request_id: chosen by the caller, or random.
+    :param resendable: whether the caller chose the id, so that it can
+        send the request again under it.
     :param service: the service.
     :param method: HTTP method.
     :param path: path with the query string.
@@ -37,6 +39,7 @@
         "path",
         "profile",
         "request_id",
+        "resendable",
         "service",
     )
 
@@ -54,7 +57,9 @@
         deadline: float,
         fingerprint: int,
         profile: Profile,
+        resendable: bool = False,
     ) -> None:
+        self.resendable = resendable
         self.request_id = request_id
         self.service = service
         self.method = method
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -9,6 +9,7 @@
 
 from burdockgap.router.attempt_history import AttemptHistory
 from burdockgap.router.candidates import keyed_candidates, unkeyed_candidates
+from burdockgap.router.home import home_of
 from burdockgap.router.race import Race, open_race
 from burdockgap.router.retry_budget import RetryBudget
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -198,9 +199,10 @@
             raise Refusal(
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server is in service"
             )
-        return self._chooser.choose(
-            history.untried(servers), spill_load=req.profile.spill_load
-        )
+        untried = history.untried(servers)
+        if _has_home(req):
+            return home_of(untried, req.request_id)
+        return self._chooser.choose(untried, spill_load=req.profile.spill_load)
 
     def _attempt_deadline(
         self, req: RouteRequest, history: AttemptHistory
@@ -222,6 +224,10 @@
             if refusal.reason in _FINAL_REASONS:
                 raise history.overall(refusal)
             if refusal.reason in _LOAD_REASONS:
+                if _has_home(req):
+                    # A resend would find the first server free and run
+                    # there what has run elsewhere.
+                    raise history.overall(refusal)
                 self._spend_retry(req, history, refusal)
             return
         if not req.idempotent:
@@ -247,3 +253,8 @@
 
     def _budget(self, req: RouteRequest) -> RetryBudget:
         return self._budgets.setdefault(req.service, RetryBudget())
+
+
+def _has_home(req: RouteRequest) -> bool:
+    """Tell whether all sends of a request must meet the same gate."""
+    return req.key_hash is None and req.resendable and not req.idempotent
--- a/standins/cluster/process.py
+++ b/standins/cluster/process.py
@@ -30,7 +30,7 @@
     :ivar is_frozen: whether it was stopped and not let run on.
     """
 
-    __slots__ = ("_launch", "_popen", "args", "is_frozen", "name", "output")
+    __slots__ = ("_popen", "args", "is_frozen", "launch", "name", "output")
 
     def __init__(
         self,
@@ -41,7 +41,7 @@
         launch: Launch | None = None,
     ) -> None:
         self.name = name
-        self._launch = launch or Launch()
+        self.launch = launch or Launch()
         self.args = list(args)
         self.output = folder / f"{name}.log"
         self.is_frozen = False
@@ -72,12 +72,12 @@
         self.is_frozen = False
         with self.output.open("ab") as output:
             self._popen = subprocess.Popen(
-                [*self._launch.command, *self.args],
+                [*self.launch.command, *self.args],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env=self._launch.env,
-                cwd=self._launch.cwd,
+                env=self.launch.env,
+                cwd=self.launch.cwd,
             )
 
     def signal(self, number: signal.Signals) -> None:
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -40,6 +40,16 @@
 """
 
 
+UNKEYED_DOCUMENT = """\
+[services.{service}]
+profile = "lookup"
+path_prefix = "/{service}"
+
+[profiles.lookup]
+deadline_ms = 4000
+"""
+
+
 class Run:
     """
     What the statements of a scenario share.
@@ -51,6 +61,9 @@
     :param relayed: whether daemons are connected through a relay.
     :ivar links: what the relay does.
     :ivar service: the keyed service of the first servers.
+    :ivar profile: further lines of the profile.
+    :ivar exports: how each export ended.
+    :ivar crashes: targets that ended and were started again.
     :ivar names: names given by ``let``.
     :ivar loads: every load so far.
     :ivar fault_at: clock time of the last fault.
@@ -77,6 +90,9 @@
         self.plans: list[ServerPlan] = []
         self.settings: list[str] = []
         self.service = ""
+        self.profile: list[str] = []
+        self.exports: list[str] = []
+        self.crashes = 0
         self.slices = 32
         self.names: dict[str, str] = {}
         self.loads: list[Load] = []
@@ -137,7 +153,9 @@
 
     def document(self) -> str:
         """Return the configuration that is published first."""
-        return DOCUMENT.format(service=self.service, slices=self.slices)
+        form = DOCUMENT if self.slices else UNKEYED_DOCUMENT
+        text = form.format(service=self.service, slices=self.slices)
+        return text + "\n".join([*self.profile, ""])
 
     def fault(self) -> None:
         """Note that a fault happens now."""
--- a/standins/scenario/statements/__init__.py
+++ b/standins/scenario/statements/__init__.py
@@ -9,6 +9,15 @@
     loads,
     operators,
     site,
+    traffic,
 )
 
-__all__ = ["cuts", "expectations", "faults", "loads", "operators", "site"]
+__all__ = [
+    "cuts",
+    "expectations",
+    "faults",
+    "loads",
+    "operators",
+    "site",
+    "traffic",
+]
--- a/standins/scenario/statements/site.py
+++ b/standins/scenario/statements/site.py
@@ -95,6 +95,8 @@
 
 async def wait_owned(run: Run) -> None:
     """Wait until each unit of the keyed service has a live owner."""
+    if not run.slices:
+        return
     with anyio.fail_after(_OWNED_TIMEOUT_S):
         while not run.observer.all_owned():
             await anyio.sleep(_POLL_S)
--- a/tests/router/test_router.py
+++ b/tests/router/test_router.py
@@ -66,12 +66,21 @@
         yield body
 
 
-def make_request(*, idempotent, hedge=0, body=b"b", whole=True, timeout_s=3.0):
+def make_request(
+    *,
+    idempotent,
+    hedge=0,
+    body=b"b",
+    whole=True,
+    timeout_s=3.0,
+    request_id="",
+):
     profile = parse_document(PROFILE.format(hedge=hedge)).unwrap()
     replay = ReplayBody(parts_of(body))
     replay.whole = whole
     return RouteRequest(
-        request_id="r",
+        request_id=request_id or "r",
+        resendable=bool(request_id),
         service="dispatch",
         method="POST",
         path="/",
@@ -284,3 +293,33 @@
     with pytest.raises(Refusal):
         route(dispatcher, req)
     assert len(dispatcher.tried) == 1
+
+
+def test_resends_through_any_router_meet_the_same_gate():
+    homes = set()
+    for number in range(20):
+        tried = set()
+        for _ in range(4):
+            dispatcher = FakeDispatcher([])
+            name = f"booking-{number}"
+            route(dispatcher, make_request(idempotent=False, request_id=name))
+            tried.update(dispatcher.tried)
+        assert len(tried) == 1
+        homes |= tried
+    assert homes == set(SERVERS)
+
+
+def test_busy_home_does_not_pass_the_request_on():
+    """Else a resend could run there what ran elsewhere."""
+    dispatcher = FakeDispatcher([SHED])
+    with pytest.raises(Refusal) as caught:
+        route(dispatcher, make_request(idempotent=False, request_id="b"))
+    assert caught.value.verdict is Verdict.NOT_RUN
+    assert len(dispatcher.tried) == 1
+
+
+def test_unreachable_home_passes_the_request_on():
+    dispatcher = FakeDispatcher([DOWN])
+    req = make_request(idempotent=False, request_id="b")
+    assert route(dispatcher, req) == b"b"
+    assert len(set(dispatcher.tried)) == 2
