--- a/standins/target_announcer.py
+++ b/standins/target_announcer.py
@@ -35,14 +35,16 @@
         """Announce the target again and again."""
         async with self._client() as client:
             while not self._leaving:
-                accepted = await self._post(client, "announce")
+                accepted = await self._post(
+                    client, "announce", self._announcement
+                )
                 await anyio.sleep(_REPEAT_S if accepted else _RETRY_S)
 
     async def leave(self) -> None:
         """Say that the target is about to stop."""
         self._leaving = True
         async with self._client() as client:
-            while not await self._post(client, "leaving"):
+            while not await self._post(client, "leaving", {}):
                 await anyio.sleep(_RETRY_S)
 
     def _client(self) -> httpx.AsyncClient:
@@ -50,10 +52,12 @@
             trust_env=False, timeout=_TIMEOUT_S, headers=self._headers
         )
 
-    async def _post(self, client: httpx.AsyncClient, name: str) -> bool:
+    async def _post(
+        self, client: httpx.AsyncClient, name: str, fields: dict[str, Any]
+    ) -> bool:
         url = f"{self._admin_url}/v1/target/{name}"
         try:
-            resp = await client.post(url, json=self._announcement)
+            resp = await client.post(url, json=fields)
         except httpx.HTTPError:
             return False
         return resp.is_success
