--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,9 +7,12 @@
 import anyio
 
 from measure.baseline import measure_baseline
+from measure.binary import measure_binary
 from measure.control import STEPS, measure_control
 from measure.datapath import measure_datapath
+from measure.decisions import measure_decisions
 from measure.recorder import Recorder
+from measure.slopes import fit_slopes
 from measure.table_sizes import measure_tables
 
 _SIZES = (4, 8, 16, 32, 64)
@@ -28,16 +31,25 @@
     control.add_argument("--steps", nargs="+", default=STEPS, choices=STEPS)
     parts.add_parser("baseline", help="interpreters that only import")
     parts.add_parser("path", help="requests a second, local and one hop")
+    parts.add_parser("slopes", help="fits and plots of what was measured")
+    parts.add_parser("decisions", help="the coordinator's decisions")
     parts.add_parser("table", help="fold and routing table at full size")
+    parts.add_parser("binary", help="the tree against the one file")
     args = parser.parse_args()
     if args.part in (None, "baseline"):
         measure_baseline(Recorder("baseline", args.seed))
+    if args.part in (None, "binary"):
+        measure_binary(Recorder("binary", args.seed))
     if args.part in (None, "table"):
         measure_tables(args.seed)
+    if args.part in (None, "decisions"):
+        measure_decisions(Recorder("decisions", args.seed), args.seed)
     if args.part in (None, "path"):
         anyio.run(_path, args.seed)
     if args.part in (None, "control"):
         _control(args)
+    if args.part in (None, "slopes"):
+        fit_slopes(args.seed)
 
 
 def _control(args: argparse.Namespace) -> None:
--- a/src/burdockgap/daemon/catch_up.py
+++ b/src/burdockgap/daemon/catch_up.py
@@ -18,7 +18,8 @@
     from burdockgap.platform.tail import Tail
 
 _CALL_TIMEOUT_S = 1.0
-_GRACE_S = 0.5
+_POKE_AFTER_S = 0.1
+_PULL_AFTER_S = 0.4
 _PULL_RECORDS = 200
 
 
@@ -31,7 +32,7 @@
     :param pool: connections to peers.
     """
 
-    __slots__ = ("_behind", "_folds", "_pool", "_tails")
+    __slots__ = ("_behind", "_folds", "_noted", "_pool", "_tails")
 
     def __init__(
         self, *, folds: Folds, tails: dict[str, Tail], pool: PeerPool
@@ -40,6 +41,7 @@
         self._tails = tails
         self._pool = pool
         self._behind: dict[str, tuple[str, int]] = {}
+        self._noted = {stream: anyio.Event() for stream in tails}
 
     def on_offsets(self, peer: str, config: int, control: int) -> None:
         """
@@ -53,12 +55,15 @@
     async def run(self, stream: str) -> None:
         """Catch up on one stream whenever it is behind, for ever."""
         while True:
-            await anyio.sleep(_GRACE_S)
-            behind = self._behind.pop(stream, None)
-            if behind is None or self._folds.offset(stream) >= behind[1]:
-                continue
-            if not self._tails[stream].healthy:
-                await self._pull(stream, behind[0])
+            await self._noted[stream].wait()
+            # Mostly, the read that waits at the log is about to answer.
+            await anyio.sleep(_POKE_AFTER_S)
+            if self._is_behind(stream):
+                self._tails[stream].poke()
+                await anyio.sleep(_PULL_AFTER_S)
+            self._noted[stream] = anyio.Event()
+            if self._is_behind(stream) and not self._tails[stream].healthy:
+                await self._pull(stream, self._behind[stream][0])
 
     async def answer(self, msg: Pull) -> Pulled:
         """Answer a peer that is behind."""
@@ -70,7 +75,11 @@
         if offset <= self._folds.offset(stream):
             return
         self._behind[stream] = (peer, offset)
-        self._tails[stream].poke()
+        self._noted[stream].set()
+
+    def _is_behind(self, stream: str) -> bool:
+        noted = self._behind.get(stream)
+        return noted is not None and self._folds.offset(stream) < noted[1]
 
     async def _pull(self, stream: str, peer: str) -> None:
         msg = Pull(
--- a/src/burdockgap/daemon/service_side.py
+++ b/src/burdockgap/daemon/service_side.py
@@ -8,6 +8,7 @@
 import anyio
 from loguru import logger
 
+from burdockgap.daemon.lease_watch import LeaseWatch
 from burdockgap.daemon.peer_releases import PeerReleases
 from burdockgap.daemon.session_keeper import SessionKeeper
 from burdockgap.daemon.suspect_news import SuspectNews
@@ -35,7 +36,7 @@
     from burdockgap.target import TargetInfo
     from burdockgap.target.http_target import HttpTarget
 
-_WATCH_EVERY_S = 0.1
+_WATCH_EVERY_S = 0.25
 _REPORT_MIN_S = 2.0
 _REPORTS_PER_S = 25
 _MOVE_AWAY_TIMEOUT_S = 2.5
@@ -64,6 +65,7 @@
 
     __slots__ = (
         "_core",
+        "_lease_watch",
         "_out_since",
         "_target_left",
         "gate",
@@ -102,6 +104,7 @@
         self.releaser = releaser
         self.grants = grants
         self.meter = meter
+        self._lease_watch = LeaseWatch(sessions, core.clock)
         self._out_since: float | None = None
         self._target_left = anyio.Event()
         self.target_leaves = False
@@ -179,6 +182,7 @@
             self._follow_policy()
             self._follow_service_state()
             self._follow_progress()
+            self._lease_watch.look()
             await anyio.sleep(_WATCH_EVERY_S)
 
     def _follow_policy(self) -> None:
@@ -335,7 +339,7 @@
             slot=slot,
             sessions=sessions,
             takeover=takeover,
-            keeper=_make_keeper(core, info, sessions, grants),
+            keeper=_make_keeper(core, info, sessions, grants, gate),
             releaser=releaser,
             grants=grants,
             meter=meter,
@@ -353,7 +357,11 @@
 
 
 def _make_keeper(
-    core: Core, info: TargetInfo, sessions: OwnSessions, grants: Grants
+    core: Core,
+    info: TargetInfo,
+    sessions: OwnSessions,
+    grants: Grants,
+    gate: Gate,
 ) -> SessionKeeper:
     return SessionKeeper(
         identity=core.identity,
@@ -365,4 +373,6 @@
         parties=core.parties,
         sender=core.lease_socket,
         witnesses=core.settings.lease.witnesses,
+        clock=core.clock,
+        may_open=lambda: gate.progressing,
     )
--- a/src/burdockgap/peer/forward.py
+++ b/src/burdockgap/peer/forward.py
@@ -66,7 +66,7 @@
     async with _open_stream(pool, entry, timeout_s) as (conn, stream):
         await _send_head(stream, entry, req, timeout_s)
         upload = Upload(stream, req.body)
-        async with background(upload.run):
+        async with _running(upload, req):
             with upload.scope:
                 head = await _receive_head(stream, entry, timeout_s)
             if upload.failed:
@@ -136,14 +136,25 @@
         idempotent=req.idempotent,
         timeout_s=timeout_s,
         fingerprint=req.fingerprint,
+        whole=req.whole,
     )
     try:
         with anyio.fail_after(timeout_s):
-            await stream.send_message(head)
+            await stream.send_message(head, end=req.whole is not None)
     except _STREAM_ERRORS as exc:
         raise _lost(entry, exc) from exc
 
 
+@asynccontextmanager
+async def _running(upload: Upload, req: GateRequest) -> AsyncIterator[None]:
+    """Send the body meanwhile, unless the head has carried it."""
+    if req.whole is not None:
+        yield
+        return
+    async with background(upload.run):
+        yield
+
+
 async def _receive_head(
     stream: Any, entry: SessionEntry, timeout_s: float
 ) -> ReplyHead | ReplyRefusal:
--- a/src/burdockgap/router/dispatcher.py
+++ b/src/burdockgap/router/dispatcher.py
@@ -77,6 +77,7 @@
             idempotent=req.idempotent,
             deadline=deadline,
             fingerprint=req.fingerprint,
+            whole=req.body.content(),
         )
         token = stats.begin()
         try:
--- a/src/burdockgap/router/replay_body.py
+++ b/src/burdockgap/router/replay_body.py
@@ -48,6 +48,12 @@
                 break
         return b"".join(self._kept)[:size]
 
+    def content(self) -> bytes | None:
+        """Return the body if its end was met and its start is kept."""
+        if not (self.whole and self.replayable):
+            return None
+        return b"".join(self._kept)
+
     async def _next(self) -> bytes | None:
         try:
             part = await anext(self._source, None)
--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import shutil
+import sys
 import time
 from typing import TYPE_CHECKING
 
 from standins.cluster import open_cluster
+from standins.cluster.launch import Launch
 from standins.history.read import read_runs
 from standins.relay import Links
 from standins.relay.links import LOG
@@ -25,6 +27,7 @@
     from standins.cluster import Cluster, Server, ServerPlan
     from standins.history.run_record import RunRecord
     from standins.history.told import Told
+    from standins.relay import Relay
     from standins.scenario.load import Load
 
 DOCUMENT = """\
@@ -61,6 +64,7 @@
     :param relayed: whether daemons are connected through a relay.
     :ivar links: what the relay does.
     :ivar service: the keyed service of the first servers.
+    :ivar mutant: name of the daemons' seeded fault, "" for none.
     :ivar profile: further lines of the profile.
     :ivar exports: how each export ended.
     :ivar crashes: targets that ended and were started again.
@@ -69,6 +73,9 @@
     :ivar fault_at: clock time of the last fault.
     :ivar cut_off: names of the daemons that are cut off.
     :ivar owners: the owner of each slice, if remembered.
+    :ivar key_owners: the owner of each key at the last fault.
+    :ivar served_after: seconds from the last fault to the first answer
+        for each key, as last expected.
     :ivar accepted: versions that operators were told.
     """
 
@@ -87,8 +94,10 @@
         self.say = say
         self.links = Links()
         self._relayed = relayed
+        self._relay: Relay | None = None
         self.plans: list[ServerPlan] = []
         self.settings: list[str] = []
+        self.mutant = ""
         self.service = ""
         self.profile: list[str] = []
         self.exports: list[str] = []
@@ -98,6 +107,8 @@
         self.loads: list[Load] = []
         self.fault_at = boottime()
         self.cut_off: set[str] = set()
+        self.key_owners: dict[str, str] = {}
+        self.served_after: dict[str, float] = {}
         self.accepted: list[int] = []
         self.owners: dict[int, str] = {}
         self._began = time.monotonic()
@@ -133,12 +144,26 @@
         """Build the site from the plans; nothing is started yet."""
         extra = "\n".join(self.settings)
         self._cluster = await self.stack.enter_async_context(
-            open_cluster(self.plans, extra=extra, relayed=self._relayed)
+            open_cluster(
+                self.plans,
+                extra=extra,
+                program=_mutant(self.mutant) if self.mutant else None,
+                relayed=self._relayed,
+            )
         )
         if self._relayed:
-            await self.tasks.start(self._cluster.relay(self.links).run)
+            self._relay = self._cluster.relay(self.links)
+            await self.tasks.start(self._relay.run)
         return self._cluster
 
+    async def add(self, plan: ServerPlan) -> Server:
+        """Start one more server."""
+        server = self.cluster.add(plan)
+        if self._relay is not None:
+            await self._relay.add(server.route())
+        server.start()
+        return server
+
     async def observe(self) -> None:
         """Begin to read the log."""
         self._observer = await self.stack.enter_async_context(
@@ -158,7 +183,9 @@
         return text + "\n".join([*self.profile, ""])
 
     def fault(self) -> None:
-        """Note that a fault happens now."""
+        """Note that a fault happens now, and who owns which key."""
+        if self.loads and self._observer is not None:
+            self.key_owners = self._observer.key_owners(self.load.keys)
         self.fault_at = boottime()
 
     def entries(self) -> list[Server]:
@@ -263,3 +290,7 @@
         if not 0 < rank <= len(witnesses):
             raise UnmetError(f"{key} has {len(witnesses)} witnesses")
         return witnesses[rank - 1]
+
+
+def _mutant(name: str) -> Launch:
+    return Launch(command=[sys.executable, "-m", "standins.mutants", name])
