--- a/src/burdockgap/daemon/backend.py
+++ b/src/burdockgap/daemon/backend.py
@@ -159,7 +159,7 @@
 
     async def leaving(self) -> None:
         """Send no new work to the target, since it is about to stop."""
-        await self._roles.target_leaving()
+        self._roles.target_leaving()
 
     def _not_written(self, error: WriteError) -> ChangeOutcome:
         unknown = error.state is WriteState.UNKNOWN
