Undo the cancellations that the gRPC library leaves on a task

Cause: about one stop of a site in four ended with an error. The gRPC library wakes a task whose connection is lost by cancelling it and does not take the cancellation back; a time limit around such a call then took its own expiry for a foreign cancellation and let it out. In a daemon that was leaving, that ended the hand-over; in the router it would have left a caller without an answer. Ruled out: the HTTP server and the daemon's own task groups; the trace showed the limit of the hand-over itself being passed on. Change: each call into the library restores the task's count. The demo sends again what is proved not to have run, as callers are told to.

--- a/demo/run.py
+++ b/demo/run.py
@@ -28,6 +28,8 @@
 _STOP_TIMEOUT_S = 20.0
 _WHOLE_TIMEOUT_S = 50.0
 _POLL_S = 0.1
+_ATTEMPTS = 5
+_RESEND_S = 0.3
 
 
 async def run_demo() -> int:
@@ -118,9 +120,15 @@
 ) -> None:
     headers = {"Burdockgap-Key": key} if key else {}
     started = time.monotonic()
-    reply = await client.post(
-        server.url + path, headers=headers, content=b"{}"
-    )
+    for _ in range(_ATTEMPTS):
+        reply = await client.post(
+            server.url + path, headers=headers, content=b"{}"
+        )
+        if reply.headers.get("burdockgap-verdict") != "not-run":
+            break
+        # What did not run may be sent again.
+        tally.verdicts["not-run, sent again"] += 1
+        await anyio.sleep(_RESEND_S)
     tally.latencies_s.append(time.monotonic() - started)
     verdict = reply.headers.get("burdockgap-verdict", "none")
     owner = reply.headers.get("burdockgap-owner", "nobody")
--- a/src/burdockgap/peer/forward.py
+++ b/src/burdockgap/peer/forward.py
@@ -18,6 +18,7 @@
     FORWARD_REQUEST,
 )
 from burdockgap.peer.pool import PEER_ERRORS
+from burdockgap.peer.settled_cancels import settled_cancels
 from burdockgap.peer.upload import Upload
 from burdockgap.router.route_reply import RouteReply
 from burdockgap.tasks.background import background
@@ -119,7 +120,8 @@
         metadata=conn.metadata,
     )
     await stream.__aenter__()
-    await stream.send_request()
+    with settled_cancels():
+        await stream.send_request()
     return stream
 
 
@@ -139,7 +141,7 @@
         whole=req.whole,
     )
     try:
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(timeout_s), settled_cancels():
             await stream.send_message(head, end=req.whole is not None)
     except _STREAM_ERRORS as exc:
         raise _lost(entry, exc) from exc
@@ -159,7 +161,7 @@
     stream: Any, entry: SessionEntry, timeout_s: float
 ) -> ReplyHead | ReplyRefusal:
     try:
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(timeout_s), settled_cancels():
             head: ReplyHead | ReplyRefusal | None = await stream.recv_message()
     except TimeoutError as exc:
         raise Refusal(
@@ -179,10 +181,11 @@
 ) -> AsyncIterator[bytes]:
     try:
         while True:
-            with anyio.fail_after(_BODY_SILENCE_S):
+            with anyio.fail_after(_BODY_SILENCE_S), settled_cancels():
                 part = await stream.recv_message()
             if part is None:
-                await stream.recv_trailing_metadata()
+                with settled_cancels():
+                    await stream.recv_trailing_metadata()
                 return
             heard()
             yield part.data
--- a/src/burdockgap/peer/forward_handler.py
+++ b/src/burdockgap/peer/forward_handler.py
@@ -13,6 +13,7 @@
 from burdockgap.peer.messages.forward_head import ForwardHead
 from burdockgap.peer.messages.reply_head import ReplyHead
 from burdockgap.peer.messages.reply_refusal import ReplyRefusal
+from burdockgap.peer.settled_cancels import settled_cancels
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -92,7 +93,8 @@
     async def _send(self, stream: Any, msg: Message) -> None:
         """Send a message unless the peer takes nothing any more."""
         with anyio.move_on_after(self._send_timeout_s) as scope:
-            await stream.send_message(msg)
+            with settled_cancels():
+                await stream.send_message(msg)
         if scope.cancelled_caught:
             raise GRPCError(Status.CANCELLED, "the peer takes nothing")
 
@@ -139,5 +141,9 @@
 
 
 async def _body(stream: Any) -> AsyncIterator[bytes]:
-    while (part := await stream.recv_message()) is not None:
+    while True:
+        with settled_cancels():
+            part = await stream.recv_message()
+        if part is None:
+            return
         yield part.data
--- a/src/burdockgap/peer/pool.py
+++ b/src/burdockgap/peer/pool.py
@@ -15,6 +15,7 @@
 from burdockgap.peer.connection import Connection
 from burdockgap.peer.messages.ping import Ping
 from burdockgap.peer.method import PING
+from burdockgap.peer.settled_cancels import settled_cancels
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -215,7 +216,7 @@
         unary: UnaryUnaryMethod[Message, Message] = UnaryUnaryMethod(
             conn.channel, method.path, method.request, method.reply
         )
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(timeout_s), settled_cancels():
             reply = await unary(msg, metadata=conn.metadata)
         conn.heard(self._clock.now())
         return reply
--- a/src/burdockgap/peer/upload.py
+++ b/src/burdockgap/peer/upload.py
@@ -9,6 +9,7 @@
 
 from burdockgap.peer.messages.body_part import BodyPart
 from burdockgap.peer.pool import PEER_ERRORS
+from burdockgap.peer.settled_cancels import settled_cancels
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,8 +37,10 @@
         """Send the body up to its end."""
         try:
             async for data in self._body:
-                await self._stream.send_message(BodyPart(data=data))
-            await self._stream.end()
+                with settled_cancels():
+                    await self._stream.send_message(BodyPart(data=data))
+            with settled_cancels():
+                await self._stream.end()
         except (*PEER_ERRORS, ProtocolError):
             # The end of the stream shows where the answer is awaited.
             return
--- a/tests/peer/test_settled_cancels.py
+++ b/tests/peer/test_settled_cancels.py
@@ -2,85 +2,55 @@
 
 from __future__ import annotations
 
-import asyncio
+from contextlib import asynccontextmanager
 
 import anyio
+import anyio.abc
 import pytest
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.exceptions import StreamTerminatedError
 
-from burdockgap.clock import BootClock
-from burdockgap.metrics import Metrics
-from burdockgap.peer.auth import PeerAuth
-from burdockgap.peer.forward import forward
+from burdockgap.peer.codec import PeerCodec
 from burdockgap.peer.messages.done import Done
-from burdockgap.peer.method import JOIN, PING
-from burdockgap.peer.pool import PEER_ERRORS, open_pool
-from burdockgap.peer.service import PeerService, serve_peers
-from burdockgap.router.server_table import ServerTable
-from burdockgap.verdict import Refusal
-from tests.builders import make_gate_request, make_session
-from tests.coordinator.test_admission import make_join
+from burdockgap.peer.messages.ping import Ping
+from burdockgap.peer.method import PING
+from burdockgap.peer.settled_cancels import settled_cancels
 
-AUTH = PeerAuth(b"secret-of-sixteen-or-more")
 
+@asynccontextmanager
+async def losing_server():
+    """Serve connections that are closed once a call has begun."""
 
-class LostHandler:
-    """Closes every connection in the middle of a call."""
+    async def lose(stream):
+        async with stream:
+            await stream.receive()
+            await anyio.sleep(0.1)
 
-    def __init__(self):
-        self.server = None
-        self.gate = None
+    listener = await anyio.create_tcp_listener(
+        local_host="127.0.0.1", local_port=0
+    )
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, lose)
+        yield listener.extra(anyio.abc.SocketAttribute.local_port)
+        tasks.cancel_scope.cancel()
 
-    async def lose(self, _msg):
-        for handler in set(self.server._handlers):
-            handler.close()
-        await anyio.sleep(1)
 
-    async def serve(self, _stream, head):
-        await self.lose(head)
+async def call_and_lose(port):
+    channel = Channel("127.0.0.1", port, codec=PeerCodec())
+    try:
+        call = UnaryUnaryMethod(channel, PING.path, Ping, Done)
+        with pytest.raises(StreamTerminatedError), settled_cancels():
+            await call(Ping())
+    finally:
+        channel.close()
 
 
-async def call_unary(pool, address):
-    with pytest.raises(PEER_ERRORS):
-        await pool.call(address, JOIN, make_join(1, "dc1"), 3.0)
-
-
-async def call_forward(pool, address):
-    entry = make_session(peer_address=address)
-    stats = ServerTable(BootClock()).stats(entry)
-    with pytest.raises(Refusal):
-        async with forward(pool, entry, make_gate_request(), 3.0, stats):
-            pass
-
-
-async def pong(_msg):
-    return Done(taken=True)
-
-
-@pytest.mark.parametrize(
-    "call",
-    [
-        pytest.param(call_unary, id="unary"),
-        pytest.param(call_forward, id="forward"),
-    ],
-)
-def test_time_limit_after_lost_call(call, free_tcp_port):
-    address = f"127.0.0.1:{free_tcp_port}"
-    clock, metrics = BootClock(), Metrics()
-    handler = LostHandler()
-    service = PeerService(auth=AUTH, metrics=metrics, forward=handler)
-    service.add(PING, pong)
-    service.add(JOIN, handler.lose)
-
+def test_time_limit_around_lost_call():
     async def main():
-        async with serve_peers(service, address) as server:
-            handler.server = server
-            with open_pool(
-                auth=AUTH, clock=clock, metrics=metrics, keepalive_s=5.0
-            ) as pool:
-                await call(pool, address)
-            assert asyncio.current_task().cancelling() == 0
-            with anyio.move_on_after(0.01) as scope:
-                await anyio.sleep(1)
+        async with losing_server() as port:
+            with anyio.move_on_after(0.5) as scope:
+                await call_and_lose(port)
+                await anyio.sleep(5)
             return scope.cancelled_caught
 
     assert anyio.run(main)
