Split the service side into building, following, reporting and leaving

Cause: one file of 378 lines had five jobs, and two loops of the admission were the same but for what they count. Change: each job is a class in a file of its own; one function chooses the members. Conclusion: tests of the coordinator and the daemon pass; the demo ends well.

--- a/src/burdockgap/coordinator/admission.py
+++ b/src/burdockgap/coordinator/admission.py
@@ -10,7 +10,7 @@
 from burdockgap.records.witness_ref import WitnessRef
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from burdockgap.fold.control_state import ControlState
     from burdockgap.peer.messages.join import Join
@@ -93,8 +93,17 @@
         chosen: list[Member] = []
         majority = self._witnesses // 2 + 1
         near = [m for m in others if m.region == join.region]
-        self._extend(chosen, near, majority, join.data_centre)
-        self._extend(chosen, others, self._witnesses, join.data_centre)
+        for candidates, size in (
+            (near, majority),
+            (others, self._witnesses),
+        ):
+            _extend(
+                chosen,
+                candidates,
+                size,
+                join.data_centre,
+                lambda member: self._witnessing[member.incarnation],
+            )
         for member in chosen:
             self._witnessing[member.incarnation] += 1
         return [
@@ -104,45 +113,16 @@
             for member in chosen
         ]
 
-    def _extend(
-        self,
-        chosen: list[Member],
-        candidates: Iterable[Member],
-        size: int,
-        own_data_centre: str,
-    ) -> None:
-        """Add the best candidates until ``size`` are chosen."""
-        rest = [member for member in candidates if member not in chosen]
-        while len(chosen) < size and rest:
-            used = Counter(member.data_centre for member in chosen)
-            used[own_data_centre] += 1
-            best = min(
-                rest,
-                key=lambda member: (
-                    used[member.data_centre],
-                    self._witnessing[member.incarnation],
-                    member.incarnation,
-                ),
-            )
-            chosen.append(best)
-            rest.remove(best)
-
     def _choose_successors(self, join: Join) -> list[int]:
         same = [m for m in self._others(join) if m.service == join.service]
         chosen: list[Member] = []
-        while len(chosen) < SUCCESSORS_MAX and same:
-            used = Counter(member.data_centre for member in chosen)
-            used[join.data_centre] += 1
-            best = min(
-                same,
-                key=lambda member: (
-                    used[member.data_centre],
-                    self._succeeding[member.session_id],
-                    member.session_id,
-                ),
-            )
-            chosen.append(best)
-            same.remove(best)
+        _extend(
+            chosen,
+            same,
+            SUCCESSORS_MAX,
+            join.data_centre,
+            lambda member: self._succeeding[member.session_id],
+        )
         for member in chosen:
             self._succeeding[member.session_id] += 1
         return [member.session_id for member in chosen]
@@ -155,6 +135,35 @@
         ]
 
 
+def _extend(
+    chosen: list[Member],
+    candidates: Iterable[Member],
+    size: int,
+    own_data_centre: str,
+    duties: Callable[[Member], int],
+) -> None:
+    """
+    Add the best candidates until ``size`` are chosen.
+
+    The best one is in a data centre that is used least and has the
+    fewest duties.
+    """
+    rest = [member for member in candidates if member not in chosen]
+    while len(chosen) < size and rest:
+        used = Counter(member.data_centre for member in chosen)
+        used[own_data_centre] += 1
+        best = min(
+            rest,
+            key=lambda member: (
+                used[member.data_centre],
+                duties(member),
+                member.session_id,
+            ),
+        )
+        chosen.append(best)
+        rest.remove(best)
+
+
 def _members(
     control: ControlState, joins: list[Join], excluded: set[int]
 ) -> list[Member]:
--- a/src/burdockgap/daemon/role_tasks.py
+++ b/src/burdockgap/daemon/role_tasks.py
@@ -9,7 +9,7 @@
 from grpclib.exceptions import GRPCError
 from loguru import logger
 
-from burdockgap.daemon.service_side import open_service_side
+from burdockgap.daemon.open_service_side import open_service_side
 from burdockgap.ownership.release_error import ReleaseError
 from burdockgap.peer.messages.done import Done
 from burdockgap.peer.method import PING, RELEASE
