--- a/measure/slope.py
+++ b/measure/slope.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+_LOAD_MAX = 20.0
+"""Load above which twice as much wants to run as the cores can do."""
+
 
 class Question:
     """
@@ -58,9 +61,15 @@
         self.where = where or {}
 
     def points(self, results: list[dict[str, Any]]) -> dict[float, float]:
-        """Return the median of the figure at each size."""
+        """
+        Return the median of the figure at each size.
+
+        Results of an overloaded machine are left out.
+        """
         found: dict[float, list[float]] = {}
         for result in results:
+            if result["load1"] > _LOAD_MAX:
+                continue
             if all(result[key] == self.where[key] for key in self.where):
                 found.setdefault(result[self.size], []).append(
                     self.figure(result)
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -44,7 +44,7 @@
             spread=line.spread,
             target=question.target,
             at_target=line.at(question.target),
-            measured_version=results[-1]["version"],
+            measured_versions=sorted({one["version"] for one in results}),
         )
         _plot(question, points, line)
 
--- a/measure/window.py
+++ b/measure/window.py
@@ -97,6 +97,7 @@
             server.daemon.pid
             for server in self._servers
             if server.daemon.is_running
+            and server.daemon.pid in (self._cpu or [server.daemon.pid])
         ]
 
     def _memory(self, pids: list[int]) -> dict[str, float]:
@@ -135,8 +136,9 @@
     async def _lease_figures(self, elapsed_s: float) -> dict[str, float]:
         datagrams = []
         sizes = []
+        pids = self._pids()
         for server in self._servers:
-            if not server.daemon.is_running:
+            if server.daemon.pid not in pids:
                 continue
             before = self._lease[server.daemon.pid]
             now = await lease_traffic(self._client, server)
