Move the requests in flight out of the gate's file

Change: slots of abandoned work, the ends of target processes and the two watching tasks are a class of their own. Behaviour is the same.

--- a/src/burdockgap/gate/gate.py
+++ b/src/burdockgap/gate/gate.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import anyio
 from loguru import logger
 
 from burdockgap.gate import metrics
-from burdockgap.gate.flight import Flight
+from burdockgap.gate.flights import Flights
 from burdockgap.gate.gate_stats import GateStats
 from burdockgap.gate.limiter import Limiter
 from burdockgap.gate.quarantine import Quarantine
@@ -19,11 +19,12 @@
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator
 
     from anyio.abc import TaskGroup
 
     from burdockgap.clock import Clock
+    from burdockgap.gate.flight import Flight
     from burdockgap.gate.gate_policy import GatePolicy
     from burdockgap.gate.gate_request import GateRequest
     from burdockgap.gate.logged_request import LoggedRequest
@@ -32,10 +33,6 @@
     from burdockgap.target import Target, TargetInfo
 
 STALL_S = 1.0
-_STATUS_INTERVAL_S = 0.25
-_LEASE_WATCH_INTERVAL_S = 0.04
-_REAP_INTERVAL_S = 0.1
-_REAP_LIMIT_S = 30.0
 _REFUSING_DETAIL = "This daemon takes no new work; retry elsewhere."
 
 
@@ -58,7 +55,6 @@
     __slots__ = (
         "_clock",
         "_flights",
-        "_flying",
         "_limiter",
         "_log",
         "_permits",
@@ -84,8 +80,6 @@
         self._policy = policy
         self._tasks = tasks
         self._refusing: Reason | None = None
-        self._flights: set[Flight] = set()
-        self._flying = anyio.Event()
         self._log = RequestLog(clock=clock)
         self._state = TargetState(policy=policy, clock=clock, stall_s=stall_s)
         self._limiter = Limiter(
@@ -94,6 +88,13 @@
             queue_length=policy.queue_length,
         )
         self.quarantine = Quarantine(service=service, clock=clock)
+        self._flights = Flights(
+            state=self._state,
+            limiter=self._limiter,
+            quarantine=self.quarantine,
+            clock=clock,
+            tasks=tasks,
+        )
 
     @property
     def stats(self) -> GateStats:
@@ -136,7 +137,7 @@
         """
         before = self._state.boot_id
         if before not in ("", info.boot_id):
-            self._process_replaced(before)
+            self._flights.process_replaced(before)
         is_used = self._state.announced(info, target)
         self._limiter.set_limit(self._state.limit)
         return is_used
@@ -162,9 +163,7 @@
 
     def cancel_permits(self, permits: list[Permit]) -> None:
         """Cancel the work in flight under some permits."""
-        for flight in self._flights:
-            if any(flight.permit is permit for permit in permits):
-                flight.scope.cancel()
+        self._flights.cancel(permits)
 
     async def drained(self, timeout_s: float) -> bool:
         """
@@ -195,15 +194,15 @@
 
     def start(self) -> None:
         """Start to watch the target and the leases."""
-        self._tasks.start_soon(self._watch_target)
-        self._tasks.start_soon(self._watch_leases)
+        self._tasks.start_soon(self._flights.watch_target)
+        self._tasks.start_soon(self._flights.watch_leases)
 
     @asynccontextmanager
     async def _serve(self, req: GateRequest) -> AsyncIterator[TargetReply]:
         self._check_service(req.service)
         if req.idempotent:
             self._check_open()
-            self._check_not_in_flight(req.request_id)
+            self._flights.check_absent(req.request_id)
             async with self._dispatch(req, None) as reply:
                 yield reply
             return
@@ -233,39 +232,11 @@
             deadline=req.deadline, wait_s=self._policy.queue_wait_s
         )
         metrics.queue_wait.observe(self._clock.now() - asked_at)
-        with self._in_flight(req, entry) as flight:
+        with self._flights.open(req, entry) as flight:
             permit = self._enter(flight)
             async with self._exchange(flight, permit) as reply:
                 yield reply
 
-    @contextmanager
-    def _in_flight(
-        self, req: GateRequest, entry: LoggedRequest | None
-    ) -> Iterator[Flight]:
-        """Own the slot; abandoned work leaves it to the reaper."""
-        try:
-            target = self._state.check()
-        except Refusal:
-            self._limiter.release()
-            raise
-        flight = Flight(
-            req=req,
-            entry=entry,
-            target=target,
-            boot_id=self._state.boot_id,
-        )
-        flight.held.callback(self._limiter.release)
-        self._flights.add(flight)
-        self._flying.set()
-        try:
-            yield flight
-        finally:
-            if flight.is_running:
-                metrics.abandoned.inc()
-                self._tasks.start_soon(self._reap, flight)
-            else:
-                self._close(flight)
-
     def _enter(self, flight: Flight) -> Permit:
         # The wait for the slot may have changed any of the answers.
         self._check_open()
@@ -362,61 +333,6 @@
         self._state.failed(flight.boot_id, refusal)
         self._limiter.set_limit(self._state.limit)
 
-    async def _reap(self, flight: Flight) -> None:
-        """Hold the slot until the target has ended abandoned work."""
-        give_up_at = self._clock.now() + _REAP_LIMIT_S
-        try:
-            while not flight.ended and self._clock.now() < give_up_at:
-                if await self._is_over(flight):
-                    break
-                await anyio.sleep(_REAP_INTERVAL_S)
-        finally:
-            self._close(flight)
-
-    async def _is_over(self, flight: Flight) -> bool:
-        if flight.failed:
-            await self._check_health(flight.target, flight.boot_id)
-        if flight.ended:
-            return True
-        try:
-            return await flight.target.cancel(flight.req.request_id)
-        except ConnectionRefusedError:
-            self._process_gone(flight.boot_id)
-            return True
-
-    def _close(self, flight: Flight) -> None:
-        flight.ended = True
-        self._flights.discard(flight)
-        flight.held.close()
-
-    def _process_gone(self, boot_id: str) -> None:
-        """
-        Take a refused connection.
-
-        A target that is shutting down may still work on requests whose
-        connections are up; those that are lost have ended with it.
-        """
-        self._state.ended(boot_id)
-        self._limiter.set_limit(self._state.limit)
-        self._end_flights(boot_id, [fl for fl in self._flights if fl.failed])
-
-    def _process_replaced(self, boot_id: str) -> None:
-        """Take the proof that a process and its work have ended."""
-        self._state.ended(boot_id)
-        self._limiter.set_limit(self._state.limit)
-        self._end_flights(boot_id, list(self._flights))
-
-    def _end_flights(self, boot_id: str, flights: list[Flight]) -> None:
-        running = [
-            flight
-            for flight in flights
-            if flight.boot_id == boot_id and flight.is_running
-        ]
-        fingerprints = [flight.req.fingerprint for flight in running]
-        self.quarantine.crashed(boot_id, fingerprints)
-        for flight in running:
-            flight.ended = True
-
     def _check_open(self) -> None:
         if self._refusing is not None:
             raise Refusal(Verdict.NOT_RUN, self._refusing, _REFUSING_DETAIL)
@@ -426,40 +342,3 @@
         if service != self.quarantine.service:
             detail = "This daemon serves another service; look it up."
             raise Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_SERVICE, detail)
-
-    def _check_not_in_flight(self, request_id: str) -> None:
-        # The target cancels by this id, which must mean one request.
-        for flight in self._flights:
-            if flight.req.request_id == request_id:
-                detail = "The same request id is in flight; wait for it."
-                raise Refusal(Verdict.NOT_RUN, Reason.DUPLICATE, detail)
-
-    async def _watch_leases(self) -> None:
-        while True:
-            await self._flying.wait()
-            now = self._clock.now()
-            for flight in self._flights:
-                flight.extend(now)
-            await anyio.sleep(_LEASE_WATCH_INTERVAL_S)
-            if not self._flights:
-                self._flying = anyio.Event()
-
-    async def _watch_target(self) -> None:
-        while True:
-            target = self._state.target
-            if target is not None:
-                await self._check_health(target, self._state.boot_id)
-            await anyio.sleep(_STATUS_INTERVAL_S)
-
-    async def _check_health(self, target: Target, boot_id: str) -> None:
-        try:
-            status = await target.status()
-        except ConnectionRefusedError:
-            self._process_gone(boot_id)
-            return
-        except ConnectionError:
-            return
-        if status.boot_id != boot_id:
-            self._process_replaced(boot_id)
-        elif boot_id == self._state.boot_id:
-            self._state.reported(status)
