--- a/src/burdockgap/daemon/role_tasks.py
+++ b/src/burdockgap/daemon/role_tasks.py
@@ -9,7 +9,7 @@
 from grpclib.exceptions import GRPCError
 from loguru import logger
 
-from burdockgap.daemon.service_side import open_service_side
+from burdockgap.daemon.open_service_side import open_service_side
 from burdockgap.ownership.release_error import ReleaseError
 from burdockgap.peer.messages.done import Done
 from burdockgap.peer.method import PING, RELEASE
@@ -66,10 +66,10 @@
         if self.side is not None:
             await self.side.announced(info)
 
-    async def target_leaving(self) -> None:
+    def target_leaving(self) -> None:
         """Take the target's notice that it is about to stop."""
         if self.side is not None:
-            await self.side.target_leaving()
+            self.side.target_leaving()
 
     async def run(self) -> None:
         """Run all roles until cancelled."""
--- a/src/burdockgap/peer/forward.py
+++ b/src/burdockgap/peer/forward.py
@@ -10,7 +10,6 @@
 from grpclib.const import Cardinality
 from grpclib.exceptions import ProtocolError
 
-from burdockgap.peer.messages.body_part import BodyPart
 from burdockgap.peer.messages.forward_head import ForwardHead
 from burdockgap.peer.messages.reply_refusal import ReplyRefusal
 from burdockgap.peer.method import (
@@ -19,6 +18,8 @@
     FORWARD_REQUEST,
 )
 from burdockgap.peer.pool import PEER_ERRORS
+from burdockgap.peer.settled_cancels import settled_cancels
+from burdockgap.peer.upload import Upload
 from burdockgap.router.route_reply import RouteReply
 from burdockgap.tasks.background import background
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -65,8 +66,16 @@
     """
     async with _open_stream(pool, entry, timeout_s) as (conn, stream):
         await _send_head(stream, entry, req, timeout_s)
-        async with _sending_body(stream, req):
-            head = await _receive_head(stream, entry, timeout_s)
+        upload = Upload(stream, req.body)
+        async with _running(upload, req):
+            with upload.scope:
+                head = await _receive_head(stream, entry, timeout_s)
+            if upload.failed:
+                raise Refusal(
+                    Verdict.MAY_HAVE_RUN,
+                    Reason.BAD_REQUEST,
+                    "the request's body ended early; send it again",
+                )
             pool.heard(conn)
             stats.load(in_flight=head.in_flight, limit=head.limit)
             if isinstance(head, ReplyRefusal):
@@ -111,7 +120,8 @@
         metadata=conn.metadata,
     )
     await stream.__aenter__()
-    await stream.send_request()
+    with settled_cancels():
+        await stream.send_request()
     return stream
 
 
@@ -131,36 +141,27 @@
         whole=req.whole,
     )
     try:
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(timeout_s), settled_cancels():
             await stream.send_message(head, end=req.whole is not None)
     except _STREAM_ERRORS as exc:
         raise _lost(entry, exc) from exc
 
 
 @asynccontextmanager
-async def _sending_body(stream: Any, req: GateRequest) -> AsyncIterator[None]:
+async def _running(upload: Upload, req: GateRequest) -> AsyncIterator[None]:
     """Send the body meanwhile, unless the head has carried it."""
     if req.whole is not None:
         yield
         return
-    async with background(_send_body, stream, req):
+    async with background(upload.run):
         yield
 
 
-async def _send_body(stream: Any, req: GateRequest) -> None:
-    try:
-        async for data in req.body:
-            await stream.send_message(BodyPart(data=data))
-        await stream.end()
-    except _STREAM_ERRORS:
-        return
-
-
 async def _receive_head(
     stream: Any, entry: SessionEntry, timeout_s: float
 ) -> ReplyHead | ReplyRefusal:
     try:
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(timeout_s), settled_cancels():
             head: ReplyHead | ReplyRefusal | None = await stream.recv_message()
     except TimeoutError as exc:
         raise Refusal(
@@ -180,10 +181,11 @@
 ) -> AsyncIterator[bytes]:
     try:
         while True:
-            with anyio.fail_after(_BODY_SILENCE_S):
+            with anyio.fail_after(_BODY_SILENCE_S), settled_cancels():
                 part = await stream.recv_message()
             if part is None:
-                await stream.recv_trailing_metadata()
+                with settled_cancels():
+                    await stream.recv_trailing_metadata()
                 return
             heard()
             yield part.data
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -8,9 +8,11 @@
 import anyio
 
 from burdockgap.router.attempt_history import AttemptHistory
-from burdockgap.router.candidates import keyed_candidates, unkeyed_candidates
+from burdockgap.router.candidates import keyed_candidates
+from burdockgap.router.home import home_of
 from burdockgap.router.race import Race, open_race
 from burdockgap.router.retry_budget import RetryBudget
+from burdockgap.router.server_list import ServerList
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -33,7 +35,6 @@
 _FINAL_REASONS = frozenset(
     {
         Reason.BAD_REQUEST,
-        Reason.DEADLINE,
         Reason.DUPLICATE,
         Reason.MISSING_KEY,
         Reason.QUARANTINED,
@@ -43,7 +44,12 @@
 """Refusals that another attempt would meet again."""
 
 _LOAD_REASONS = frozenset(
-    {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.TARGET_SHED}
+    {
+        Reason.DEADLINE,
+        Reason.QUEUE_FULL,
+        Reason.QUEUE_TIMEOUT,
+        Reason.TARGET_SHED,
+    }
 )
 """Refusals after which another attempt costs a retry."""
 
@@ -72,6 +78,7 @@
         "_folds",
         "_hedge_budgets",
         "_metrics",
+        "_servers",
         "_table",
     )
 
@@ -93,6 +100,7 @@
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
         self._hedge_budgets: dict[str, RetryBudget] = {}
+        self._servers = ServerList(folds)
 
     @asynccontextmanager
     async def route(self, req: RouteRequest) -> AsyncIterator[RouteReply]:
@@ -165,9 +173,7 @@
 
     def _has_another(self, req: RouteRequest) -> bool:
         """Tell whether there is a second server for a hedge."""
-        folds = self._folds
-        servers = unkeyed_candidates(folds.control, folds.config, req.service)
-        return len(servers) > 1
+        return len(self._servers.of(req.service)) > 1
 
     def _send(
         self, req: RouteRequest, history: AttemptHistory
@@ -192,14 +198,15 @@
             raise Refusal(
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server owns the key yet"
             )
-        servers = unkeyed_candidates(control, self._folds.config, req.service)
+        servers = self._servers.of(req.service)
         if not servers:
             raise Refusal(
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server is in service"
             )
-        return self._chooser.choose(
-            history.untried(servers), spill_load=req.profile.spill_load
-        )
+        untried = history.untried(servers)
+        if _has_home(req):
+            return home_of(untried, req.request_id)
+        return self._chooser.choose(untried, spill_load=req.profile.spill_load)
 
     def _attempt_deadline(
         self, req: RouteRequest, history: AttemptHistory
@@ -221,6 +228,10 @@
             if refusal.reason in _FINAL_REASONS:
                 raise history.overall(refusal)
             if refusal.reason in _LOAD_REASONS:
+                if _has_home(req):
+                    # A resend would find the first server free and run
+                    # there what has run elsewhere.
+                    raise history.overall(refusal)
                 self._spend_retry(req, history, refusal)
             return
         if not req.idempotent:
@@ -246,3 +257,8 @@
 
     def _budget(self, req: RouteRequest) -> RetryBudget:
         return self._budgets.setdefault(req.service, RetryBudget())
+
+
+def _has_home(req: RouteRequest) -> bool:
+    """Tell whether all sends of a request must meet the same gate."""
+    return req.key_hash is None and req.resendable and not req.idempotent
--- a/standins/scenario/statements/site.py
+++ b/standins/scenario/statements/site.py
@@ -68,6 +68,12 @@
     await run.cluster.wait_admitted(added)
 
 
+@verb(r"mutant (?P<name>[\w-]+)")
+async def set_mutant(run: Run, *, name: str) -> None:
+    """Give all daemons a seeded fault."""
+    run.mutant = name
+
+
 @verb(r"slices (?P<count>\d+)")
 async def set_slices(run: Run, *, count: str) -> None:
     """Set the number of slices of the keyed service."""
@@ -93,6 +99,8 @@
 
 async def wait_owned(run: Run) -> None:
     """Wait until each unit of the keyed service has a live owner."""
+    if not run.slices:
+        return
     with anyio.fail_after(_OWNED_TIMEOUT_S):
         while not run.observer.all_owned():
             await anyio.sleep(_POLL_S)
