--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -194,7 +194,7 @@
         if req.key_hash is not None:
             owners = keyed_candidates(control, req.service, req.key_hash)
             if owners:
-                return history.prefer(owners)
+                return history.prefer(self._table.reachable_first(owners))
             raise Refusal(
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server owns the key yet"
             )
--- a/tests/router/test_router.py
+++ b/tests/router/test_router.py
@@ -10,6 +10,7 @@
 from burdockgap.fold.folds import Folds
 from burdockgap.http.caller_gone import CallerGone
 from burdockgap.metrics import Metrics
+from burdockgap.router.attempt_history import AttemptHistory
 from burdockgap.router.chooser import Chooser
 from burdockgap.router.replay_body import ReplayBody
 from burdockgap.router.route_reply import RouteReply
@@ -323,3 +324,27 @@
     req = make_request(idempotent=False, request_id="b")
     assert route(dispatcher, req) == b"b"
     assert len(set(dispatcher.tried)) == 2
+
+
+def test_key_goes_to_the_successor_while_its_owner_is_unreachable():
+    clock = BootClock()
+    table = ServerTable(clock)
+    owner, successor = (make_session(session_id=n) for n in (1, 2))
+    router = Router(
+        folds=Folds(),
+        dispatcher=FakeDispatcher([]),
+        table=table,
+        chooser=Chooser(table=table, data_centre="dc1"),
+        clock=clock,
+        metrics=Metrics(),
+    )
+    req = make_request(idempotent=False)
+    req.key_hash = 1
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            "burdockgap.router.router.keyed_candidates",
+            lambda *_args: [owner, successor],
+        )
+        assert router._choose(req, AttemptHistory()) is owner
+        table.stats(owner).failed()
+        assert router._choose(req, AttemptHistory()) is successor
