--- a/standins/scenario/run.py
+++ b/standins/scenario/run.py
@@ -184,7 +184,7 @@
 
     def fault(self) -> None:
         """Note that a fault happens now, and who owns which key."""
-        if self.loads and self._observer is not None:
+        if self.slices and self.loads and self._observer is not None:
             self.key_owners = self._observer.key_owners(self.load.keys)
         self.fault_at = boottime()
 
