Ignore the leaving notice of an earlier target process

Cause: the notice named no process; one that came late would have drained the target that had taken the place, until it restarted. Change: the notice carries the boot id. The default ramp gains a slot per 8 answers, as the slowest target that we know warms; the default share that makes a key hot is 0.5 %, since 56 keys cannot each have 2 % of the requests.

--- a/src/burdockgap/admin/backend.py
+++ b/src/burdockgap/admin/backend.py
@@ -67,6 +67,6 @@
         """Take up the target beside the daemon, or its new state."""
         ...
 
-    async def leaving(self) -> None:
-        """Send no new work to the target, since it is about to stop."""
+    async def leaving(self, boot_id: str) -> None:
+        """Send no new work to a target that is about to stop."""
         ...
--- a/src/burdockgap/admin/target_handlers.py
+++ b/src/burdockgap/admin/target_handlers.py
@@ -38,8 +38,9 @@
 
     async def leaving(self, req: Request) -> Response:
         """Note that the target is about to stop."""
+        boot_id = req.fields.text("boot_id")
         req.fields.end()
-        await self._backend.leaving()
+        await self._backend.leaving(boot_id)
         return Response.json(DoneView())
 
 
--- a/src/burdockgap/config/fields.py
+++ b/src/burdockgap/config/fields.py
@@ -126,7 +126,7 @@
     Field(
         "ramp_step",
         int,
-        4,
+        8,
         "completed requests for each slot that a cold target gains",
         lowest=1,
         highest=10_000,
--- a/src/burdockgap/daemon/backend.py
+++ b/src/burdockgap/daemon/backend.py
@@ -157,9 +157,9 @@
         """Take up the target beside the daemon, or its new state."""
         await self._roles.announce(info)
 
-    async def leaving(self) -> None:
-        """Send no new work to the target, since it is about to stop."""
-        self._roles.target_leaving()
+    async def leaving(self, boot_id: str) -> None:
+        """Send no new work to a target that is about to stop."""
+        self._roles.target_leaving(boot_id)
 
     def _not_written(self, error: WriteError) -> ChangeOutcome:
         unknown = error.state is WriteState.UNKNOWN
--- a/src/burdockgap/daemon/role_tasks.py
+++ b/src/burdockgap/daemon/role_tasks.py
@@ -66,10 +66,17 @@
         if self.side is not None:
             await self.side.announced(info)
 
-    def target_leaving(self) -> None:
-        """Take the target's notice that it is about to stop."""
-        if self.side is not None:
-            self.side.target_leaving()
+    def target_leaving(self, boot_id: str) -> None:
+        """
+        Take a target's notice that it is about to stop.
+
+        A late notice of an earlier process has no effect.
+
+        :param boot_id: the target process that sent it.
+        """
+        if self.side is None or self.side.slot.info.boot_id != boot_id:
+            return
+        self.side.target_leaving()
 
     async def run(self) -> None:
         """Run all roles until cancelled."""
--- a/src/burdockgap/settings/declared.py
+++ b/src/burdockgap/settings/declared.py
@@ -267,7 +267,7 @@
         "hot_share",
         float,
         unit="share",
-        default=0.02,
+        default=0.005,
         allowed=Between(0.0001, 1),
         help="Share of a service's requests that makes a key hot.",
     ),
--- a/standins/target_announcer.py
+++ b/standins/target_announcer.py
@@ -43,8 +43,9 @@
     async def leave(self) -> None:
         """Say that the target is about to stop."""
         self._leaving = True
+        notice = {"boot_id": self._announcement["boot_id"]}
         async with self._client() as client:
-            while not await self._post(client, "leaving", {}):
+            while not await self._post(client, "leaving", notice):
                 await anyio.sleep(_RETRY_S)
 
     def _client(self) -> httpx.AsyncClient:
--- a/tests/admin/fake_backend.py
+++ b/tests/admin/fake_backend.py
@@ -90,5 +90,5 @@
     async def announce(self, info):
         self.infos.append(info)
 
-    async def leaving(self):
+    async def leaving(self, _boot_id):
         self.left += 1
--- a/tests/admin/test_app.py
+++ b/tests/admin/test_app.py
@@ -219,7 +219,9 @@
     assert resp.status_code == 200
     (info,) = backend.infos
     assert {name: getattr(info, name) for name in INFO} == INFO
-    assert httpx.post(f"{url}/v1/target/leaving", json={}).status_code == 200
+    notice = {"boot_id": INFO["boot_id"]}
+    resp = httpx.post(f"{url}/v1/target/leaving", json=notice)
+    assert resp.status_code == 200
     assert backend.left == 1
 
 
