Remove a field of joins that nobody reads

Cause: the coordinator finds a daemon's newer session in the fold, so what a join says it replaces was always 0 and never used.

--- a/measure/decisions.py
+++ b/measure/decisions.py
@@ -64,7 +64,6 @@
         peer_address=f"10.9.0.{index % 250}:7070",
         http_address=f"10.9.0.{index % 250}:8080",
         slots=6,
-        replaces=0,
     )
 
 
--- a/src/burdockgap/daemon/session_keeper.py
+++ b/src/burdockgap/daemon/session_keeper.py
@@ -175,7 +175,6 @@
             peer_address=self._identity.peer_address,
             http_address=self._identity.http_address,
             slots=self._slots,
-            replaces=0,
         )
         asked_at = anyio.current_time()
         while not session.admitted.is_set():
--- a/src/burdockgap/peer/messages/join.py
+++ b/src/burdockgap/peer/messages/join.py
@@ -18,7 +18,6 @@
     :param peer_address: ``ip:port`` for peer calls and datagrams.
     :param http_address: ``ip:port`` for callers.
     :param slots: requests that the target can run at once.
-    :param replaces: the daemon's session that this one replaces, or 0.
     """
 
     __slots__ = (
@@ -31,7 +30,6 @@
         "peer_address",
         "http_address",
         "slots",
-        "replaces",
     )
     TAG = 64
 
@@ -47,7 +45,6 @@
         peer_address: str,
         http_address: str,
         slots: int,
-        replaces: int,
     ) -> None:
         self.session_id = session_id
         self.incarnation = incarnation
@@ -58,4 +55,3 @@
         self.peer_address = peer_address
         self.http_address = http_address
         self.slots = slots
-        self.replaces = replaces
--- a/tests/coordinator/test_admission.py
+++ b/tests/coordinator/test_admission.py
@@ -18,7 +18,6 @@
         peer_address=f"127.0.0.1:{number}",
         http_address="",
         slots=6,
-        replaces=0,
     )
 
 
