--- a/src/burdockgap/cli/parser.py
+++ b/src/burdockgap/cli/parser.py
@@ -14,6 +14,7 @@
     owner,
     session,
     settings,
+    sidecar,
     status,
     target,
 )
@@ -29,6 +30,7 @@
     owner,
     audit,
     session,
+    sidecar,
 )
 
 
--- a/src/burdockgap/coordinator/candidacy.py
+++ b/src/burdockgap/coordinator/candidacy.py
@@ -20,7 +20,7 @@
     from burdockgap.fold.touched import Touched
     from burdockgap.lease.certificates import Certificates
     from burdockgap.lease.witness import Witness
-    from burdockgap.platform.writer import Writer
+    from burdockgap.logstore.writer import Writer
     from burdockgap.records.session_entry import SessionEntry
 
 _RANK_STAGGER_S = 0.2
--- a/src/burdockgap/coordinator/coordinator.py
+++ b/src/burdockgap/coordinator/coordinator.py
@@ -22,13 +22,13 @@
     from burdockgap.fold.messages.decision import Decision
     from burdockgap.fold.touched import Touched
     from burdockgap.lease.certificates import Certificates
+    from burdockgap.logstore.writer import Writer
     from burdockgap.ownership.messages.activation_report import (
         ActivationReport,
     )
     from burdockgap.peer.messages.join import Join
     from burdockgap.peer.messages.leave import Leave
     from burdockgap.peer.messages.load_report import LoadReport
-    from burdockgap.platform.writer import Writer
     from burdockgap.records.streams import ControlRecord
     from burdockgap.settings.settings import Settings
 
--- a/src/burdockgap/daemon/backend.py
+++ b/src/burdockgap/daemon/backend.py
@@ -19,8 +19,8 @@
     TargetView,
 )
 from burdockgap.daemon.refuse_change import refuse
+from burdockgap.logstore.write_error import WriteState
 from burdockgap.ownership.unit import hash_key, is_pin, slice_of
-from burdockgap.platform.write_error import WriteState
 from burdockgap.records.config_change import ConfigChange
 from burdockgap.records.streams import CONFIG, CONTROL
 from burdockgap.wire.ids import new_id, show_id
@@ -32,7 +32,7 @@
     from burdockgap.daemon.core import Core
     from burdockgap.daemon.role_tasks import RoleTasks
     from burdockgap.fold.messages.audit_entry import AuditEntry
-    from burdockgap.platform.write_error import WriteError
+    from burdockgap.logstore.write_error import WriteError
     from burdockgap.records.session_entry import SessionEntry
     from burdockgap.target import TargetInfo
 
--- a/src/burdockgap/daemon/catch_up.py
+++ b/src/burdockgap/daemon/catch_up.py
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from burdockgap.fold.folds import Folds
+    from burdockgap.logstore.tail import Tail
     from burdockgap.peer.pool import PeerPool
-    from burdockgap.platform.tail import Tail
 
 _CALL_TIMEOUT_S = 1.0
 _POKE_AFTER_S = 0.1
--- a/src/burdockgap/daemon/core.py
+++ b/src/burdockgap/daemon/core.py
@@ -19,14 +19,14 @@
 from burdockgap.lease.socket import LeaseSocket, open_lease_socket
 from burdockgap.lease.timing import LeaseTiming
 from burdockgap.lease.witness import Witness
+from burdockgap.logstore.http_log import HttpLog, open_http_log
+from burdockgap.logstore.tail import Tail
+from burdockgap.logstore.writer import Writer
 from burdockgap.metrics import Metrics
 from burdockgap.peer.address import split_address
 from burdockgap.peer.auth import PeerAuth
 from burdockgap.peer.forward_handler import ForwardHandler
 from burdockgap.peer.pool import PeerPool, open_pool
-from burdockgap.platform.http_log import HttpLog, open_http_log
-from burdockgap.platform.tail import Tail
-from burdockgap.platform.writer import Writer
 from burdockgap.records.streams import CONFIG, CONTROL
 from burdockgap.router.chooser import Chooser
 from burdockgap.router.dispatcher import Dispatcher
--- /dev/null
+++ b/src/burdockgap/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons that run, as each of them knows."""
--- /dev/null
+++ b/src/burdockgap/fleet/beacons.py
@@ -0,0 +1,97 @@
+"""Members telling one another what they are."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+from burdockgap.fleet.datagrams import BEACON
+from burdockgap.fleet.member import Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.fleet.datagrams import Datagrams
+    from burdockgap.fleet.roster import Roster
+
+_PERIOD_S = 1.0
+"""A third of the time after which a member counts as lost."""
+_REPEAT_S = 0.15
+"""Pause before a change is told again, since datagrams may be lost."""
+
+
+class Beacons:
+    """
+    Sends this daemon's entry to all others and takes theirs.
+
+    :param datagrams: sends and receives.
+    :param roster: the members.
+    :param refresh: brings the own entry up to date before it is sent.
+    :param on_member: called with each entry that was heard.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_datagrams",
+        "_on_member",
+        "_refresh",
+        "_roster",
+    )
+
+    def __init__(
+        self,
+        datagrams: Datagrams,
+        roster: Roster,
+        *,
+        refresh: Callable[[], None],
+        on_member: Callable[[Member], None],
+    ) -> None:
+        self._datagrams = datagrams
+        self._roster = roster
+        self._refresh = refresh
+        self._on_member = on_member
+        self._changed = asyncio.Event()
+        datagrams.handlers[BEACON] = self._take
+
+    def changed(self) -> None:
+        """Tell all others at once that the own entry changed."""
+        self._roster.own.sequence += 1
+        self._send_all()
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Send the own entry for ever."""
+        while True:
+            self._send_all()
+            try:
+                async with asyncio.timeout(
+                    _PERIOD_S * random.uniform(0.9, 1.1)
+                ):
+                    await self._changed.wait()
+                self._changed.clear()
+                await asyncio.sleep(_REPEAT_S)
+            except TimeoutError:
+                continue
+
+    def _send_all(self) -> None:
+        self._refresh()
+        values = self._roster.own.values()
+        for entry in self._roster.entries():
+            self._datagrams.send(entry.member.address, BEACON, values, False)
+
+    def _take(self, values: list[Any]) -> None:
+        member = Member.from_values(values[0])
+        if member.name == self._roster.own.name:
+            return
+        is_reply = bool(values[1])
+        known = self._roster.member(member.name)
+        is_new = known is None or known.incarnation != member.incarnation
+        if self._roster.heard(member) is None:
+            return
+        if is_new and not is_reply:
+            self._refresh()
+            self._datagrams.send(
+                member.address, BEACON, self._roster.own.values(), True
+            )
+        self._on_member(member)
--- /dev/null
+++ b/src/burdockgap/fleet/datagrams.py
@@ -0,0 +1,65 @@
+"""Datagrams between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+BEACON = 1
+REPORT = 2
+LEASE = 3
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """
+    Sends and receives small messages that may be lost.
+
+    :ivar handlers: takes a message's values by its kind.
+    :ivar bad: datagrams that could not be read.
+    """
+
+    __slots__ = ("_transport", "bad", "handlers")
+
+    def __init__(self) -> None:
+        self._transport: asyncio.DatagramTransport | None = None
+        self.handlers: dict[int, Callable[[list[Any]], None]] = {}
+        self.bad = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:  # noqa: ARG002
+        """Deliver a message to its handler."""
+        try:
+            kind, *values = msgpack.unpackb(data)
+            self.handlers[kind](values)
+        except (TypeError, ValueError, KeyError):
+            self.bad += 1
+
+    def send(self, address: tuple[str, int], kind: int, *values: Any) -> None:
+        """Send a message; it may be lost."""
+        if self._transport is not None:
+            self._transport.sendto(msgpack.packb([kind, *values]), address)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over errors of single datagrams; peers come and go."""
+
+
+@asynccontextmanager
+async def open_datagrams(host: str, port: int) -> AsyncIterator[Datagrams]:
+    """Bind the datagram socket until the context ends."""
+    loop = asyncio.get_running_loop()
+    transport, protocol = await loop.create_datagram_endpoint(
+        Datagrams, local_addr=(host, port)
+    )
+    try:
+        yield protocol
+    finally:
+        transport.close()
--- /dev/null
+++ b/src/burdockgap/fleet/roster.py
@@ -0,0 +1,192 @@
+"""The members that this daemon has heard of."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from burdockgap.fleet.member import Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from burdockgap.forward.load import Load
+
+ALIVE_S = 3.2
+"""Three beacons of a live member are lost by then."""
+_EJECT_S = 0.4
+_FORGET_S = 60.0
+
+
+class Entry:
+    """
+    A member and what this daemon has seen of it.
+
+    :ivar heard_at: when it was last heard, ``None`` if it is only known
+        from the store; in seconds of the event loop's clock.
+    :ivar pending: calls of this daemon to it since its load was told.
+    :ivar ejected_until: until when it is passed over after a failure.
+    """
+
+    __slots__ = ("ejected_until", "heard_at", "load", "member", "pending")
+
+    def __init__(self, member: Member, heard_at: float | None) -> None:
+        self.member = member
+        self.heard_at = heard_at
+        self.load = member.load
+        self.pending = 0
+        self.ejected_until = 0.0
+
+
+class Roster:
+    """
+    Members by name; a newer life replaces an earlier one.
+
+    :param own: this daemon's own entry.
+    :param on_event: logs changes of belief.
+    """
+
+    __slots__ = ("_ended", "_entries", "_loop", "_on_event", "own")
+
+    def __init__(
+        self, own: Member, on_event: Callable[[str, dict[str, object]], None]
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._on_event = on_event
+        self.own = own
+        self._entries: dict[str, Entry] = {}
+        self._ended: set[tuple[str, int]] = set()
+
+    def heard(self, member: Member) -> Entry | None:
+        """
+        Take a member's own word.
+
+        :return: its entry, ``None`` for an earlier life's late word.
+        """
+        if (member.name, member.incarnation) in self._ended:
+            return None
+        now = self._loop.time()
+        entry = self._entries.get(member.name)
+        if entry is None:
+            entry = self._entries[member.name] = Entry(member, now)
+            self._log(member, "heard")
+            return entry
+        known = entry.member
+        if known.incarnation != member.incarnation:
+            self._ended.add((known.name, known.incarnation))
+            self._log(member, "restarted")
+        elif member.sequence < known.sequence:
+            return entry
+        elif (
+            member.takes_work != known.takes_work
+            or member.born != known.born
+            or member.leaving != known.leaving
+        ):
+            self._log(member, "changed")
+        entry.member = member
+        entry.heard_at = now
+        entry.load, entry.pending = member.load, 0
+        return entry
+
+    def stored(self, member: Member) -> None:
+        """Take an entry of the store, which may be outdated."""
+        is_own = member.name == self.own.name
+        if not is_own and member.name not in self._entries:
+            self._entries[member.name] = Entry(member, None)
+
+    def entry(self, name: str) -> Entry | None:
+        """Return a member's entry."""
+        return self._entries.get(name)
+
+    def entries(self) -> Iterator[Entry]:
+        """Return the entries of all others, heard or not."""
+        now = self._loop.time()
+        for name, entry in list(self._entries.items()):
+            if entry.heard_at and now - entry.heard_at > _FORGET_S:
+                del self._entries[name]
+                continue
+            yield entry
+
+    def is_alive(self, name: str, within_s: float = ALIVE_S) -> bool:
+        """Tell whether a member was heard within some seconds."""
+        if name == self.own.name:
+            return True
+        entry = self._entries.get(name)
+        if entry is None or entry.heard_at is None:
+            return False
+        return self._loop.time() - entry.heard_at <= within_s
+
+    def member(self, name: str) -> Member | None:
+        """Return what is known of a member, this daemon included."""
+        if name == self.own.name:
+            return self.own
+        entry = self._entries.get(name)
+        return entry.member if entry else None
+
+    def live(self, within_s: float = ALIVE_S) -> list[Member]:
+        """Return the live members, this daemon first."""
+        alive = [
+            entry.member
+            for entry in self._entries.values()
+            if self.is_alive(entry.member.name, within_s)
+        ]
+        return [self.own, *alive]
+
+    def servers(self, service: str) -> list[Member]:
+        """Return the live members whose target takes a service's work."""
+        now = self._loop.time()
+        return [
+            member
+            for member in self.live()
+            if member.service == service
+            and member.takes_work
+            and not member.leaving
+            and not self._ejected(member.name, now)
+        ]
+
+    def note_load(self, name: str, load: Load) -> None:
+        """Take the load that came with a reply."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.load, entry.pending = load, 0
+
+    def note_call(self, name: str) -> None:
+        """Count a call to a member."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.pending += 1
+
+    def unreachable(self, name: str) -> None:
+        """Pass over a member for a while that could not be reached."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.ejected_until = self._loop.time() + _EJECT_S
+            self._log(entry.member, "unreachable")
+
+    def pressure(self, member: Member) -> float:
+        """Return the work per slot at a member's target."""
+        if member.name == self.own.name:
+            load, pending = self.own.load, 0
+        else:
+            entry = self._entries[member.name]
+            load, pending = entry.load, entry.pending
+        work = load.in_flight + load.waiting + pending
+        return work / max(load.slots, 1)
+
+    def _ejected(self, name: str, now: float) -> bool:
+        entry = self._entries.get(name)
+        return entry is not None and entry.ejected_until > now
+
+    def _log(self, member: Member, state: str) -> None:
+        self._on_event(
+            "member",
+            {
+                "member": member.name,
+                "state": state,
+                "incarnation": member.incarnation,
+                "sequence": member.sequence,
+                "born": member.born,
+                "takes_work": member.takes_work,
+                "leaving": member.leaving,
+            },
+        )
--- a/src/burdockgap/fold/loader.py
+++ b/src/burdockgap/fold/loader.py
@@ -13,7 +13,7 @@
     restore_control,
 )
 from burdockgap.fold.snapshot_collector import SnapshotCollector
-from burdockgap.platform.errors import LogTrimmed
+from burdockgap.logstore.errors import LogTrimmed
 from burdockgap.records.snapshot_chunk import SnapshotChunk
 from burdockgap.records.streams import CONFIG, CONTROL
 from burdockgap.wire import DecodeError, unpack
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from burdockgap.fold.folds import Folds
     from burdockgap.fold.messages.fold_snapshot import FoldSnapshot
-    from burdockgap.platform.log import Log
+    from burdockgap.logstore.log import Log
 
 _PAGE_RECORDS = 100
 
--- /dev/null
+++ b/src/burdockgap/forward/call.py
@@ -0,0 +1,128 @@
+"""A request on its way to a target."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class Call:
+    """
+    One attempt at a request, as a daemon hands it to the target's daemon.
+
+    :param request_id: the caller's id of the request.
+    :param method: the method.
+    :param target: path and query.
+    :param headers: end-to-end headers, names in lower case.
+    :param body: the whole body.
+    :param service: the service whose target is to run it.
+    :param origin: service beside the daemon where the request began.
+    :param key: the key, or ``None`` where the service has no keys.
+    :param idempotent: whether it may run more than once.
+    :param priority: rank; 0 is the most urgent.
+    :param deadline_s: seconds until nobody waits for the answer.
+    :param objective_s: seconds until the answer loses its worth.
+    :param attempt: 1 for the first target that is tried.
+    """
+
+    __slots__ = (
+        "attempt",
+        "body",
+        "deadline_s",
+        "headers",
+        "idempotent",
+        "key",
+        "method",
+        "objective_s",
+        "origin",
+        "priority",
+        "request_id",
+        "service",
+        "target",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        service: str,
+        origin: str,
+        key: int | None,
+        idempotent: bool,
+        priority: int,
+        deadline_s: float,
+        objective_s: float,
+        attempt: int = 1,
+    ) -> None:
+        self.request_id = request_id
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.service = service
+        self.origin = origin
+        self.key = key
+        self.idempotent = idempotent
+        self.priority = priority
+        self.deadline_s = deadline_s
+        self.objective_s = objective_s
+        self.attempt = attempt
+
+    def encode(self) -> list[Any]:
+        """Return plain values in the order of the slots' use."""
+        return [
+            self.request_id,
+            self.method,
+            self.target,
+            self.headers,
+            self.body,
+            self.service,
+            self.origin,
+            self.key,
+            self.idempotent,
+            self.priority,
+            self.deadline_s,
+            self.objective_s,
+            self.attempt,
+        ]
+
+    @classmethod
+    def decode(cls, values: list[Any]) -> Call:
+        """
+        Return the call of some plain values.
+
+        :raises ValueError: if there are too few or too many.
+        """
+        (
+            request_id,
+            method,
+            target,
+            headers,
+            body,
+            service,
+            origin,
+            key,
+            idempotent,
+            priority,
+            deadline_s,
+            objective_s,
+            attempt,
+        ) = values
+        return cls(
+            request_id=request_id,
+            method=method,
+            target=target,
+            headers=[(name, value) for name, value in headers],
+            body=body,
+            service=service,
+            origin=origin,
+            key=key,
+            idempotent=idempotent,
+            priority=priority,
+            deadline_s=deadline_s,
+            objective_s=objective_s,
+            attempt=attempt,
+        )
--- /dev/null
+++ b/src/burdockgap/forward/forwarder.py
@@ -0,0 +1,400 @@
+"""Finds a target for each caller's request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+from burdockgap.forward.call import Call
+from burdockgap.forward.outcome import Outcome
+from burdockgap.forward.retry_share import RetryShare
+from burdockgap.hop.kinds import FORWARD, SETTLE
+from burdockgap.hop.link_error import LinkError
+from burdockgap.http1.encode import end_to_end
+from burdockgap.http1.response import Response
+from burdockgap.verdict import Reason, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.fleet.member import Member
+    from burdockgap.fleet.roster import Roster
+    from burdockgap.forward.caller_request import CallerRequest
+    from burdockgap.forward.target_gate import TargetGate
+    from burdockgap.hop.link import Links
+    from burdockgap.routing.documents import Documents
+    from burdockgap.routing.route import Route
+    from burdockgap.shards.control_view import ControlView
+
+_DEFAULT_WAIT_S = 30.0
+_LATE_REPLY_S = 0.05
+"""How much later than its deadline a target's daemon may reply."""
+_MOST_TRIES = 4
+"""Daemons asked for one request; a refusal there costs one round trip."""
+_OWNER_PAUSE_S = 0.03
+_OWNER_SHARE = 0.5
+"""Share of the objective that may be spent on looking for an owner."""
+_RETRY_AFTER_S = (0.05, 0.15)
+_SERVER_ERROR = 500
+_RATIO_SHARE = 0.8
+_EXTRA_SHARE = 0.6
+"""Shares of the common retry budget that are used, as a margin for
+windows that do not line up."""
+
+
+class _Progress:
+    """What has been tried for one request."""
+
+    __slots__ = ("attempts", "best", "offers", "ran", "tried")
+
+    def __init__(self) -> None:
+        self.attempts: list[list[Any]] = []
+        self.tried: set[str] = set()
+        self.offers = 0
+        self.ran = 0
+        self.best: Response | None = None
+
+
+class Forwarder:
+    """
+    Takes callers' requests to targets and their answers back.
+
+    :param roster: the members.
+    :param documents: the configuration.
+    :param view: owners of keys.
+    :param gate: the way in to the target beside this daemon.
+    :param links: connections to other daemons.
+    :param bounds: limits that hold for all daemons together.
+    :param on_event: logs a decision.
+    """
+
+    __slots__ = (
+        "_budget_extra",
+        "_budget_ratio",
+        "_budget_window_s",
+        "_budgets",
+        "_documents",
+        "_gate",
+        "_links",
+        "_loop",
+        "_on_event",
+        "_roster",
+        "_view",
+        "in_flight",
+    )
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        documents: Documents,
+        view: ControlView,
+        gate: TargetGate,
+        links: Links,
+        budget_ratio: float,
+        budget_extra: float,
+        budget_window_s: float,
+        on_event: Callable[[str, dict[str, object]], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._roster = roster
+        self._documents = documents
+        self._view = view
+        self._gate = gate
+        self._links = links
+        self._budget_ratio = budget_ratio * _RATIO_SHARE
+        self._budget_extra = budget_extra * _EXTRA_SHARE
+        self._budget_window_s = budget_window_s
+        self._budgets: dict[str, RetryShare] = {}
+        self._on_event = on_event
+        self.in_flight = 0
+
+    async def serve(self, req: CallerRequest) -> Response:
+        """Answer a caller's request."""
+        config = self._documents.config
+        if config is None:
+            return self._refuse(req, 503, "no configuration is known yet")
+        route = config.find(req.host, req.path)
+        if route is None:
+            return self._refuse(
+                req, 404, "no route matches", config=config.version
+            )
+        service = route.pick_service()
+        policy = config.services.get(service)
+        is_keyed = policy is not None and policy.keyed
+        if is_keyed and req.key is None:
+            return self._refuse(req, 400, "the request names no key")
+        self.in_flight += 1
+        progress = _Progress()
+        try:
+            response = await self._run(
+                req, route, service, progress, is_keyed=is_keyed
+            )
+        except asyncio.CancelledError:
+            self._log(req, route, service, progress, None, config.version)
+            raise
+        finally:
+            self.in_flight -= 1
+        self._log(req, route, service, progress, response, config.version)
+        return response
+
+    async def _run(
+        self,
+        req: CallerRequest,
+        route: Route,
+        service: str,
+        progress: _Progress,
+        *,
+        is_keyed: bool,
+    ) -> Response:
+        wait_s = min(req.wait_s or _DEFAULT_WAIT_S, route.timeout_s)
+        deadline = req.arrived_at + wait_s
+        self._budget(service).note_request(self._loop.time())
+        call = Call(
+            request_id=req.request_id,
+            method=req.method,
+            target=req.target,
+            headers=req.headers,
+            body=req.body,
+            service=service,
+            origin=self._roster.own.service,
+            key=req.key if is_keyed else None,
+            idempotent=route.idempotent,
+            priority=route.priority,
+            deadline_s=wait_s,
+            objective_s=route.objective_s,
+        )
+        last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
+        while True:
+            member = await self._choose(call, route, progress, deadline)
+            if member is None or self._loop.time() >= deadline:
+                return self._final(progress, last)
+            call.deadline_s = deadline - self._loop.time()
+            call.attempt = len(progress.attempts) + 1
+            last = await self._attempt(member, call, progress)
+            response = self._usable(last, route, progress)
+            if response is not None:
+                return response
+            if not self._may_repeat(last, route, service, progress):
+                return self._final(progress, last)
+
+    async def _choose(
+        self,
+        call: Call,
+        route: Route,
+        progress: _Progress,
+        deadline: float,
+    ) -> Member | None:
+        if call.key is not None:
+            return await self._owner(call, progress, deadline)
+        if len(progress.attempts) >= _MOST_TRIES:
+            return None
+        servers = [
+            member
+            for member in self._roster.servers(call.service)
+            if member.name not in progress.tried
+            and member.zone not in self._documents.zones_out
+            and (not route.regions or member.region in route.regions)
+        ]
+        if not servers:
+            return None
+        if len(servers) > 2:
+            servers = random.sample(servers, 2)
+        return min(servers, key=lambda member: self._cost(member, route))
+
+    def _cost(self, member: Member, route: Route) -> float:
+        pressure = self._roster.pressure(member)
+        if member.zone != self._roster.own.zone:
+            pressure += 1.0 if route.large else 0.05
+        return pressure
+
+    async def _owner(
+        self, call: Call, progress: _Progress, deadline: float
+    ) -> Member | None:
+        """Return the key's owner, after a wait if it changed just now."""
+        assert call.key is not None
+        until = min(
+            deadline, self._loop.time() + call.objective_s * _OWNER_SHARE
+        )
+        if len(progress.attempts) >= _MOST_TRIES:
+            return None
+        if progress.attempts:
+            await asyncio.sleep(_OWNER_PAUSE_S)
+        while True:
+            shard = self._view.state.find(call.service, call.key)
+            if shard is not None:
+                member = self._roster.member(shard.owner)
+                if member is not None and self._roster.is_alive(shard.owner):
+                    return member
+            if self._loop.time() >= until:
+                return None
+            await asyncio.sleep(_OWNER_PAUSE_S)
+
+    async def _attempt(
+        self, member: Member, call: Call, progress: _Progress
+    ) -> Outcome:
+        began = self._loop.time()
+        progress.tried.add(member.name)
+        if member.name == self._roster.own.name:
+            outcome = await self._gate.serve(call)
+        else:
+            outcome = await self._remote(member, call)
+        if outcome.offered:
+            progress.offers += 1
+        if outcome.verdict is not Verdict.NOT_RUN:
+            progress.ran += 1
+        progress.attempts.append(
+            [
+                member.name,
+                outcome.verdict.value,
+                outcome.reason.value if outcome.reason else None,
+                round((self._loop.time() - began) * 1000, 1),
+            ]
+        )
+        return outcome
+
+    async def _remote(self, member: Member, call: Call) -> Outcome:
+        self._roster.note_call(member.name)
+        until = self._loop.time() + call.deadline_s + _LATE_REPLY_S
+        try:
+            async with asyncio.timeout_at(until):
+                reply = await self._links.call(
+                    member.address, FORWARD, call.encode()
+                )
+            outcome = Outcome.decode(reply)
+        except TimeoutError:
+            return Outcome(
+                Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, offered=True
+            )
+        except LinkError as exc:
+            self._roster.unreachable(member.name)
+            if not exc.sent:
+                return Outcome(Verdict.NOT_RUN, reason=Reason.UNREACHABLE)
+            if call.idempotent:
+                return Outcome(
+                    Verdict.MAY_HAVE_RUN,
+                    reason=Reason.CONNECTION_LOST,
+                    offered=True,
+                )
+            return await self._settle(member, call, until)
+        except ValueError as exc:
+            self._on_event(
+                "bad_reply", {"id": call.request_id, "why": str(exc)}
+            )
+            return Outcome(
+                Verdict.MAY_HAVE_RUN, reason=Reason.TRUNCATED, offered=True
+            )
+        if outcome.load is not None:
+            self._roster.note_load(member.name, outcome.load)
+        return outcome
+
+    async def _settle(
+        self, member: Member, call: Call, until: float
+    ) -> Outcome:
+        """Ask again what became of a call whose connection was lost."""
+        payload = [member.incarnation, call.request_id]
+        while self._loop.time() < until:
+            try:
+                async with asyncio.timeout_at(until):
+                    reply = await self._links.call(
+                        member.address, SETTLE, payload
+                    )
+                if reply is None:
+                    break
+                return Outcome.decode(reply)
+            except TimeoutError:
+                break
+            except LinkError:
+                await asyncio.sleep(_OWNER_PAUSE_S)
+        return Outcome(
+            Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, offered=True
+        )
+
+    def _usable(
+        self, outcome: Outcome, route: Route, progress: _Progress
+    ) -> Response | None:
+        response = outcome.response
+        if response is None:
+            return None
+        if response.status < _SERVER_ERROR or not route.idempotent:
+            return self._passed_on(response)
+        progress.best = response
+        return None
+
+    def _may_repeat(
+        self,
+        outcome: Outcome,
+        route: Route,
+        service: str,
+        progress: _Progress,
+    ) -> bool:
+        if outcome.verdict is Verdict.NOT_RUN:
+            if not outcome.offered:
+                return True
+        elif not route.idempotent or progress.ran >= route.max_attempts:
+            return False
+        if outcome.reason is Reason.DEADLINE:
+            return False
+        return self._budget(service).spend(
+            self._loop.time(), len(self._roster.live())
+        )
+
+    def _final(self, progress: _Progress, last: Outcome) -> Response:
+        """Return the answer to a request that is given up."""
+        if progress.best is not None:
+            return self._passed_on(progress.best)
+        if progress.ran:
+            status = 504 if last.reason is Reason.DEADLINE else 502
+            return Response(status)
+        pause_s = max(last.retry_after_s, random.uniform(*_RETRY_AFTER_S))
+        return Response(503, [("Retry-After", f"{pause_s:.3f}")])
+
+    def _passed_on(self, response: Response) -> Response:
+        return Response(
+            response.status, end_to_end(response.headers), response.body
+        )
+
+    def _budget(self, service: str) -> RetryShare:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryShare(
+                ratio=self._budget_ratio,
+                extra=self._budget_extra,
+                window_s=self._budget_window_s,
+            )
+        return budget
+
+    def _refuse(
+        self, req: CallerRequest, status: int, why: str, **fields: object
+    ) -> Response:
+        fields.update(id=req.request_id, status=status, why=why, path=req.path)
+        self._on_event("refused", fields)
+        headers = []
+        if status == 503:
+            headers = [("Retry-After", f"{_RETRY_AFTER_S[1]:.3f}")]
+        return Response(status, headers)
+
+    def _log(
+        self,
+        req: CallerRequest,
+        route: Route,
+        service: str,
+        progress: _Progress,
+        response: Response | None,
+        version: int,
+    ) -> None:
+        self._on_event(
+            "request",
+            {
+                "id": req.request_id,
+                "route": route.name,
+                "service": service,
+                "key": req.key,
+                "config": version,
+                "control": self._view.version,
+                "attempts": progress.attempts,
+                "status": response.status if response else "caller left",
+                "ms": round((self._loop.time() - req.arrived_at) * 1000, 1),
+            },
+        )
--- /dev/null
+++ b/src/burdockgap/forward/load.py
@@ -0,0 +1,46 @@
+"""The load of a target as its daemon sees it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class Load:
+    """
+    Work at one target.
+
+    :param in_flight: requests that the target is running.
+    :param waiting: requests queued in front of it.
+    :param slots: requests that it may run at once.
+    :param service_s: typical time of a request, in seconds.
+    """
+
+    __slots__ = ("in_flight", "service_s", "slots", "waiting")
+
+    def __init__(
+        self,
+        *,
+        in_flight: int = 0,
+        waiting: int = 0,
+        slots: int = 1,
+        service_s: float = 0.05,
+    ) -> None:
+        self.in_flight = in_flight
+        self.waiting = waiting
+        self.slots = slots
+        self.service_s = service_s
+
+    def encode(self) -> list[Any]:
+        """Return plain values."""
+        return [self.in_flight, self.waiting, self.slots, self.service_s]
+
+    @classmethod
+    def decode(cls, values: list[Any]) -> Load:
+        """Return the load of some plain values."""
+        in_flight, waiting, slots, service_s = values
+        return cls(
+            in_flight=in_flight,
+            waiting=waiting,
+            slots=slots,
+            service_s=service_s,
+        )
--- /dev/null
+++ b/src/burdockgap/forward/outcome.py
@@ -0,0 +1,84 @@
+"""What came of one attempt."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from burdockgap.forward.load import Load
+from burdockgap.http1.response import Response
+from burdockgap.verdict import Reason, Verdict
+
+
+class Outcome:
+    """
+    The end of an attempt, with the target's response if there is one.
+
+    :param verdict: whether the target ran the request.
+    :param response: the target's whole response, if it ran.
+    :param reason: the cause, if there is no response.
+    :param retry_after_s: when another attempt may succeed, in seconds.
+    :param load: the target's load at the end.
+    :param offered: whether a target was given the request.
+    """
+
+    __slots__ = (
+        "load",
+        "offered",
+        "reason",
+        "response",
+        "retry_after_s",
+        "verdict",
+    )
+
+    def __init__(
+        self,
+        verdict: Verdict,
+        *,
+        response: Response | None = None,
+        reason: Reason | None = None,
+        retry_after_s: float = 0.0,
+        load: Load | None = None,
+        offered: bool = False,
+    ) -> None:
+        self.verdict = verdict
+        self.response = response
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.load = load
+        self.offered = offered
+
+    def encode(self) -> list[Any]:
+        """Return plain values."""
+        response = self.response
+        return [
+            self.verdict.value,
+            self.reason.value if self.reason else None,
+            self.retry_after_s,
+            self.offered,
+            self.load.encode() if self.load else None,
+            [response.status, response.headers, response.body]
+            if response
+            else None,
+        ]
+
+    @classmethod
+    def decode(cls, values: list[Any]) -> Outcome:
+        """
+        Return the outcome of some plain values.
+
+        :raises ValueError: if they are not those of an outcome.
+        """
+        verdict, reason, retry_after_s, offered, load, response = values
+        return cls(
+            Verdict(verdict),
+            reason=Reason(reason) if reason else None,
+            retry_after_s=retry_after_s,
+            offered=offered,
+            load=Load.decode(load) if load else None,
+            response=_response(response) if response else None,
+        )
+
+
+def _response(values: list[Any]) -> Response:
+    status, headers, body = values
+    return Response(status, [(name, value) for name, value in headers], body)
--- /dev/null
+++ b/src/burdockgap/forward/target_gate.py
@@ -0,0 +1,274 @@
+"""The only way in to the target beside this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from burdockgap.forward.load import Load
+from burdockgap.forward.outcome import Outcome
+from burdockgap.forward.run_log import RunLog
+from burdockgap.forward.slots import Slots
+from burdockgap.hop.listener import LINK_LOST
+from burdockgap.http1.client_pool import ClientPool
+from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.verdict import Reason, Refusal, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.forward.call import Call
+    from burdockgap.forward.target_protocol import TargetProtocol
+    from burdockgap.forward.target_state import TargetState
+    from burdockgap.shards.shard_holder import ShardHolder
+
+_CONNECT_TIMEOUT_S = 0.5
+_IDLE_S = 8.0
+"""Below the 10 s after which the users' servers close."""
+_UNSAFE_IDLE_S = 4.0
+_QUEUE_SHARE = 0.5
+_WAIT_SHARE = 0.5
+"""Share of the objective that a request may spend in the queue."""
+_RETRY_AFTER_S = 0.05
+
+
+class TargetGate:
+    """
+    Admits calls to the target and reports what came of each.
+
+    :param service: the target's service.
+    :param state: what is known of the target.
+    :param protocol: what the target speaks.
+    :param zone_out: tells whether operators took the data centre out.
+    :param holder: keys that the target holds; ``None`` until known.
+    :param on_event: logs a decision.
+    :ivar leaving: whether this daemon is about to stop.
+    """
+
+    __slots__ = (
+        "_loop",
+        "_on_event",
+        "_pool",
+        "_protocol",
+        "_runs",
+        "_slots",
+        "_state",
+        "_zone_out",
+        "holder",
+        "leaving",
+        "service",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        state: TargetState,
+        protocol: TargetProtocol,
+        zone_out: Callable[[], bool],
+        on_event: Callable[[str, dict[str, object]], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.service = service
+        self._state = state
+        self._protocol = protocol
+        self._zone_out = zone_out
+        self._on_event = on_event
+        self._slots = Slots(size=1, queue_size=1)
+        self._runs = RunLog()
+        self._pool: ClientPool | None = None
+        self.holder: ShardHolder | None = None
+        self.leaving = False
+
+    @property
+    def load(self) -> Load:
+        """The load now."""
+        return Load(
+            in_flight=self._slots.in_flight,
+            waiting=self._slots.waiting,
+            slots=self._slots.size,
+            service_s=self._state.service_s,
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at the target."""
+        return self._slots.in_flight
+
+    def target_changed(self) -> None:
+        """Follow a change of the target's state."""
+        info = self._state.info
+        if info is None:
+            return
+        if self._pool is None or self._pool.address != info.address:
+            self._pool = ClientPool(
+                info.address,
+                connect_timeout_s=_CONNECT_TIMEOUT_S,
+                idle_s=_IDLE_S,
+                on_unexpected=self._unexpected,
+            )
+        if not self._state.up:
+            self._pool.close()
+        self._slots.queue_size = max(round(info.slots * _QUEUE_SHARE), 1)
+        self._slots.resize(info.slots)
+        if not self._state.takes_work and self.holder is None:
+            self._slots.refuse_waiting(Reason.DRAINING)
+
+    async def serve(self, call: Call) -> Outcome:
+        """Give a call to the target; the outcome tells if it ran."""
+        began = self._loop.time()
+        deadline = began + call.deadline_s
+        if call.idempotent:
+            outcome = await self._attempt(call, deadline)
+        else:
+            outcome = await self._attempt_once(call, deadline)
+        outcome.load = self.load
+        self._log(call, outcome, began)
+        return outcome
+
+    async def settle(self, request_id: str) -> Outcome:
+        """
+        Return the outcome of a non-idempotent call, for a peer that lost
+        the connection.
+
+        A call that has not arrived yet never runs after this.
+        """
+        return await asyncio.shield(self._runs.run(request_id, _never_ran))
+
+    async def _attempt_once(self, call: Call, deadline: float) -> Outcome:
+        run = self._runs.run(
+            call.request_id, lambda: self._attempt(call, deadline)
+        )
+        try:
+            outcome = await asyncio.shield(run)
+        except asyncio.CancelledError as exc:
+            # A peer that only lost its connection asks again.
+            if exc.args != (LINK_LOST,):
+                run.cancel()
+            raise
+        if outcome.verdict is Verdict.NOT_RUN:
+            self._runs.forget(call.request_id)
+        return outcome
+
+    async def _attempt(self, call: Call, deadline: float) -> Outcome:
+        try:
+            self._check_open(call)
+            if self.holder is not None and call.key is not None:
+                self.holder.samples.add(call.key)
+                await self.holder.ready(call.key, self._wait_s(call, deadline))
+            await self._slots.acquire(
+                priority=call.priority, wait_s=self._wait_s(call, deadline)
+            )
+        except Refusal as exc:
+            return self._refused(exc)
+        try:
+            return await self._dispatch(call, deadline)
+        except Refusal as exc:
+            return self._refused(exc)
+        finally:
+            self._slots.release()
+
+    def _wait_s(self, call: Call, deadline: float) -> float:
+        left_s = deadline - self._loop.time()
+        return min(call.objective_s * _WAIT_SHARE, left_s)
+
+    def _check_open(self, call: Call) -> None:
+        if call.service != self.service:
+            raise _refusal(Reason.UNKNOWN_SERVICE)
+        if self._zone_out():
+            raise _refusal(Reason.DATA_CENTRE_OUT)
+        if not self._state.up or self._state.info is None:
+            raise _refusal(Reason.TARGET_DOWN)
+        # Keys of a leaving target are served until they have moved.
+        is_keyed = self.holder is not None and call.key is not None
+        if not is_keyed and (not self._state.takes_work or self.leaving):
+            raise _refusal(Reason.DRAINING)
+
+    async def _dispatch(self, call: Call, deadline: float) -> Outcome:
+        # The wait for the slot may have changed any of the answers.
+        self._check_open(call)
+        if self.holder is not None and call.key is not None:
+            self.holder.check(call.key)
+        now = self._loop.time()
+        if deadline <= now:
+            raise _refusal(Reason.DEADLINE)
+        if self._state.cold is not None and not self._state.cold.take(now):
+            raise _refusal(Reason.OVERLOADED)
+        return await self._send(call, deadline)
+
+    async def _send(self, call: Call, deadline: float) -> Outcome:
+        info, pool = self._state.info, self._pool
+        assert info is not None
+        assert pool is not None
+        began = self._loop.time()
+        data = self._protocol.encode(
+            call, target_id=info.target_id, left_s=deadline - began
+        )
+        try:
+            async with asyncio.timeout_at(deadline):
+                response = await pool.exchange(
+                    data,
+                    accepts=lambda got: self._protocol.answers(call, got),
+                    bodiless=call.method == "HEAD",
+                    max_idle_s=None if call.idempotent else _UNSAFE_IDLE_S,
+                )
+        except ExchangeError as exc:
+            return self._failed(exc, info.born)
+        except TimeoutError:
+            return Outcome(
+                Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, offered=True
+            )
+        self._state.answered(self._loop.time() - began)
+        verdict = self._protocol.verdict(response)
+        if verdict is Verdict.NOT_RUN:
+            return Outcome(verdict, reason=Reason.TARGET_SHED, offered=True)
+        if not self._protocol.is_trustworthy(response):
+            return Outcome(
+                Verdict.MAY_HAVE_RUN, reason=Reason.TRUNCATED, offered=True
+            )
+        return Outcome(verdict, response=response, offered=True)
+
+    def _failed(self, exc: ExchangeError, born: int) -> Outcome:
+        if exc.refused:
+            self._state.refused_connection(born)
+        self._on_event("exchange_failed", {"detail": str(exc), "born": born})
+        if not exc.sent:
+            return Outcome(Verdict.NOT_RUN, reason=Reason.TARGET_DOWN)
+        return Outcome(
+            Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, offered=True
+        )
+
+    def _refused(self, exc: Refusal) -> Outcome:
+        return Outcome(
+            exc.verdict, reason=exc.reason, retry_after_s=_RETRY_AFTER_S
+        )
+
+    def _unexpected(self, what: str) -> None:
+        self._on_event("unexpected_bytes", {"detail": what})
+
+    def _log(self, call: Call, outcome: Outcome, began: float) -> None:
+        self._on_event(
+            "gate",
+            {
+                "id": call.request_id,
+                "service": call.service,
+                "key": call.key,
+                "verdict": outcome.verdict.value,
+                "reason": outcome.reason.value if outcome.reason else None,
+                "status": outcome.response.status
+                if outcome.response
+                else None,
+                "ms": round((self._loop.time() - began) * 1000, 1),
+                "in_flight": self._slots.in_flight,
+                "waiting": self._slots.waiting,
+                "born": self._state.born,
+            },
+        )
+
+
+async def _never_ran() -> Outcome:
+    return Outcome(Verdict.NOT_RUN, reason=Reason.CONNECTION_LOST)
+
+
+def _refusal(reason: Reason) -> Refusal:
+    return Refusal(Verdict.NOT_RUN, reason)
--- /dev/null
+++ b/src/burdockgap/hop/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between daemons over one kept connection per pair."""
--- /dev/null
+++ b/src/burdockgap/hop/frames.py
@@ -0,0 +1,68 @@
+"""Frames of the protocol between daemons."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+CALL = 0
+REPLY = 1
+CANCEL = 2
+PING = 3
+PONG = 4
+
+_LENGTH = struct.Struct(">I")
+_MAX_FRAME_BYTES = 80 * 1024 * 1024
+"""Above the largest body that a configuration may allow, 64 MiB."""
+
+
+class FrameError(Exception):
+    """The bytes are not frames of this protocol."""
+
+
+def encode_frame(*parts: Any) -> bytes:
+    """Return a frame of some plain values."""
+    body = msgpack.packb(parts, use_bin_type=True)
+    return _LENGTH.pack(len(body)) + body
+
+
+class FrameBuffer:
+    """Cuts received bytes into frames."""
+
+    __slots__ = ("_data",)
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[list[Any]]:
+        """
+        Take bytes and yield the frames that are complete.
+
+        :raises FrameError: if the bytes are not frames.
+        """
+        self._data += data
+        while len(self._data) >= _LENGTH.size:
+            (size,) = _LENGTH.unpack_from(self._data)
+            if size > _MAX_FRAME_BYTES:
+                raise FrameError(f"a frame of {size} bytes is too long")
+            end = _LENGTH.size + size
+            if len(self._data) < end:
+                return
+            body = bytes(self._data[_LENGTH.size : end])
+            del self._data[:end]
+            yield _decode(body)
+
+
+def _decode(body: bytes) -> list[Any]:
+    try:
+        frame = msgpack.unpackb(body, raw=False)
+    except ValueError as exc:
+        raise FrameError(f"a frame cannot be read: {exc}") from exc
+    if not isinstance(frame, list) or not frame:
+        raise FrameError("a frame is not a list")
+    return frame
--- /dev/null
+++ b/src/burdockgap/hop/link.py
@@ -0,0 +1,186 @@
+"""The calling side of a connection between two daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+from burdockgap.hop.frames import (
+    CALL,
+    CANCEL,
+    PING,
+    REPLY,
+    FrameBuffer,
+    FrameError,
+    encode_frame,
+)
+from burdockgap.hop.link_error import LinkError
+
+_CONNECT_TIMEOUT_S = 0.5
+"""Above a round trip between regions, 40 ms, and one lost packet."""
+_CHECK_S = 0.2
+_PING_AFTER_S = 0.3
+_SILENT_AFTER_S = 0.9
+"""Three pings of a live peer would have been answered by then."""
+
+
+class Link(asyncio.Protocol):
+    """
+    Calls to one peer over one connection, any number at a time.
+
+    A connection on which a live peer stays silent is replaced: something
+    between the two ends may have lost track of it.
+
+    :param loop: the event loop.
+    """
+
+    __slots__ = (
+        "_buffer",
+        "_calls",
+        "_checker",
+        "_heard_at",
+        "_loop",
+        "_next_id",
+        "_transport",
+        "lost",
+    )
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._buffer = FrameBuffer()
+        self._calls: dict[int, asyncio.Future[Any]] = {}
+        self._next_id = 0
+        self._transport: asyncio.Transport | None = None
+        self._heard_at = loop.time()
+        self._checker: asyncio.TimerHandle | None = None
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # The event loop's own transports are of no common base class.
+        self._transport = cast("asyncio.Transport", transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail all calls."""
+        self._fail(f"the connection to the peer was lost: {exc or 'EOF'}")
+
+    def data_received(self, data: bytes) -> None:
+        """Deliver replies."""
+        self._heard_at = self._loop.time()
+        try:
+            for frame in self._buffer.feed(data):
+                if frame[0] == REPLY:
+                    fut = self._calls.pop(frame[1], None)
+                    if fut is not None and not fut.done():
+                        fut.set_result(frame[2])
+        except (FrameError, IndexError) as exc:
+            self._fail(f"the peer's reply cannot be read: {exc}")
+
+    async def call(self, kind: int, payload: Any) -> Any:
+        """
+        Send a call and return the reply's payload.
+
+        Cancelling the call cancels it at the peer.
+
+        :raises LinkError: if the connection is lost or silent.
+        """
+        if self.lost or self._transport is None:
+            raise LinkError("the connection to the peer is closed", sent=False)
+        self._next_id += 1
+        number = self._next_id
+        if not self._calls:
+            self._heard_at = self._loop.time()
+        fut: asyncio.Future[Any] = self._loop.create_future()
+        self._calls[number] = fut
+        self._transport.write(encode_frame(CALL, number, kind, payload))
+        self._watch()
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            if not self.lost:
+                self._transport.write(encode_frame(CANCEL, number))
+            raise
+        finally:
+            self._calls.pop(number, None)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._fail("the connection was closed")
+
+    def _watch(self) -> None:
+        if self._checker is None:
+            self._checker = self._loop.call_later(_CHECK_S, self._check)
+
+    def _check(self) -> None:
+        self._checker = None
+        if not self._calls or self.lost:
+            return
+        quiet_s = self._loop.time() - self._heard_at
+        if quiet_s > _SILENT_AFTER_S:
+            self._fail("the peer is silent")
+            return
+        if quiet_s > _PING_AFTER_S and self._transport is not None:
+            self._transport.write(encode_frame(PING))
+        self._watch()
+
+    def _fail(self, detail: str) -> None:
+        self.lost = True
+        if self._transport is not None:
+            self._transport.abort()
+        calls, self._calls = self._calls, {}
+        for fut in calls.values():
+            if not fut.done():
+                fut.set_exception(LinkError(detail, sent=True))
+
+
+class Links:
+    """Connections to peers by address, opened when first used."""
+
+    __slots__ = ("_links", "_locks", "_loop")
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._links: dict[tuple[str, int], Link] = {}
+        self._locks: dict[tuple[str, int], asyncio.Lock] = {}
+
+    async def call(
+        self, address: tuple[str, int], kind: int, payload: Any
+    ) -> Any:
+        """
+        Call a peer.
+
+        :raises LinkError: if it does not reply.
+        """
+        link = self._links.get(address)
+        if link is None or link.lost:
+            link = await self._open(address)
+        return await link.call(kind, payload)
+
+    def forget(self, address: tuple[str, int]) -> None:
+        """Close the connection to a peer that is gone."""
+        link = self._links.pop(address, None)
+        self._locks.pop(address, None)
+        if link is not None:
+            link.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    async def _open(self, address: tuple[str, int]) -> Link:
+        async with self._locks.setdefault(address, asyncio.Lock()):
+            link = self._links.get(address)
+            if link is not None and not link.lost:
+                return link
+            try:
+                async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                    _, link = await self._loop.create_connection(
+                        lambda: Link(self._loop), *address
+                    )
+            except (OSError, TimeoutError) as exc:
+                detail = f"connecting to the peer failed: {exc!r}"
+                raise LinkError(detail, sent=False) from exc
+            self._links[address] = link
+            return link
--- /dev/null
+++ b/src/burdockgap/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections of the data path, over a C parser."""
--- /dev/null
+++ b/src/burdockgap/http1/encode.py
@@ -0,0 +1,88 @@
+"""Bytes of requests and responses."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
+_BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only, in lower case."""
+
+
+def encode_request(
+    method: str,
+    target: str,
+    headers: Iterable[tuple[str, str]],
+    body: bytes = b"",
+) -> bytes:
+    """Return a request's bytes; the length header is added here."""
+    lines = [f"{method} {target} HTTP/1.1\r\n"]
+    lines += [f"{name}: {value}\r\n" for name, value in headers]
+    if body or method not in _BODILESS_METHODS:
+        lines.append(f"content-length: {len(body)}\r\n")
+    lines.append("\r\n")
+    return "".join(lines).encode("latin-1") + body
+
+
+def encode_response(
+    status: int,
+    headers: Iterable[tuple[str, str]],
+    body: bytes = b"",
+    *,
+    close: bool = False,
+    bodiless: bool = False,
+) -> bytes:
+    """
+    Return a response's bytes; the length header is added here.
+
+    :param close: whether the connection ends after it.
+    :param bodiless: whether the body stays out, as for ``HEAD``.
+    """
+    lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}\r\n"]
+    lines += [f"{name}: {value}\r\n" for name, value in headers]
+    lines.append(f"content-length: {len(body)}\r\n")
+    if close:
+        lines.append("connection: close\r\n")
+    lines.append("\r\n")
+    head = "".join(lines).encode("latin-1")
+    return head if bodiless else head + body
+
+
+def connection_headers(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
+    """Return the names that the Connection header lists, in lower case."""
+    names: set[str] = set()
+    for name, value in headers:
+        if name == "connection":
+            names.update(part.strip().lower() for part in value.split(","))
+    return frozenset(names)
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers that do not concern one connection only."""
+    pairs = list(headers)
+    listed = connection_headers(pairs)
+    return [
+        pair
+        for pair in pairs
+        if pair[0] not in HOP_BY_HOP and pair[0] not in listed
+    ]
--- /dev/null
+++ b/src/burdockgap/http1/server_connection.py
@@ -0,0 +1,224 @@
+"""One connection of a caller."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from burdockgap.http1.encode import encode_response
+from burdockgap.http1.request import Request
+from burdockgap.http1.response import Response
+
+if TYPE_CHECKING:
+    from burdockgap.http1.server import Server
+
+_PIPELINE = 16
+"""Requests read ahead of the one being answered before reading stops."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """
+    Reads requests and answers them one after another in one task.
+
+    The task is cancelled when the caller closes the connection, which is
+    how the work for a caller that has left ends.
+
+    :param server: the listener that the connection belongs to.
+    """
+
+    __slots__ = (
+        "_body",
+        "_header_bytes",
+        "_headers",
+        "_idle_since",
+        "_parser",
+        "_refused",
+        "_requests",
+        "_server",
+        "_started_at",
+        "_target",
+        "_task",
+        "_transport",
+        "_waiter",
+        "busy",
+        "peer",
+    )
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: deque[tuple[Request, bool]] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._refused: int | None = None
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._header_bytes = 0
+        self._started_at: float | None = None
+        self._idle_since = 0.0
+        self.busy = False
+        self.peer = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the connection's task."""
+        # The event loop's own transports are of no common base class.
+        self._transport = cast("asyncio.Transport", transport)
+        name = transport.get_extra_info("peername")
+        self.peer = name[0] if name else ""
+        self._idle_since = self._server.now()
+        self._server.connections.add(self)
+        self._task = self._server.loop.create_task(self._serve())
+
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        """End the work for a caller that has left."""
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Treat a closed sending side as the caller's leaving."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._refused is not None:
+            return
+        if self._started_at is None:
+            self._started_at = self._server.now()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            if self._refused is None:
+                self._refuse(400)
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request's target."""
+        self._target += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self._count_header(len(name) + len(value))
+        self._headers.append(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+        )
+
+    def on_headers_complete(self) -> None:
+        """Tell a caller that waits for it to send the body."""
+        if any(name == "expect" for name, _ in self._headers):
+            assert self._transport is not None
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+        self._server.buffered += len(body)
+        size = sum(map(len, self._body)) if len(self._body) > 1 else len(body)
+        if size > self._server.limits.body_bytes:
+            self._refuse(413)
+        elif self._server.buffers_full:
+            self._refuse(503)
+
+    def on_message_complete(self) -> None:
+        """Queue the request for the connection's task."""
+        if self._refused is not None:
+            return
+        body = b"".join(self._body)
+        self._server.buffered -= len(body)
+        req = Request(
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._target.decode("latin-1"),
+            headers=self._headers,
+            body=body,
+            arrived_at=self._started_at or self._server.now(),
+        )
+        self._requests.append((req, self._parser.should_keep_alive()))
+        self._target, self._headers, self._body = b"", [], []
+        self._header_bytes, self._started_at = 0, None
+        if len(self._requests) > _PIPELINE and self._transport is not None:
+            self._transport.pause_reading()
+        self._wake()
+
+    def overdue(self, now: float) -> bool:
+        """
+        Close the connection if its caller takes too long.
+
+        :return: whether it was closed.
+        """
+        limits = self._server.limits
+        if self._started_at is not None:
+            late = now - self._started_at > limits.header_timeout_s
+            if late and not self._headers:
+                self._refuse(408)
+            return late
+        idle = not self.busy and not self._requests
+        if idle and now - self._idle_since > limits.idle_timeout_s:
+            self.close()
+            return True
+        return False
+
+    def close(self) -> None:
+        """Close the connection once what was written has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._server.limits.header_bytes:
+            self._refuse(431)
+            raise httptools.HttpParserError("the headers are too long")
+
+    def _refuse(self, status: int) -> None:
+        """Answer what cannot be read, after the requests before it."""
+        self._server.buffered -= sum(map(len, self._body))
+        self._body = []
+        self._refused = status
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _serve(self) -> None:
+        while True:
+            while not self._requests:
+                if self._refused is not None:
+                    self._server.on_malformed(self._refused)
+                    self._write(Response(self._refused), close=True)
+                    return
+                self._waiter = self._server.loop.create_future()
+                await self._waiter
+            req, keep_alive = self._requests.popleft()
+            self.busy = True
+            response = await self._server.answer(req)
+            close = not keep_alive or self._server.leaving
+            self._write(response, close=close, bodiless=req.method == "HEAD")
+            self.busy = False
+            self._idle_since = self._server.now()
+            if close:
+                return
+            if self._transport is not None and not self._requests:
+                self._transport.resume_reading()
+
+    def _write(
+        self, response: Response, *, close: bool, bodiless: bool = False
+    ) -> None:
+        assert self._transport is not None
+        self._transport.write(
+            encode_response(
+                response.status,
+                response.headers,
+                response.body,
+                close=close,
+                bodiless=bodiless,
+            )
+        )
+        if close:
+            self._transport.close()
--- a/src/burdockgap/platform/http_log.py
+++ b/src/burdockgap/logstore/http_log.py
@@ -9,10 +9,10 @@
 import httpx
 import msgpack
 
-from burdockgap.platform.client_slot import ClientSlot
-from burdockgap.platform.errors import LogUnavailable, LogUncertain
-from burdockgap.platform.metrics import APPENDS, READ_FAILURES
-from burdockgap.platform.page import Page
+from burdockgap.logstore.client_slot import ClientSlot
+from burdockgap.logstore.errors import LogUnavailable, LogUncertain
+from burdockgap.logstore.metrics import APPENDS, READ_FAILURES
+from burdockgap.logstore.page import Page
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/burdockgap/platform/log.py
+++ b/src/burdockgap/logstore/log.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from burdockgap.platform.page import Page
+    from burdockgap.logstore.page import Page
 
 
 class Log(Protocol):
--- a/src/burdockgap/platform/tail.py
+++ b/src/burdockgap/logstore/tail.py
@@ -10,14 +10,14 @@
 from anyio.lowlevel import checkpoint
 from loguru import logger
 
-from burdockgap.platform.errors import LogError, LogTrimmed
-from burdockgap.platform.metrics import POKES, TRIMS
+from burdockgap.logstore.errors import LogError, LogTrimmed
+from burdockgap.logstore.metrics import POKES, TRIMS
 
 if TYPE_CHECKING:
     from burdockgap.fold.folds import Folds
     from burdockgap.fold.loader import Loader
-    from burdockgap.platform.log import Log
-    from burdockgap.platform.page import Page
+    from burdockgap.logstore.log import Log
+    from burdockgap.logstore.page import Page
 
 _WAIT_S = 20.0
 _PAGE_RECORDS = 200
--- a/src/burdockgap/platform/write_attempt.py
+++ b/src/burdockgap/logstore/write_attempt.py
@@ -7,15 +7,15 @@
 import anyio
 from returns.result import Failure, Result, Success
 
-from burdockgap.platform.errors import LogUnavailable, LogUncertain
-from burdockgap.platform.write_error import WriteError, WriteState
+from burdockgap.logstore.errors import LogUnavailable, LogUncertain
+from burdockgap.logstore.write_error import WriteError, WriteState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from burdockgap.fold.folds import Folds
     from burdockgap.fold.sighting import Sighting
-    from burdockgap.platform.log import Log
+    from burdockgap.logstore.log import Log
 
 _RETRY_S = 0.2
 _POKE_AFTER_S = 0.5
--- a/src/burdockgap/platform/writer.py
+++ b/src/burdockgap/logstore/writer.py
@@ -7,15 +7,15 @@
 import anyio
 from returns.result import Failure, Result
 
-from burdockgap.platform.write_attempt import WriteAttempt
+from burdockgap.logstore.write_attempt import WriteAttempt
 from burdockgap.wire import pack
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from burdockgap.fold.folds import Folds
-    from burdockgap.platform.log import Log
-    from burdockgap.platform.write_error import WriteError
+    from burdockgap.logstore.log import Log
+    from burdockgap.logstore.write_error import WriteError
 
 
 class Writer:
--- /dev/null
+++ b/src/burdockgap/metadata/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemons need of a store that lasts."""
--- /dev/null
+++ b/src/burdockgap/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and limits as operators publish them."""
--- /dev/null
+++ b/src/burdockgap/routing/documents.py
@@ -0,0 +1,140 @@
+"""What operators have published, as this daemon knows it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.routing.routing_config import RoutingConfig
+
+
+class ZoneOut:
+    """A data centre that operators took out of service."""
+
+    __slots__ = ("zone",)
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+
+
+class DocumentDecoder(Protocol):
+    """Reads operators' documents in the form in which they are stored."""
+
+    def decode(self, key: str, value: bytes) -> RoutingConfig | ZoneOut | None:
+        """
+        Return the meaning of a document, ``None`` if it has none here.
+
+        :raises ValueError: if it cannot be used; says what is wrong.
+        """
+        ...
+
+
+class Documents:
+    """
+    The configuration in force and the data centres that are out.
+
+    :param decoder: reads the documents.
+    :param on_change: called after each change.
+    :param on_event: logs a change of belief.
+    :ivar end: offset up to which the documents are known.
+    :ivar config: the configuration in force, ``None`` before the first.
+    :ivar zones_out: data centres that get no new work.
+    :ivar raw: the stored documents by key, for peers.
+    """
+
+    __slots__ = (
+        "_decoder",
+        "_on_change",
+        "_on_event",
+        "config",
+        "end",
+        "raw",
+        "zones_out",
+    )
+
+    def __init__(
+        self,
+        decoder: DocumentDecoder,
+        *,
+        on_change: Callable[[], None],
+        on_event: Callable[[str, dict[str, object]], None],
+    ) -> None:
+        self._decoder = decoder
+        self._on_change = on_change
+        self._on_event = on_event
+        self.end = 0
+        self.config: RoutingConfig | None = None
+        self.zones_out: set[str] = set()
+        self.raw: dict[str, bytes] = {}
+
+    def replace(self, values: dict[str, bytes], end: int, source: str) -> None:
+        """Take all documents as of an offset, unless newer ones are known."""
+        if end <= self.end and self.config is not None:
+            return
+        removed = [key for key in self.raw if key not in values]
+        records: list[tuple[str, bytes | None]] = list(values.items())
+        records += [(key, None) for key in removed]
+        self.apply(records, end, source)
+
+    def apply(
+        self, records: list[tuple[str, bytes | None]], end: int, source: str
+    ) -> None:
+        """Take some changed documents, in order."""
+        for key, value in records:
+            self._apply_one(key, value, source)
+        self.end = max(self.end, end)
+        self._on_change()
+
+    def _apply_one(self, key: str, value: bytes | None, source: str) -> None:
+        before = self.raw.get(key)
+        if value == before:
+            return
+        if value is None:
+            del self.raw[key]
+            self._forget(key, before or b"", source)
+            return
+        self.raw[key] = value
+        try:
+            document = self._decoder.decode(key, value)
+        except ValueError as exc:
+            self._event("document_refused", key, source, why=str(exc))
+            return
+        if isinstance(document, ZoneOut):
+            self.zones_out.add(document.zone)
+            self._event("zone_out", key, source, zone=document.zone)
+        elif document is not None:
+            self._take_config(document, key, source)
+
+    def _take_config(
+        self, config: RoutingConfig, key: str, source: str
+    ) -> None:
+        if self.config is not None and config.version <= self.config.version:
+            self._event(
+                "document_refused",
+                key,
+                source,
+                why="its version is not newer than the one in force",
+                version=config.version,
+                in_force=self.config.version,
+            )
+            return
+        self.config = config
+        self._event("config", key, source, version=config.version)
+
+    def _forget(self, key: str, value: bytes, source: str) -> None:
+        try:
+            document = self._decoder.decode(key, value)
+        except ValueError:
+            # It was refused when it came, so it has no effect to undo.
+            return
+        if isinstance(document, ZoneOut):
+            self.zones_out.discard(document.zone)
+            self._event("zone_in", key, source, zone=document.zone)
+
+    def _event(
+        self, event: str, key: str, source: str, **fields: object
+    ) -> None:
+        fields.update(key=key, offset=self.end, source=source)
+        self._on_event(event, fields)
--- /dev/null
+++ b/src/burdockgap/routing/route.py
@@ -0,0 +1,75 @@
+"""One route of a configuration."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+class Route:
+    """
+    Where requests of a host and path prefix go, and how.
+
+    :param host: host name, in lower case.
+    :param prefix: path prefix; begins and ends with a slash.
+    :param idempotent: whether a request may run more than once.
+    :param large: whether answers are large.
+    :param timeout_s: longest time until the final answer, in seconds.
+    :param objective_s: time within which an answer is good, in seconds.
+    :param max_attempts: most targets that one request may be sent to.
+    :param priority: rank; 0 is the most urgent.
+    :param parts: services with their weights, at least one.
+    :param regions: regions that the requests must stay in; empty for
+        all.
+    """
+
+    __slots__ = (
+        "host",
+        "idempotent",
+        "large",
+        "max_attempts",
+        "name",
+        "objective_s",
+        "parts",
+        "prefix",
+        "priority",
+        "regions",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        host: str,
+        prefix: str,
+        idempotent: bool,
+        large: bool,
+        timeout_s: float,
+        objective_s: float,
+        max_attempts: int,
+        priority: int,
+        parts: Sequence[tuple[str, float]],
+        regions: frozenset[str] = frozenset(),
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.idempotent = idempotent
+        self.large = large
+        self.timeout_s = timeout_s
+        self.objective_s = objective_s
+        self.max_attempts = max_attempts
+        self.priority = priority
+        self.parts = tuple(parts)
+        self.regions = regions
+
+    def pick_service(self) -> str:
+        """Return one of the route's services, drawn by weight."""
+        if len(self.parts) == 1:
+            return self.parts[0][0]
+        weights = [weight for _, weight in self.parts]
+        return random.choices(self.parts, weights)[0][0]
--- /dev/null
+++ b/src/burdockgap/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of ranges of keys."""
--- /dev/null
+++ b/src/burdockgap/shards/authority.py
@@ -0,0 +1,50 @@
+"""The coordinator's right to act, as a majority of members gives it."""
+
+from __future__ import annotations
+
+from burdockgap.shards.lease import AUTHORITY_S, CLOCK_RATE
+
+
+class Authority:
+    """
+    Votes of members for one coordinator's term.
+
+    A member votes with each report of the term; the vote counts from the
+    coordinator's time that the report echoes. A member that follows a
+    later term never votes for this one again, so another coordinator may
+    act without this one's knowledge only :data:`AUTHORITY_S` after a
+    majority has left.
+
+    :param now: when the term was claimed, in seconds.
+    :param is_first: whether no coordinator went before.
+    :ivar safe_at: when all that an earlier coordinator allowed has run
+        out, ``None`` until a majority has voted.
+    """
+
+    __slots__ = ("_votes", "safe_at")
+
+    def __init__(self, now: float, *, is_first: bool) -> None:
+        self._votes: dict[str, float] = {}
+        self.safe_at: float | None = now if is_first else None
+
+    def vote(self, name: str, echo: float) -> None:
+        """Count a member's vote."""
+        self._votes[name] = max(self._votes.get(name, 0.0), echo)
+
+    def voters(self) -> set[str]:
+        """Return the members that have voted in this term."""
+        return set(self._votes)
+
+    def until(self, voters: tuple[str, ...]) -> float:
+        """Return until when the coordinator may act, in seconds."""
+        if not voters:
+            return 0.0
+        times = sorted(
+            (self._votes.get(name, 0.0) for name in voters), reverse=True
+        )
+        return times[len(voters) // 2] + AUTHORITY_S
+
+    def note_majority(self, now: float, voters: tuple[str, ...]) -> None:
+        """Start the wait for an earlier coordinator's leases to end."""
+        if self.safe_at is None and self.until(voters) > now:
+            self.safe_at = now + AUTHORITY_S * CLOCK_RATE
--- /dev/null
+++ b/src/burdockgap/shards/control_state.py
@@ -0,0 +1,119 @@
+"""What the coordinator decides and the store keeps."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgpack
+
+from burdockgap.shards.shard import Shard, find
+
+
+class ControlState:
+    """
+    One revision of the assignment.
+
+    :param term: rises with each coordinator.
+    :param revision: rises with each write.
+    :param coordinator: name of the coordinator.
+    :param incarnation: the coordinator's process.
+    :param voters: names of the members whose majority the coordinator
+        needs.
+    :param next_fence: above every fencing token given so far.
+    :param shards: ranges by keyed service, in order of keys.
+    """
+
+    __slots__ = (
+        "coordinator",
+        "incarnation",
+        "next_fence",
+        "revision",
+        "shards",
+        "term",
+        "voters",
+    )
+
+    def __init__(
+        self,
+        *,
+        term: int = 0,
+        revision: int = 0,
+        coordinator: str = "",
+        incarnation: int = 0,
+        voters: tuple[str, ...] = (),
+        next_fence: int = 1,
+        shards: dict[str, list[Shard]] | None = None,
+    ) -> None:
+        self.term = term
+        self.revision = revision
+        self.coordinator = coordinator
+        self.incarnation = incarnation
+        self.voters = voters
+        self.next_fence = next_fence
+        self.shards = shards or {}
+
+    def find(self, service: str, key: int) -> Shard | None:
+        """Return the range of a service's key."""
+        return find(self.shards.get(service, []), key)
+
+    def successor(self) -> ControlState:
+        """Return a copy with the next revision."""
+        return ControlState(
+            term=self.term,
+            revision=self.revision + 1,
+            coordinator=self.coordinator,
+            incarnation=self.incarnation,
+            voters=self.voters,
+            next_fence=self.next_fence,
+            shards={name: list(rows) for name, rows in self.shards.items()},
+        )
+
+    def take_fence(self) -> int:
+        """Return a fencing token that was never given before."""
+        fence = self.next_fence
+        self.next_fence += 1
+        return fence
+
+    def encode(self) -> bytes:
+        """Return the bytes for the store and for peers."""
+        shards = {
+            name: [shard.values() for shard in rows]
+            for name, rows in self.shards.items()
+        }
+        data: bytes = msgpack.packb(
+            [
+                self.term,
+                self.revision,
+                self.coordinator,
+                self.incarnation,
+                list(self.voters),
+                self.next_fence,
+                shards,
+            ]
+        )
+        return data
+
+    @classmethod
+    def decode(cls, data: bytes) -> ControlState:
+        """
+        Return the state of some bytes.
+
+        :raises ValueError: if they cannot be read.
+        """
+        try:
+            values: list[Any] = msgpack.unpackb(data)
+            term, revision, name, incarnation, voters, fence, shards = values
+            return cls(
+                term=term,
+                revision=revision,
+                coordinator=name,
+                incarnation=incarnation,
+                voters=tuple(voters),
+                next_fence=fence,
+                shards={
+                    service: [Shard.from_values(row) for row in rows]
+                    for service, rows in shards.items()
+                },
+            )
+        except (TypeError, ValueError) as exc:
+            raise ValueError(f"not a control state: {exc}") from exc
--- /dev/null
+++ b/src/burdockgap/shards/reporter.py
@@ -0,0 +1,221 @@
+"""A member's side of leases and of the coordinator's election."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+from burdockgap.fleet.datagrams import LEASE, REPORT
+from burdockgap.metadata.store_error import StoreError
+from burdockgap.shards.lease import REPORT_S
+from burdockgap.shards.reports import Report
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Coroutine
+
+    from burdockgap.clock import Clock
+    from burdockgap.fleet.datagrams import Datagrams
+    from burdockgap.fleet.member import Member
+    from burdockgap.fleet.roster import Roster
+    from burdockgap.forward.load import Load
+    from burdockgap.forward.target_state import TargetState
+    from burdockgap.shards.control_store import ControlStore
+    from burdockgap.shards.control_view import ControlView
+    from burdockgap.shards.lease import Lease
+    from burdockgap.shards.shard_holder import ShardHolder
+
+_SILENT_S = 1.1
+"""Three reports without an answer, and some."""
+_RANK_PAUSE_S = 0.25
+"""Between two members' claims; a claim takes two calls of the store."""
+_RETRY_S = 0.3
+_UNKNOWN_S = 2.5
+"""After a start, how long a target that says nothing counts as awaited."""
+_UNKNOWN = -1
+
+
+class Reporter:
+    """
+    Reports to the coordinator, and claims its place if it is silent.
+
+    :param roster: the members.
+    :param view: the control state as this daemon knows it.
+    :param store: the control state in the store.
+    :param datagrams: reports go out and leases come in by it.
+    :param clock: runs on through suspension.
+    :param lease: extended by the coordinator's answers.
+    :param target: what is known of the target.
+    :param holder: returns what the target holds, if it has keys.
+    :param load: returns the target's load.
+    :param claim: tries to become coordinator.
+    :param pull: fetches the control state from a member.
+    :param on_event: logs a change of belief.
+    """
+
+    __slots__ = (
+        "_answered_at",
+        "_claim",
+        "_clock",
+        "_datagrams",
+        "_echo",
+        "_holder",
+        "_lease",
+        "_load",
+        "_on_event",
+        "_pull",
+        "_roster",
+        "_started_at",
+        "_store",
+        "_target",
+        "_tasks",
+        "_term",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        view: ControlView,
+        store: ControlStore,
+        datagrams: Datagrams,
+        clock: Clock,
+        lease: Lease,
+        target: TargetState,
+        holder: Callable[[], ShardHolder | None],
+        load: Callable[[], Load],
+        claim: Callable[[], Awaitable[bool]],
+        pull: Callable[[Member], None],
+        on_event: Callable[[str, dict[str, object]], None],
+    ) -> None:
+        self._roster = roster
+        self._view = view
+        self._store = store
+        self._datagrams = datagrams
+        self._clock = clock
+        self._lease = lease
+        self._target = target
+        self._holder = holder
+        self._load = load
+        self._claim = claim
+        self._pull = pull
+        self._on_event = on_event
+        self._started_at = clock.now()
+        self._answered_at = clock.now()
+        self._term = 0
+        self._echo = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        datagrams.handlers[LEASE] = self._take_lease
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run something beside, keeping hold of its task."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def run(self) -> None:
+        """Report for ever; the stored state is read first."""
+        await self._read_first()
+        while True:
+            self._report()
+            if self._coordinator_is_lost():
+                await self._try_claim()
+            await asyncio.sleep(REPORT_S)
+
+    async def _read_first(self) -> None:
+        """
+        Read the stored state.
+
+        A vote before that could go to a coordinator that this daemon's
+        earlier life had already left for a later one.
+        """
+        while True:
+            try:
+                state = await self._store.read()
+                break
+            except StoreError as exc:
+                self._on_event("control_unread", {"why": str(exc)})
+                await asyncio.sleep(_RETRY_S * random.uniform(0.5, 1.5))
+        if state is not None:
+            self._view.adopt(state)
+        self._answered_at = self._clock.now()
+
+    def _report(self) -> None:
+        state = self._view.state
+        member = self._roster.member(state.coordinator)
+        if member is None:
+            return
+        if state.term != self._term:
+            self._term, self._echo = state.term, 0.0
+            self._answered_at = self._clock.now()
+        holder = self._holder()
+        seen, keys = holder.samples.take() if holder else (0, [])
+        report = Report(
+            name=self._roster.own.name,
+            incarnation=self._roster.own.incarnation,
+            term=state.term,
+            revision=state.revision,
+            sent_at=self._clock.now(),
+            echo=self._echo,
+            born=self._born(),
+            takes_work=self._target.takes_work
+            and not self._roster.own.leaving,
+            pending=holder.pending if holder else [],
+            rejected=holder.rejected if holder else [],
+            seen=seen,
+            keys=keys,
+            load=self._load(),
+        )
+        self._datagrams.send(member.address, REPORT, *report.values())
+
+    def _born(self) -> int:
+        if self._target.info is not None:
+            return self._target.born
+        uptime_s = self._clock.now() - self._started_at
+        return _UNKNOWN if uptime_s < _UNKNOWN_S else 0
+
+    def _take_lease(self, values: list[Any]) -> None:
+        incarnation, term, revision, stamp, sent_at, lease_s = values
+        state = self._view.state
+        if term != state.term or incarnation != state.incarnation:
+            return
+        self._answered_at = self._clock.now()
+        self._echo = max(self._echo, stamp)
+        if revision > state.revision:
+            # The assignment that the lease is for is not known yet.
+            member = self._roster.member(state.coordinator)
+            if member is not None:
+                self._pull(member)
+            return
+        self._lease.extend(sent_at, lease_s)
+
+    def _coordinator_is_lost(self) -> bool:
+        state = self._view.state
+        own = self._roster.own
+        if state.coordinator == own.name:
+            return state.incarnation != own.incarnation
+        if state.term == 0:
+            return True
+        return self._clock.now() - self._answered_at > _SILENT_S
+
+    async def _try_claim(self) -> None:
+        """Claim the coordinator's place, the first member by name first."""
+        state = self._view.state
+        live = sorted(
+            member.name
+            for member in self._roster.live(_SILENT_S * 2)
+            if member.name != state.coordinator and not member.leaving
+        )
+        own = self._roster.own.name
+        if own != state.coordinator:
+            rank = live.index(own) if own in live else len(live)
+            if state.term == 0:
+                rank += 2
+            version = self._view.version
+            answered_at = self._answered_at
+            await asyncio.sleep(rank * _RANK_PAUSE_S)
+            moved = self._view.version[0] != version[0]
+            if moved or self._answered_at > answered_at:
+                return
+        await self._claim()
--- /dev/null
+++ b/src/burdockgap/shards/reports.py
@@ -0,0 +1,131 @@
+"""What members last reported to the coordinator."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from burdockgap.forward.load import Load
+
+
+class Report:
+    """
+    One member's report.
+
+    :param name: the member.
+    :param incarnation: its process.
+    :param term: the coordinator's term that it follows.
+    :param revision: newest revision of the control state that it knows.
+    :param sent_at: when it was sent, on the member's clock, in seconds.
+    :param echo: the coordinator's time that the member saw last.
+    :param born: its target's life, 0 if the target is down.
+    :param takes_work: whether the target takes new requests.
+    :param pending: ranges whose earlier holders have not let go, as
+        first key, last key and fencing token.
+    :param rejected: ranges whose fencing token was too low.
+    :param seen: requests for keys since the report before.
+    :param keys: some of their keys.
+    :param load: the target's load.
+    """
+
+    __slots__ = (
+        "born",
+        "echo",
+        "incarnation",
+        "keys",
+        "load",
+        "name",
+        "pending",
+        "rejected",
+        "revision",
+        "seen",
+        "sent_at",
+        "takes_work",
+        "term",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: int,
+        term: int,
+        revision: int,
+        sent_at: float,
+        echo: float,
+        born: int,
+        takes_work: bool,
+        pending: list[list[int]],
+        rejected: list[list[int]],
+        seen: int,
+        keys: list[int],
+        load: Load,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.term = term
+        self.revision = revision
+        self.sent_at = sent_at
+        self.echo = echo
+        self.born = born
+        self.takes_work = takes_work
+        self.pending = pending
+        self.rejected = rejected
+        self.seen = seen
+        self.keys = keys
+        self.load = load
+
+    def values(self) -> list[Any]:
+        """Return plain values."""
+        return [
+            self.name,
+            self.incarnation,
+            self.term,
+            self.revision,
+            self.sent_at,
+            self.echo,
+            self.born,
+            self.takes_work,
+            self.pending,
+            self.rejected,
+            self.seen,
+            self.keys,
+            self.load.encode(),
+        ]
+
+    @classmethod
+    def from_values(cls, values: list[Any]) -> Report:
+        """
+        Return the report of some plain values.
+
+        :raises ValueError: if they are not those of a report.
+        """
+        (
+            name,
+            incarnation,
+            term,
+            revision,
+            sent_at,
+            echo,
+            born,
+            takes_work,
+            pending,
+            rejected,
+            seen,
+            keys,
+            load,
+        ) = values
+        return cls(
+            name=name,
+            incarnation=incarnation,
+            term=term,
+            revision=revision,
+            sent_at=sent_at,
+            echo=echo,
+            born=born,
+            takes_work=takes_work,
+            pending=pending,
+            rejected=rejected,
+            seen=seen,
+            keys=keys,
+            load=Load.decode(load),
+        )
--- /dev/null
+++ b/src/burdockgap/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside a server of the users' platform."""
--- /dev/null
+++ b/src/burdockgap/sidecar/node.py
@@ -0,0 +1,399 @@
+"""The parts of a daemon beside a server, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from burdockgap.clock import BootClock
+from burdockgap.fleet.beacons import Beacons
+from burdockgap.fleet.member import Member
+from burdockgap.fleet.roster import Roster
+from burdockgap.forward.call import Call
+from burdockgap.forward.forwarder import Forwarder
+from burdockgap.forward.target_gate import TargetGate
+from burdockgap.forward.target_state import TargetState
+from burdockgap.hop.kinds import (
+    DOCUMENTS,
+    FORWARD,
+    RELEASE,
+    SETTLE,
+    TABLE,
+)
+from burdockgap.hop.link import Links
+from burdockgap.hop.link_error import LinkError
+from burdockgap.http1.response import Response
+from burdockgap.platform.documents import PlatformDocuments
+from burdockgap.platform.names import OPERATOR_TOPIC
+from burdockgap.platform.requests import decode_request
+from burdockgap.platform.target_protocol import PlatformTarget
+from burdockgap.routing.document_follower import DocumentFollower
+from burdockgap.routing.documents import Documents
+from burdockgap.shards.control_state import ControlState
+from burdockgap.shards.control_store import ControlStore
+from burdockgap.shards.control_view import ControlView
+from burdockgap.shards.coordinator import Coordinator
+from burdockgap.shards.lease import Lease
+from burdockgap.shards.reporter import Reporter
+from burdockgap.shards.shard_holder import ShardHolder
+from burdockgap.sidecar.discovery import Discovery
+
+if TYPE_CHECKING:
+    from burdockgap.fleet.datagrams import Datagrams
+    from burdockgap.forward.target_info import TargetInfo
+    from burdockgap.http1.request import Request
+    from burdockgap.http1.server import Server
+    from burdockgap.logs.line_writer import LineWriter
+    from burdockgap.platform.store_client import StoreClient
+    from burdockgap.shards.shard import Shard
+    from burdockgap.sidecar.sidecar_settings import SidecarSettings
+
+_PULL_AFTER_S = 0.15
+"""Time for the store to tell a change before a peer is asked."""
+_TICK_S = 0.25
+
+
+class Node:
+    """
+    Everything that one daemon does.
+
+    :param cfg: the daemon's settings.
+    :param store: the platform's store.
+    :param datagrams: messages to and from other daemons.
+    :param lines: takes log lines.
+    :ivar callers: the listener for callers, once it is there.
+    """
+
+    __slots__ = (
+        "_beacons",
+        "_pulling",
+        "callers",
+        "cfg",
+        "clock",
+        "coordinator",
+        "discovery",
+        "documents",
+        "follower",
+        "forwarder",
+        "gate",
+        "holder",
+        "leaving",
+        "lease",
+        "lines",
+        "links",
+        "protocol",
+        "reporter",
+        "roster",
+        "store",
+        "target",
+        "view",
+    )
+
+    def __init__(
+        self,
+        *,
+        cfg: SidecarSettings,
+        store: StoreClient,
+        datagrams: Datagrams,
+        lines: LineWriter,
+    ) -> None:
+        self.cfg = cfg
+        self.store = store
+        self.lines = lines
+        self.clock = BootClock()
+        self.links = Links()
+        self.leaving = False
+        self.holder: ShardHolder | None = None
+        self.callers: Server | None = None
+        self._pulling: set[str] = set()
+        own = Member(
+            name=cfg.name,
+            incarnation=secrets.randbits(62),
+            address=(cfg.ip, cfg.peer_port),
+            zone=cfg.zone,
+            region=cfg.region,
+            service=cfg.service,
+        )
+        self.roster = Roster(own, lines.write)
+        self._add_beliefs()
+        self._add_traffic()
+        self._add_control(datagrams)
+
+    def _add_beliefs(self) -> None:
+        self.documents = Documents(
+            PlatformDocuments(),
+            on_change=self._documents_changed,
+            on_event=self.lines.write,
+        )
+        self.view = ControlView(self._control_changed)
+        self.target = TargetState(
+            on_change=self._target_changed, on_event=self.lines.write
+        )
+        self.lease = Lease(self.clock)
+
+    def _add_traffic(self) -> None:
+        self.protocol = PlatformTarget()
+        self.gate = TargetGate(
+            service=self.cfg.service,
+            state=self.target,
+            protocol=self.protocol,
+            zone_out=lambda: self.cfg.zone in self.documents.zones_out,
+            on_event=self.lines.write,
+        )
+        self.forwarder = Forwarder(
+            roster=self.roster,
+            documents=self.documents,
+            view=self.view,
+            gate=self.gate,
+            links=self.links,
+            budget_ratio=self.cfg.budget_ratio,
+            budget_extra=self.cfg.budget_extra,
+            budget_window_s=self.cfg.budget_window_s,
+            on_event=self.lines.write,
+        )
+
+    def _add_control(self, datagrams: Datagrams) -> None:
+        self._beacons = Beacons(
+            datagrams,
+            self.roster,
+            refresh=self._refresh,
+            on_member=self._heard,
+        )
+        control = ControlStore(self.store)
+        self.coordinator = Coordinator(
+            roster=self.roster,
+            view=self.view,
+            store=control,
+            datagrams=datagrams,
+            clock=self.clock,
+            keyed_services=self._keyed_services,
+            zones_out=lambda: self.documents.zones_out,
+            on_event=self.lines.write,
+        )
+        self.reporter = Reporter(
+            roster=self.roster,
+            view=self.view,
+            store=control,
+            datagrams=datagrams,
+            clock=self.clock,
+            lease=self.lease,
+            target=self.target,
+            holder=lambda: self.holder,
+            load=lambda: self.gate.load,
+            claim=self.coordinator.claim,
+            pull=self._pull_table,
+            on_event=self.lines.write,
+        )
+        self.follower = DocumentFollower(
+            store=self.store,
+            topic=OPERATOR_TOPIC,
+            documents=self.documents,
+            is_coordinator=lambda: self.coordinator.is_active,
+            on_event=self.lines.write,
+        )
+        self.discovery = Discovery(
+            store=self.store, roster=self.roster, on_event=self.lines.write
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may come."""
+        return (
+            not self.leaving
+            and self.documents.config is not None
+            and self.discovery.has_read
+        )
+
+    async def answer_caller(self, req: Request) -> Response:
+        """Answer a caller."""
+        try:
+            wanted = decode_request(req)
+        except ValueError as exc:
+            self.lines.write("bad_request", {"why": str(exc)})
+            return Response(400)
+        return await self.forwarder.serve(wanted)
+
+    def handlers(self) -> dict[int, Any]:
+        """Return what answers other daemons' calls."""
+        return {
+            FORWARD: self._answer_forward,
+            TABLE: self._answer_table,
+            RELEASE: self._answer_release,
+            DOCUMENTS: self._answer_documents,
+            SETTLE: self._answer_settle,
+        }
+
+    def announced(self, info: TargetInfo) -> None:
+        """Take a heartbeat of the server beside this daemon."""
+        config = self.documents.config
+        if info.service != self.cfg.service:
+            self.lines.write(
+                "foreign_heartbeat",
+                {"target": info.target_id, "service": info.service},
+            )
+            return
+        policy = config.services.get(info.service) if config else None
+        self.target.announced(info, policy.cold_rate if policy else None)
+
+    async def run(self) -> None:
+        """Do the daemon's own work until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            for part in (
+                self.follower.run,
+                self.discovery.run,
+                self._beacons.run,
+                self.reporter.run,
+                self.coordinator.run,
+                self._watch,
+                self._run_holder,
+            ):
+                tasks.create_task(part())
+
+    def begin_leaving(self) -> None:
+        """Tell all others that this daemon is about to stop."""
+        self.leaving = True
+        self.gate.leaving = True
+        self._beacons.changed()
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.target.check_silence(self.gate.in_flight)
+            self.lines.flush()
+
+    async def _run_holder(self) -> None:
+        while self.holder is None:
+            await asyncio.sleep(_TICK_S)
+        await self.holder.run()
+
+    def _keyed_services(self) -> set[str]:
+        config = self.documents.config
+        if config is None:
+            return set()
+        return {
+            policy.name for policy in config.services.values() if policy.keyed
+        }
+
+    def _refresh(self) -> None:
+        own = self.roster.own
+        info = self.target.info
+        own.target_id = info.target_id if info else ""
+        own.born = self.target.born
+        own.slots = info.slots if info else 0
+        own.takes_work = self.target.takes_work
+        own.leaving = self.leaving
+        own.load = self.gate.load
+        own.documents = self.documents.end
+        own.term, own.revision = self.view.version
+
+    def _target_changed(self) -> None:
+        self.gate.target_changed()
+        if self.holder is not None:
+            self.holder.adopt(self.view.state)
+        self._beacons.changed()
+
+    def _documents_changed(self) -> None:
+        config = self.documents.config
+        if config is not None:
+            if self.callers is not None:
+                self.callers.limits = config.limits
+            policy = config.services.get(self.cfg.service)
+            if policy is not None and policy.keyed and self.holder is None:
+                self._add_holder()
+        self._beacons.changed()
+
+    def _add_holder(self) -> None:
+        self.holder = self.gate.holder = ShardHolder(
+            service=self.cfg.service,
+            name=self.cfg.name,
+            clock=self.clock,
+            lease=self.lease,
+            state=self.target,
+            protocol=self.protocol,
+            release=self._ask_release,
+            on_event=self.lines.write,
+        )
+        self.holder.adopt(self.view.state)
+
+    def _control_changed(self) -> None:
+        if self.holder is not None:
+            self.holder.adopt(self.view.state)
+        self._beacons.changed()
+
+    def _heard(self, member: Member) -> None:
+        if (member.term, member.revision) > self.view.version:
+            self._pull_table(member)
+        if member.documents > self.documents.end:
+            self._start_pull("documents", self._fetch_documents(member))
+
+    def _pull_table(self, member: Member) -> None:
+        self._start_pull("table", self._fetch_table(member))
+
+    def _start_pull(self, what: str, pull: Any) -> None:
+        if what in self._pulling:
+            pull.close()
+            return
+        self._pulling.add(what)
+
+        async def run() -> None:
+            try:
+                await pull
+            except (LinkError, TimeoutError, ValueError) as exc:
+                self.lines.write(
+                    "pull_failed", {"what": what, "why": str(exc)}
+                )
+            finally:
+                self._pulling.discard(what)
+
+        self.reporter.spawn(run())
+
+    async def _fetch_table(self, member: Member) -> None:
+        async with asyncio.timeout(_TICK_S * 2):
+            data = await self.links.call(member.address, TABLE, None)
+        self.view.adopt(ControlState.decode(data))
+
+    async def _fetch_documents(self, member: Member) -> None:
+        await asyncio.sleep(_PULL_AFTER_S)
+        if member.documents <= self.documents.end:
+            return
+        async with asyncio.timeout(_TICK_S * 4):
+            values, end = await self.links.call(
+                member.address, DOCUMENTS, None
+            )
+        self.documents.replace(values, end, member.name)
+
+    async def _answer_forward(self, payload: Any) -> Any:
+        call = Call.decode(payload)
+        return (await self.gate.serve(call)).encode()
+
+    async def _answer_settle(self, payload: Any) -> Any:
+        incarnation, request_id = payload
+        if incarnation != self.roster.own.incarnation:
+            return None
+        return (await self.gate.settle(request_id)).encode()
+
+    async def _answer_table(self, _payload: Any) -> bytes:
+        return self.view.state.encode()
+
+    async def _answer_documents(self, _payload: Any) -> Any:
+        return [self.documents.raw, self.documents.end]
+
+    async def _answer_release(self, payload: Any) -> Any:
+        service, first, last, fence = payload
+        if self.holder is None or service != self.cfg.service:
+            return None
+        return await self.holder.let_go(first, last, fence)
+
+    async def _ask_release(
+        self, name: str, shard: Shard, fence: int
+    ) -> str | None:
+        member = self.roster.member(name)
+        if member is None or not self.roster.is_alive(name):
+            return None
+        answer: str | None = await self.links.call(
+            member.address,
+            RELEASE,
+            [self.cfg.service, shard.first, shard.last, fence],
+        )
+        return answer
--- /dev/null
+++ b/src/burdockgap/sidecar/run.py
@@ -0,0 +1,110 @@
+"""Running of a daemon beside a server, from start to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from burdockgap.fleet.datagrams import open_datagrams
+from burdockgap.hop.listener import open_listener
+from burdockgap.http1.server import Server, open_server
+from burdockgap.logs.line_writer import LineWriter
+from burdockgap.platform.announcements import ControlSurface
+from burdockgap.platform.store_client import StoreClient
+from burdockgap.sidecar.node import Node
+
+if TYPE_CHECKING:
+    from burdockgap.sidecar.sidecar_settings import SidecarSettings
+
+_STAY_S = 2.6
+"""Two questions of the platform, so that callers have been sent away."""
+_GRACE_SHARE = 0.8
+_POLL_S = 0.05
+
+
+def run_sidecar(cfg: SidecarSettings) -> int:
+    """
+    Run a daemon until it is told to stop.
+
+    :return: 0 if nothing was cut off, else 1.
+    """
+    return uvloop.run(_run(cfg))
+
+
+async def _run(cfg: SidecarSettings) -> int:
+    lines = LineWriter(fd=sys.stdout.fileno(), name=cfg.name)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: lines.write("reload", {"changed": []})
+    )
+    async with AsyncExitStack() as stack:
+        datagrams = await stack.enter_async_context(
+            open_datagrams(cfg.ip, cfg.peer_port)
+        )
+        node = Node(
+            cfg=cfg,
+            store=StoreClient(cfg.store),
+            datagrams=datagrams,
+            lines=lines,
+        )
+        surface = ControlSurface(
+            announced=node.announced,
+            left=node.target.leaving,
+            is_ready=lambda: node.is_ready,
+            on_event=lines.write,
+        )
+        node.callers = Server(
+            node.answer_caller,
+            on_malformed=lambda status: lines.write(
+                "malformed_request", {"status": status}
+            ),
+        )
+        await stack.enter_async_context(
+            open_listener(node.handlers(), cfg.ip, cfg.peer_port)
+        )
+        for server, address in (
+            (Server(surface.answer_control), cfg.control),
+            (Server(surface.answer_readiness), cfg.readiness),
+            (node.callers, cfg.callers),
+        ):
+            await stack.enter_async_context(open_server(server, *address))
+        lines.write("started", {"incarnation": node.roster.own.incarnation})
+        work = loop.create_task(node.run())
+        stopped = loop.create_task(stop.wait())
+        await asyncio.wait(
+            {work, stopped}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if work.done():
+            work.result()
+        clean = await _leave(node)
+        work.cancel()
+        lines.write("stopped", {"clean": clean})
+        lines.flush()
+    return 0 if clean else 1
+
+
+async def _leave(node: Node) -> bool:
+    """Hand over, and answer everything that was read."""
+    loop = asyncio.get_running_loop()
+    node.lines.write("stopping", {"in_flight": node.forwarder.in_flight})
+    node.begin_leaving()
+    assert node.callers is not None
+    node.callers.leaving = True
+    began = loop.time()
+    end = began + node.cfg.grace_s * _GRACE_SHARE
+    if node.target.left or not node.target.up:
+        await node.discovery.withdraw()
+    while loop.time() < end:
+        busy = node.callers.in_flight or node.gate.in_flight
+        if loop.time() - began > _STAY_S and not busy:
+            return True
+        await asyncio.sleep(_POLL_S)
+    return not (node.callers.in_flight or node.gate.in_flight)
--- /dev/null
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -0,0 +1,75 @@
+"""What a daemon has to know before it starts."""
+
+from __future__ import annotations
+
+
+class SidecarSettings:
+    """
+    Addresses and bounds of one daemon.
+
+    :param name: the machine's name.
+    :param zone: its data centre.
+    :param region: the region of its data centre.
+    :param service: service of the target beside it.
+    :param ip: the machine's address.
+    :param peer_port: port for calls and datagrams of other daemons.
+    :param callers: where callers send requests.
+    :param readiness: where the platform asks whether it is ready.
+    :param control: where the target announces itself.
+    :param store: the platform's store.
+    :param budget_ratio: repeats allowed per request.
+    :param budget_extra: repeats that all daemons may make besides.
+    :param budget_window_s: window of that budget, in seconds.
+    :param grace_s: time between the signal to stop and the end, in
+        seconds.
+    """
+
+    __slots__ = (
+        "budget_extra",
+        "budget_ratio",
+        "budget_window_s",
+        "callers",
+        "control",
+        "grace_s",
+        "ip",
+        "name",
+        "peer_port",
+        "readiness",
+        "region",
+        "service",
+        "store",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        region: str,
+        service: str,
+        ip: str,
+        peer_port: int,
+        callers: tuple[str, int],
+        readiness: tuple[str, int],
+        control: tuple[str, int],
+        store: tuple[str, int],
+        budget_ratio: float,
+        budget_extra: float,
+        budget_window_s: float,
+        grace_s: float,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.region = region
+        self.service = service
+        self.ip = ip
+        self.peer_port = peer_port
+        self.callers = callers
+        self.readiness = readiness
+        self.control = control
+        self.store = store
+        self.budget_ratio = budget_ratio
+        self.budget_extra = budget_extra
+        self.budget_window_s = budget_window_s
+        self.grace_s = grace_s
--- a/standins/log_store.py
+++ b/standins/log_store.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from burdockgap.platform.page import Page
+from burdockgap.logstore.page import Page
 
 
 class LogStore:
--- a/standins/memory_log.py
+++ b/standins/memory_log.py
@@ -6,12 +6,12 @@
 
 import anyio
 
-from burdockgap.platform.errors import LogUnavailable, LogUncertain
+from burdockgap.logstore.errors import LogUnavailable, LogUncertain
 from standins.log_faults import LogFaults
 from standins.log_store import LogStore
 
 if TYPE_CHECKING:
-    from burdockgap.platform.page import Page
+    from burdockgap.logstore.page import Page
 
 
 class MemoryLog:
@@ -31,7 +31,7 @@
         self.appends = 0
 
     async def append(self, stream: str, record: bytes) -> int:
-        """Append a record, see :class:`burdockgap.platform.Log`."""
+        """Append a record, see :class:`burdockgap.logstore.Log`."""
         await self._enter()
         offset = self.store.append(stream, record)
         self.appends += 1
@@ -42,7 +42,7 @@
     async def read(
         self, stream: str, from_offset: int, *, wait: float, limit: int
     ) -> Page:
-        """Read records, see :class:`burdockgap.platform.Log`."""
+        """Read records, see :class:`burdockgap.logstore.Log`."""
         await self._enter()
         await self.store.wait_past(stream, from_offset, wait)
         self._check_up()
--- a/tests/admin/test_app.py
+++ b/tests/admin/test_app.py
@@ -10,7 +10,7 @@
 from burdockgap.fold.metrics import RECORDS
 from burdockgap.gate.metrics import dispatches
 from burdockgap.lease.counters import DATAGRAMS
-from burdockgap.platform.metrics import APPENDS
+from burdockgap.logstore.metrics import APPENDS
 from burdockgap.records.end_session import EndSession
 from burdockgap.records.publish import Publish
 from burdockgap.records.set_data_centre import SetDataCentre
--- a/tests/fold/test_loader.py
+++ b/tests/fold/test_loader.py
@@ -6,7 +6,7 @@
 from burdockgap.fold.folds import Folds
 from burdockgap.fold.loader import Loader
 from burdockgap.fold.snapshot import make_chunks, snapshot_states
-from burdockgap.platform import LogTrimmed
+from burdockgap.logstore import LogTrimmed
 from burdockgap.records.admit import Admit
 from burdockgap.records.end_session import EndSession
 from burdockgap.records.layout import Layout
--- a/tests/platform/test_http_log.py
+++ b/tests/logstore/test_http_log.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 
-from burdockgap.platform import LogUnavailable, LogUncertain
-from burdockgap.platform.http_log import open_http_log
+from burdockgap.logstore import LogUnavailable, LogUncertain
+from burdockgap.logstore.http_log import open_http_log
 
 TIMEOUT_S = 0.8
 
--- a/tests/platform/test_tail.py
+++ b/tests/logstore/test_tail.py
@@ -8,7 +8,7 @@
 from burdockgap.fold.folds import Folds
 from burdockgap.fold.loader import Loader
 from burdockgap.fold.snapshot import make_chunks
-from burdockgap.platform.tail import Tail
+from burdockgap.logstore.tail import Tail
 from burdockgap.records.streams import CONTROL
 from burdockgap.wire import pack
 from standins.memory_log import MemoryLog
--- a/tests/platform/test_writer.py
+++ b/tests/logstore/test_writer.py
@@ -8,11 +8,11 @@
 
 from burdockgap.fold.folds import Folds
 from burdockgap.fold.loader import Loader
-from burdockgap.platform import LogUncertain
-from burdockgap.platform.http_log import open_http_log
-from burdockgap.platform.tail import Tail
-from burdockgap.platform.write_error import WriteState
-from burdockgap.platform.writer import Writer
+from burdockgap.logstore import LogUncertain
+from burdockgap.logstore.http_log import open_http_log
+from burdockgap.logstore.tail import Tail
+from burdockgap.logstore.write_error import WriteState
+from burdockgap.logstore.writer import Writer
 from burdockgap.records.set_data_centre import SetDataCentre
 from burdockgap.records.streams import CONFIG
 from standins.memory_log import MemoryLog
