Fix a busy loop of requests that wait for a grant

Cause: waiting on an event that is already set does not yield, so one request whose key was not granted yet spun its process for seconds.

--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -222,15 +222,15 @@
     async def run(self) -> None:
         """Take over, grant and renew for ever."""
         while True:
+            changed = self._changed
             self._step()
             try:
                 async with asyncio.timeout(_TICK_S):
-                    await self._changed.wait()
+                    await changed.wait()
             except TimeoutError:
                 continue
 
     def _step(self) -> None:
-        self._changed.clear()
         for item in self._holdings:
             if not item.cleared and item.taker is None:
                 item.taker = self._spawn(self._take_over(item))
@@ -415,7 +415,9 @@
         return self._pool
 
     def _wake(self) -> None:
-        self._changed.set()
+        """Let all that wait for a change look again."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     def _spawn(self, coroutine: Awaitable[None]) -> asyncio.Task[None]:
         task: asyncio.Task[None] = self._loop.create_task(
