--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -25,6 +25,7 @@
     :param slots: requests that the target runs at once.
     :param takes_work: whether the target may be given new requests.
     :param leaving: whether the daemon is about to stop.
+    :param resigning: whether it asks another to become coordinator.
     :param load: the target's load.
     :param documents: offset up to which it knows the operator's
         documents.
@@ -41,6 +42,7 @@
         "load",
         "name",
         "region",
+        "resigning",
         "revision",
         "sequence",
         "service",
@@ -66,6 +68,7 @@
         slots: int = 0,
         takes_work: bool = False,
         leaving: bool = False,
+        resigning: bool = False,
         load: Load | None = None,
         documents: int = 0,
         term: int = 0,
@@ -83,6 +86,7 @@
         self.slots = slots
         self.takes_work = takes_work
         self.leaving = leaving
+        self.resigning = resigning
         self.load = load or Load()
         self.documents = documents
         self.term = term
@@ -103,6 +107,7 @@
             self.slots,
             self.takes_work,
             self.leaving,
+            self.resigning,
             self.load.encode(),
             self.documents,
             self.term,
@@ -134,6 +139,7 @@
             slots,
             takes_work,
             leaving,
+            resigning,
             load,
             documents,
             term,
@@ -152,6 +158,7 @@
             slots=slots,
             takes_work=takes_work,
             leaving=leaving,
+            resigning=resigning,
             load=Load.decode(load),
             documents=documents,
             term=term,
--- a/src/burdockgap/forward/cold_rate.py
+++ b/src/burdockgap/forward/cold_rate.py
@@ -7,27 +7,24 @@
 
 class ColdRate:
     """
-    A token bucket that limits requests while a target is cold.
+    A token bucket.
 
     :param rate: requests per second.
-    :param until: when the target is warm, in seconds.
+    :param now: the present time, in seconds.
     """
 
-    __slots__ = ("_filled_at", "_tokens", "rate", "until")
+    __slots__ = ("_filled_at", "_most", "_rate", "_tokens")
 
-    def __init__(self, *, rate: float, until: float, now: float) -> None:
-        self.rate = rate
-        self.until = until
+    def __init__(self, *, rate: float, now: float) -> None:
+        self._rate = rate
+        self._most = max(rate * _BURST_S, 1.0)
         self._tokens = 1.0
         self._filled_at = now
 
     def take(self, now: float) -> bool:
         """Tell whether a request may be sent now."""
-        if now >= self.until:
-            return True
-        most = max(self.rate * _BURST_S, 1.0)
-        gained = (now - self._filled_at) * self.rate
-        self._tokens = min(self._tokens + gained, most)
+        gained = (now - self._filled_at) * self._rate
+        self._tokens = min(self._tokens + gained, self._most)
         self._filled_at = now
         if self._tokens < 1.0:
             return False
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -37,10 +37,10 @@
 """Share of the objective that may be spent on looking for an owner."""
 _RETRY_AFTER_S = (0.05, 0.15)
 _SERVER_ERROR = 500
-_RATIO_SHARE = 0.8
-_EXTRA_SHARE = 0.6
-"""Shares of the common retry budget that are used, as a margin for
-windows that do not line up."""
+_RATIO_SHARE = 0.5
+_EXTRA_SHARE = 0.5
+"""Shares of the common retry budget that are used. The rest is for calls
+that targets make again while they run a request again."""
 
 
 class _Progress:
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -30,6 +30,8 @@
 _WAIT_SHARE = 0.5
 """Share of the objective that a request may spend in the queue."""
 _RETRY_AFTER_S = 0.05
+_KEYS_LEAVE_S = 2.0
+"""Time for keys to leave a data centre that is out; the users allow 5 s."""
 
 
 class TargetGate:
@@ -39,7 +41,8 @@
     :param service: the target's service.
     :param state: what is known of the target.
     :param protocol: what the target speaks.
-    :param zone_out: tells whether operators took the data centre out.
+    :param zone_out_since: returns when operators took the data centre
+        out, on the event loop's clock; ``None`` if it is in service.
     :param holder: keys that the target holds; ``None`` until known.
     :param on_event: logs a decision.
     :ivar leaving: whether this daemon is about to stop.
@@ -53,7 +56,7 @@
         "_runs",
         "_slots",
         "_state",
-        "_zone_out",
+        "_zone_out_since",
         "holder",
         "leaving",
         "service",
@@ -65,14 +68,14 @@
         service: str,
         state: TargetState,
         protocol: TargetProtocol,
-        zone_out: Callable[[], bool],
+        zone_out_since: Callable[[], float | None],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self.service = service
         self._state = state
         self._protocol = protocol
-        self._zone_out = zone_out
+        self._zone_out_since = zone_out_since
         self._on_event = on_event
         self._slots = Slots(size=1, queue_size=1)
         self._runs = RunLog()
@@ -175,13 +178,18 @@
     def _check_open(self, call: Call) -> None:
         if call.service != self.service:
             raise _refusal(Reason.UNKNOWN_SERVICE)
-        if self._zone_out():
-            raise _refusal(Reason.DATA_CENTRE_OUT)
         if not self._state.up or self._state.info is None:
             raise _refusal(Reason.TARGET_DOWN)
-        # Keys of a leaving target are served until they have moved.
-        is_keyed = self.holder is not None and call.key is not None
-        if not is_keyed and (not self._state.takes_work or self.leaving):
+        out_since = self._zone_out_since()
+        if self.holder is not None and call.key is not None:
+            # Keys are served for a while longer, until they have moved.
+            now = self._loop.time()
+            if out_since is not None and now - out_since > _KEYS_LEAVE_S:
+                raise _refusal(Reason.DATA_CENTRE_OUT)
+            return
+        if out_since is not None:
+            raise _refusal(Reason.DATA_CENTRE_OUT)
+        if not self._state.takes_work or self.leaving:
             raise _refusal(Reason.DRAINING)
 
     async def _dispatch(self, call: Call, deadline: float) -> Outcome:
@@ -192,7 +200,9 @@
         now = self._loop.time()
         if deadline <= now:
             raise _refusal(Reason.DEADLINE)
-        if self._state.cold is not None and not self._state.cold.take(now):
+        if now >= self._state.stops_at:
+            raise _refusal(Reason.DRAINING)
+        if not self._state.bears_request():
             raise _refusal(Reason.OVERLOADED)
         return await self._send(call, deadline)
 
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from burdockgap.forward.cold_rate import ColdRate
@@ -22,30 +23,43 @@
     """
     The newest life of the target and whether it takes work.
 
+    :param drain_s: how long a leaving target may be sent work, in seconds.
+    :param cold_rate: returns the requests per second that a cold target
+        bears, ``None`` while no configuration is known.
     :param on_change: called when anything that others must know changes.
     :param on_event: logs a change of belief.
     :ivar info: the newest announcement, ``None`` before the first.
     :ivar up: whether the target is believed to run.
+    :ivar ended: whether it surely runs no more.
     :ivar left: whether it said that it is gone.
+    :ivar stops_at: until when it may be sent work after it said that it
+        leaves, in seconds of the event loop's clock.
     :ivar service_s: typical time of a request, in seconds.
     """
 
     __slots__ = (
         "_answered_at",
+        "_cold_rate",
+        "_cold_until",
+        "_drain_s",
+        "_cold",
         "_heard_at",
         "_loop",
         "_on_change",
         "_on_event",
-        "cold",
+        "ended",
         "info",
         "left",
         "service_s",
+        "stops_at",
         "up",
     )
 
     def __init__(
         self,
         *,
+        drain_s: float,
+        cold_rate: Callable[[], float | None],
         on_change: Callable[[], None],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
@@ -55,8 +69,13 @@
         self._heard_at = 0.0
         self._answered_at = 0.0
         self.info: TargetInfo | None = None
-        self.cold: ColdRate | None = None
+        self._drain_s = drain_s
+        self._cold_rate = cold_rate
+        self._cold: ColdRate | None = None
+        self._cold_until = 0.0
         self.up = False
+        self.ended = False
+        self.stops_at = math.inf
         self.left = False
         self.service_s = 0.05
 
@@ -75,18 +94,22 @@
         """The target's life, 0 if none is known or it is down."""
         return self.info.born if self.info is not None and self.up else 0
 
-    @property
-    def cold_left_s(self) -> float:
-        """How much longer the target is cold, in seconds."""
-        if self.cold is None:
-            return 0.0
-        return max(self.cold.until - self._loop.time(), 0.0)
-
-    def announced(self, info: TargetInfo, cold_rate: float | None) -> bool:
+    def bears_request(self) -> bool:
+        """Tell whether the target, cold or warm, may be sent a request."""
+        now = self._loop.time()
+        if now >= self._cold_until:
+            return True
+        rate = self._cold_rate()
+        if rate is None:
+            return False
+        if self._cold is None:
+            self._cold = ColdRate(rate=rate, now=now)
+        return self._cold.take(now)
+
+    def announced(self, info: TargetInfo) -> bool:
         """
         Take an announcement.
 
-        :param cold_rate: requests per second that a cold target bears.
         :return: whether it is newer than what is known.
         """
         now = self._loop.time()
@@ -105,9 +128,14 @@
         self.info = info
         self._heard_at = now
         self.up = True
+        self.ended = False
         if is_new_life:
             self.left = False
-        self._note_cold(info, cold_rate, now)
+            self.stops_at = math.inf
+            self._cold, self._cold_until = None, 0.0
+        if info.draining:
+            self.stops_at = min(self.stops_at, now + self._drain_s)
+        self._note_cold(info, now)
         if changed:
             self._log(
                 "target",
@@ -124,6 +152,8 @@
             return
         if not self.left:
             self.left = True
+            now = self._loop.time()
+            self.stops_at = min(self.stops_at, now + self._drain_s)
             self._log("target", state="left")
             self._on_change()
 
@@ -136,6 +166,7 @@
         """Note that nothing listens at the address of one life."""
         if self.up and self.info is not None and self.info.born == born:
             self.up = False
+            self.ended = True
             self._log("target", state="down", why="connection refused")
             self._on_change()
 
@@ -155,18 +186,12 @@
             )
             self._on_change()
 
-    def _note_cold(
-        self, info: TargetInfo, cold_rate: float | None, now: float
-    ) -> None:
-        if cold_rate is None:
-            return
-        until = now + info.cold_s
+    def _note_cold(self, info: TargetInfo, now: float) -> None:
         if info.cold_s <= 0:
             return
-        if self.cold is None or self.cold.until <= now:
-            self.cold = ColdRate(rate=cold_rate, until=until, now=now)
-        else:
-            self.cold.until = max(self.cold.until, until)
+        if self._cold_until <= now:
+            self._cold = None
+        self._cold_until = max(self._cold_until, now + info.cold_s)
 
     def _log(self, event: str, **fields: object) -> None:
         info = self.info
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -41,6 +41,7 @@
         budget_ratio=field(bounds, "retry-budget-ratio", number),
         budget_extra=field(bounds, "budget-extra-retries", number),
         budget_window_s=decode_time(field(bounds, "budget-window", str)),
+        drain_s=decode_time(field(bounds, "drain", str)),
         grace_s=decode_time(field(bounds, "grace-period", str)),
     )
 
--- a/src/burdockgap/routing/documents.py
+++ b/src/burdockgap/routing/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -40,7 +41,8 @@
     :param on_event: logs a change of belief.
     :ivar end: offset up to which the documents are known.
     :ivar config: the configuration in force, ``None`` before the first.
-    :ivar zones_out: data centres that get no new work.
+    :ivar zones_out: data centres that get no new work, with the time of
+        the event loop's clock at which that was learned.
     :ivar raw: the stored documents by key, for peers.
     """
 
@@ -66,7 +68,7 @@
         self._on_event = on_event
         self.end = 0
         self.config: RoutingConfig | None = None
-        self.zones_out: set[str] = set()
+        self.zones_out: dict[str, float] = {}
         self.raw: dict[str, bytes] = {}
 
     def replace(self, values: dict[str, bytes], end: int, source: str) -> None:
@@ -102,7 +104,8 @@
             self._event("document_refused", key, source, why=str(exc))
             return
         if isinstance(document, ZoneOut):
-            self.zones_out.add(document.zone)
+            now = asyncio.get_running_loop().time()
+            self.zones_out.setdefault(document.zone, now)
             self._event("zone_out", key, source, zone=document.zone)
         elif document is not None:
             self._take_config(document, key, source)
@@ -130,7 +133,7 @@
             # It was refused when it came, so it has no effect to undo.
             return
         if isinstance(document, ZoneOut):
-            self.zones_out.discard(document.zone)
+            self.zones_out.pop(document.zone, None)
             self._event("zone_in", key, source, zone=document.zone)
 
     def _event(
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -35,6 +35,9 @@
 _VOTER_PATIENCE_S = 5.0
 """Without a majority for so long, those that answer are the voters."""
 _ABSENT_S = 10.0
+_RESIGN_AFTER_S = 0.4
+"""A slow store answers sooner; one that turns this machine away may serve
+others."""
 _FIRST_PLAN_S = 0.6
 """Wait for other members before the first assignment is made."""
 
@@ -57,6 +60,7 @@
         "_authority",
         "_balanced_at",
         "_clock",
+        "_failing_since",
         "_datagrams",
         "_keyed_services",
         "_lease_ends",
@@ -98,6 +102,15 @@
         self._reset()
         datagrams.handlers[REPORT] = self._take_report
 
+    @property
+    def is_resigning(self) -> bool:
+        """Whether this coordinator cannot write and another should."""
+        return (
+            self.is_active
+            and self._failing_since is not None
+            and self._clock.now() - self._failing_since > _RESIGN_AFTER_S
+        )
+
     @property
     def is_active(self) -> bool:
         """Whether this member is the coordinator, as far as it knows."""
@@ -156,6 +169,7 @@
         self._authority = Authority(now, is_first=False)
         self._balanced_at = 0.0
         self._since = now
+        self._failing_since: float | None = None
         self._withheld: set[str] = set()
         self._writing_voters: tuple[str, ...] = ()
 
@@ -227,6 +241,8 @@
             try:
                 await self._store.write(state)
             except StoreError as exc:
+                if self._failing_since is None:
+                    self._failing_since = self._clock.now()
                 self._on_event(
                     "write_failed",
                     {
@@ -238,6 +254,7 @@
                 if await self._read_back(state):
                     return
                 continue
+            self._failing_since = None
             self._view.adopt(state)
             self._on_event(
                 "assigned",
@@ -257,8 +274,11 @@
         :return: whether there is nothing more to write.
         """
         while True:
+            if not self.is_active:
+                return True
             try:
                 stored = await self._store.read()
+                self._failing_since = None
                 break
             except StoreError:
                 await asyncio.sleep(_TICK_S * random.uniform(1, 3))
--- a/src/burdockgap/shards/planner.py
+++ b/src/burdockgap/shards/planner.py
@@ -10,11 +10,13 @@
     from burdockgap.shards.control_state import ControlState
     from burdockgap.shards.key_rates import KeyRates
 
-_WORTH_MOVING = 0.12
+_WORTH_MOVING = 0.2
 """Least gap between two servers' use of their slots for a move."""
 _SPARE_USE = 0.35
 """Use of slots below which a server is left alone."""
 _MOST_MOVES = 3
+_DEAR_KEYS = 8192
+"""Keys that halve the worth of a move, as each that changes hands costs."""
 
 
 class Server:
@@ -166,9 +168,9 @@
 def _part_to_move(
     rows: list[Shard], give: Server, rates: KeyRates, wanted: float
 ) -> Shard | None:
-    """Return the end of a range whose rate comes closest from below."""
+    """Return the range, or end of one, that is best worth moving."""
     best: Shard | None = None
-    best_rate = 0.0
+    best_worth = 0.0
     for shard in rows:
         if shard.owner != give.name or shard.previous:
             continue
@@ -178,8 +180,9 @@
         else:
             candidates = _ends(shard, rates, wanted)
         for rate, part in candidates:
-            if rate > best_rate:
-                best, best_rate = part, rate
+            worth = rate / (1 + part.size / _DEAR_KEYS)
+            if worth > best_worth:
+                best, best_worth = part, worth
     return best
 
 
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -30,6 +30,8 @@
 _RANK_PAUSE_S = 0.25
 """Between two members' claims; a claim takes two calls of the store."""
 _RETRY_S = 0.3
+_CLAIM_PAUSE_S = 0.5
+"""After a failed claim, since the store may be away for everybody."""
 _UNKNOWN_S = 2.5
 """After a start, how long a target that says nothing counts as awaited."""
 _UNKNOWN = -1
@@ -56,6 +58,7 @@
     __slots__ = (
         "_answered_at",
         "_claim",
+        "_claim_not_before",
         "_clock",
         "_datagrams",
         "_echo",
@@ -104,6 +107,7 @@
         self._started_at = clock.now()
         self._answered_at = clock.now()
         self._term = 0
+        self._claim_not_before = 0.0
         self._echo = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         datagrams.handlers[LEASE] = self._take_lease
@@ -197,6 +201,12 @@
             return state.incarnation != own.incarnation
         if state.term == 0:
             return True
+        coordinator = self._roster.member(state.coordinator)
+        if coordinator is not None:
+            if coordinator.incarnation != state.incarnation:
+                return True
+            if coordinator.resigning or coordinator.leaving:
+                return self._clock.now() >= self._claim_not_before
         return self._clock.now() - self._answered_at > _SILENT_S
 
     async def _try_claim(self) -> None:
@@ -218,4 +228,6 @@
             moved = self._view.version[0] != version[0]
             if moved or self._answered_at > answered_at:
                 return
-        await self._claim()
+        if not await self._claim():
+            pause_s = _CLAIM_PAUSE_S * random.uniform(1, 2)
+            self._claim_not_before = self._clock.now() + pause_s
--- a/src/burdockgap/shards/shard.py
+++ b/src/burdockgap/shards/shard.py
@@ -43,14 +43,18 @@
         """Number of keys."""
         return self.last - self.first + 1
 
-    def same_ownership(self, other: Shard) -> bool:
-        """Tell whether two ranges are held under one grant."""
-        return (
-            self.owner == other.owner
-            and self.born == other.born
-            and self.fence == other.fence
-            and self.previous == other.previous
-        )
+    def joins(self, other: Shard) -> bool:
+        """
+        Tell whether two adjacent ranges may become one.
+
+        Their fencing tokens may differ if no earlier holder is left: the
+        higher one is above all tokens that either range had elsewhere.
+        """
+        if (self.owner, self.born) != (other.owner, other.born):
+            return False
+        if not self.previous and not other.previous:
+            return True
+        return self.fence == other.fence and self.previous == other.previous
 
     def part(self, first: int, last: int) -> Shard:
         """Return a part of the range with the same ownership."""
@@ -92,12 +96,14 @@
 
 
 def merged(shards: list[Shard]) -> list[Shard]:
-    """Return the ranges in order, joined where the ownership is one."""
+    """Return the ranges in order, joined where they may be."""
     result: list[Shard] = []
     for shard in sorted(shards, key=lambda shard: shard.first):
-        if result and result[-1].same_ownership(shard):
+        if result and result[-1].joins(shard):
             before = result.pop()
-            result.append(before.part(before.first, shard.last))
+            whole = before.part(before.first, shard.last)
+            whole.fence = max(before.fence, shard.fence)
+            result.append(whole)
         else:
             result.append(shard)
     return result
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -56,6 +56,7 @@
     __slots__ = (
         "_changed",
         "_clock",
+        "_granter",
         "_holdings",
         "_loop",
         "_lost",
@@ -98,6 +99,7 @@
         self._lost: list[Holding] = []
         self._revoked: list[tuple[int, int, int]] = []
         self._pool: ClientPool | None = None
+        self._granter: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._started_at = clock.now()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -206,7 +208,9 @@
         del self._revoked[:-_MOST_REVOKED]
         while any(item.granting for item in self._overlapping(first, last)):
             await asyncio.sleep(_GRANT_POLL_S)
-        if not self._state.up:
+        for item in self._overlapping(first, last):
+            item.granted = False
+        if self._state.ended:
             return ""
         unsure_until = self._unanswered_until(first, last)
         handover = await self._call_release(first, last, fence)
@@ -238,16 +242,31 @@
         if hold_s <= MARGIN_S or not self._state.up:
             return
         now = self._clock.now()
+        items: list[Holding] = []
         for item in self._holdings:
             due = item.cleared and item.hold_until - now < _RENEW_BELOW_S
             gains = now + hold_s > item.hold_until + MARGIN_S
             is_free = not item.granting and not item.rejected
             if due and gains and is_free and not self._gives_up(item):
-                item.granting = True
-                self._spawn(self._grant(item, hold_s))
+                items.append(item)
+        # One after the other, as a server refuses many connections.
+        if items and (self._granter is None or self._granter.done()):
+            self._granter = self._spawn(self._grant_all(items))
+
+    async def _grant_all(self, items: list[Holding]) -> None:
+        for item in items:
+            hold_s = self.lease.hold_s()
+            if hold_s <= MARGIN_S or self._gives_up(item):
+                continue
+            if item not in self._holdings:
+                continue
+            if not await self._grant(item, hold_s):
+                return
 
-    async def _grant(self, item: Holding, hold_s: float) -> None:
+    async def _grant(self, item: Holding, hold_s: float) -> bool:
+        """Send a grant and tell whether the target answered it."""
         shard = item.shard
+        item.granting = True
         data = self._protocol.encode_grant(
             first=shard.first,
             last=shard.last,
@@ -272,7 +291,7 @@
                 shard.fence,
                 why=str(exc) or "timeout",
             )
-            return
+            return False
         finally:
             item.granting = False
         if response.status == _OK:
@@ -285,7 +304,7 @@
             if is_first:
                 self._event("granted", shard.first, shard.last, shard.fence)
             self._wake()
-            return
+            return True
         item.rejected = response.status == _CONFLICT
         self._event(
             "grant_refused",
@@ -294,6 +313,7 @@
             shard.fence,
             status=response.status,
         )
+        return True
 
     async def _take_over(self, item: Holding) -> None:
         handover = ""
@@ -365,12 +385,17 @@
     def _continued(self, shard: Shard, before: list[Holding]) -> Holding:
         parts = []
         for item in before:
-            same = item.shard.fence == shard.fence
-            if not same or not _overlaps(item.shard, shard.first, shard.last):
+            fits = (
+                item.shard.born == shard.born
+                and item.shard.fence <= shard.fence
+                and _overlaps(item.shard, shard.first, shard.last)
+            )
+            if not fits:
                 continue
             is_equal = (
                 item.shard.first == shard.first
                 and item.shard.last == shard.last
+                and item.shard.fence == shard.fence
             )
             if is_equal:
                 item.shard = shard
@@ -379,7 +404,10 @@
                 return item
             parts.append(item)
         holding = Holding(shard)
-        if parts:
+        fences = {part.shard.fence for part in parts}
+        if _covers(parts, shard) and (
+            fences == {shard.fence} or not shard.previous
+        ):
             holding.follow(parts)
             holding.cleared = holding.cleared or not shard.previous
         return holding
@@ -441,5 +469,15 @@
         self._on_event(event, fields)
 
 
+def _covers(parts: list[Holding], shard: Shard) -> bool:
+    """Tell whether parts in order of keys leave no gap in a range."""
+    key = shard.first
+    for part in parts:
+        if part.shard.first > key:
+            return False
+        key = max(key, part.shard.last + 1)
+    return key > shard.last
+
+
 def _overlaps(shard: Shard, first: int, last: int) -> bool:
     return shard.first <= last and first <= shard.last
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -52,6 +52,8 @@
 _PULL_AFTER_S = 0.15
 """Time for the store to tell a change before a peer is asked."""
 _TICK_S = 0.25
+_DRAIN_MARGIN_S = 0.2
+"""Time that a request may need from the decision to its arrival."""
 
 
 class Node:
@@ -128,7 +130,10 @@
         )
         self.view = ControlView(self._control_changed)
         self.target = TargetState(
-            on_change=self._target_changed, on_event=self.lines.write
+            drain_s=self.cfg.drain_s - _DRAIN_MARGIN_S,
+            cold_rate=self._cold_rate,
+            on_change=self._target_changed,
+            on_event=self.lines.write,
         )
         self.lease = Lease(self.clock)
 
@@ -138,7 +143,7 @@
             service=self.cfg.service,
             state=self.target,
             protocol=self.protocol,
-            zone_out=lambda: self.cfg.zone in self.documents.zones_out,
+            zone_out_since=lambda: self.documents.zones_out.get(self.cfg.zone),
             on_event=self.lines.write,
         )
         self.forwarder = Forwarder(
@@ -168,7 +173,7 @@
             datagrams=datagrams,
             clock=self.clock,
             keyed_services=self._keyed_services,
-            zones_out=lambda: self.documents.zones_out,
+            zones_out=lambda: set(self.documents.zones_out),
             on_event=self.lines.write,
         )
         self.reporter = Reporter(
@@ -226,15 +231,13 @@
 
     def announced(self, info: TargetInfo) -> None:
         """Take a heartbeat of the server beside this daemon."""
-        config = self.documents.config
         if info.service != self.cfg.service:
             self.lines.write(
                 "foreign_heartbeat",
                 {"target": info.target_id, "service": info.service},
             )
             return
-        policy = config.services.get(info.service) if config else None
-        self.target.announced(info, policy.cold_rate if policy else None)
+        self.target.announced(info)
 
     async def run(self) -> None:
         """Do the daemon's own work until cancelled."""
@@ -267,6 +270,13 @@
             await asyncio.sleep(_TICK_S)
         await self.holder.run()
 
+    def _cold_rate(self) -> float | None:
+        config = self.documents.config
+        if config is None:
+            return None
+        policy = config.services.get(self.cfg.service)
+        return policy.cold_rate if policy else None
+
     def _keyed_services(self) -> set[str]:
         config = self.documents.config
         if config is None:
@@ -283,6 +293,7 @@
         own.slots = info.slots if info else 0
         own.takes_work = self.target.takes_work
         own.leaving = self.leaving
+        own.resigning = self.coordinator.is_resigning
         own.load = self.gate.load
         own.documents = self.documents.end
         own.term, own.revision = self.view.version
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -20,6 +20,8 @@
     :param budget_ratio: repeats allowed per request.
     :param budget_extra: repeats that all daemons may make besides.
     :param budget_window_s: window of that budget, in seconds.
+    :param drain_s: how long after its notice a leaving target may be sent
+        work, in seconds.
     :param grace_s: time between the signal to stop and the end, in
         seconds.
     """
@@ -30,6 +32,7 @@
         "budget_window_s",
         "callers",
         "control",
+        "drain_s",
         "grace_s",
         "ip",
         "name",
@@ -57,6 +60,7 @@
         budget_ratio: float,
         budget_extra: float,
         budget_window_s: float,
+        drain_s: float,
         grace_s: float,
     ) -> None:
         self.name = name
@@ -72,4 +76,5 @@
         self.budget_ratio = budget_ratio
         self.budget_extra = budget_extra
         self.budget_window_s = budget_window_s
+        self.drain_s = drain_s
         self.grace_s = grace_s
