--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -5,11 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from burdockgap.fleet.member import Member
-
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from burdockgap.fleet.member import Member
     from burdockgap.forward.load import Load
 
 ALIVE_S = 3.2
@@ -133,7 +132,7 @@
         return [self.own, *alive]
 
     def servers(self, service: str) -> list[Member]:
-        """Return the live members whose target takes a service's work."""
+        """Return the live members whose target serves a service."""
         now = self._loop.time()
         return [
             member
--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -7,7 +7,7 @@
 
 class Call:
     """
-    One attempt at a request, as a daemon hands it to the target's daemon.
+    One attempt at a request, as handed to the target's daemon.
 
     :param request_id: the caller's id of the request.
     :param method: the method.
--- a/src/burdockgap/forward/caller_request.py
+++ b/src/burdockgap/forward/caller_request.py
@@ -14,8 +14,8 @@
     :param path: the path alone.
     :param headers: end-to-end headers to pass on, names in lower case.
     :param body: the whole body.
-    :param wait_s: how long the caller waits from its arrival, in seconds;
-        ``None`` if it did not say.
+    :param wait_s: how long the caller waits from its arrival, in
+        seconds; ``None`` if it did not say.
     :param key: the key, if one was named.
     :param arrived_at: when it arrived, on the event loop's clock.
     """
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -31,7 +31,8 @@
 _LATE_REPLY_S = 0.05
 """How much later than its deadline a target's daemon may reply."""
 _MOST_TRIES = 4
-"""Daemons asked for one request; a refusal there costs one round trip."""
+"""Daemons asked for one request; a refusal there costs one round
+trip."""
 _OWNER_PAUSE_S = 0.03
 _OWNER_SHARE = 0.5
 """Share of the objective that may be spent on looking for an owner."""
@@ -39,8 +40,8 @@
 _SERVER_ERROR = 500
 _RATIO_SHARE = 0.5
 _EXTRA_SHARE = 0.5
-"""Shares of the common retry budget that are used. The rest is for calls
-that targets make again while they run a request again."""
+"""Shares of the common retry budget that are used. The rest is for
+calls that targets make again while they run a request again."""
 
 
 class _Progress:
@@ -212,7 +213,7 @@
     async def _owner(
         self, call: Call, progress: _Progress, deadline: float
     ) -> Member | None:
-        """Return the key's owner, after a wait if it changed just now."""
+        """Return the key's owner, after a wait if there is none."""
         assert call.key is not None
         until = min(
             deadline, self._loop.time() + call.objective_s * _OWNER_SHARE
--- a/src/burdockgap/forward/run_log.py
+++ b/src/burdockgap/forward/run_log.py
@@ -12,7 +12,8 @@
     from burdockgap.forward.outcome import Outcome
 
 _KEEP_S = 10.0
-"""Above the longest deadline of a caller: a peer asks again within it."""
+"""Above the longest deadline of a caller: a peer asks again within
+it."""
 _MOST = 4096
 
 
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -31,7 +31,8 @@
 """Share of the objective that a request may spend in the queue."""
 _RETRY_AFTER_S = 0.05
 _KEYS_LEAVE_S = 2.0
-"""Time for keys to leave a data centre that is out; the users allow 5 s."""
+"""Time for keys to leave a data centre that is out; the users allow 5
+s."""
 
 
 class TargetGate:
@@ -131,8 +132,7 @@
 
     async def settle(self, request_id: str) -> Outcome:
         """
-        Return the outcome of a non-idempotent call, for a peer that lost
-        the connection.
+        Return what became of a call whose connection was lost.
 
         A call that has not arrived yet never runs after this.
         """
--- a/src/burdockgap/forward/target_protocol.py
+++ b/src/burdockgap/forward/target_protocol.py
@@ -26,7 +26,7 @@
         ...
 
     def is_trustworthy(self, response: Response) -> bool:
-        """Tell whether a success is really the target's whole answer."""
+        """Tell whether a success is the target's whole answer."""
         ...
 
     def encode_grant(
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -23,10 +23,12 @@
     """
     The newest life of the target and whether it takes work.
 
-    :param drain_s: how long a leaving target may be sent work, in seconds.
+    :param drain_s: how long a leaving target may be sent work, in
+        seconds.
     :param cold_rate: returns the requests per second that a cold target
         bears, ``None`` while no configuration is known.
-    :param on_change: called when anything that others must know changes.
+    :param on_change: called when anything that others must know
+        changes.
     :param on_event: logs a change of belief.
     :ivar info: the newest announcement, ``None`` before the first.
     :ivar up: whether the target is believed to run.
@@ -95,7 +97,7 @@
         return self.info.born if self.info is not None and self.up else 0
 
     def bears_request(self) -> bool:
-        """Tell whether the target, cold or warm, may be sent a request."""
+        """Tell whether the target bears a request now."""
         now = self._loop.time()
         if now >= self._cold_until:
             return True
--- a/src/burdockgap/hop/frames.py
+++ b/src/burdockgap/hop/frames.py
@@ -27,7 +27,7 @@
 
 def encode_frame(*parts: Any) -> bytes:
     """Return a frame of some plain values."""
-    body = msgpack.packb(parts, use_bin_type=True)
+    body: bytes = msgpack.packb(parts, use_bin_type=True)
     return _LENGTH.pack(len(body)) + body
 
 
--- a/src/burdockgap/hop/link.py
+++ b/src/burdockgap/hop/link.py
@@ -28,8 +28,8 @@
     """
     Calls to one peer over one connection, any number at a time.
 
-    A connection on which a live peer stays silent is replaced: something
-    between the two ends may have lost track of it.
+    A connection on which a live peer stays silent is replaced:
+    something between the two ends may have lost track of it.
 
     :param loop: the event loop.
     """
--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -25,7 +25,8 @@
     Handler = Callable[[Any], Awaitable[Any]]
 
 LINK_LOST = "link lost"
-"""Message of a cancellation because the caller's connection was lost."""
+"""Message of a cancellation because the caller's connection was
+lost."""
 
 
 class _Incoming(asyncio.Protocol):
--- a/src/burdockgap/http1/encode.py
+++ b/src/burdockgap/http1/encode.py
@@ -69,7 +69,7 @@
 
 
 def connection_headers(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
-    """Return the names that the Connection header lists, in lower case."""
+    """Return the lower-case names that Connection lists."""
     names: set[str] = set()
     for name, value in headers:
         if name == "connection":
--- a/src/burdockgap/http1/exchange_error.py
+++ b/src/burdockgap/http1/exchange_error.py
@@ -8,7 +8,8 @@
     No complete response came.
 
     :param detail: what happened.
-    :param sent: whether bytes of the request may have reached the server.
+    :param sent: whether bytes of the request may have reached the
+        server.
     :param refused: whether nothing listens at the address.
     """
 
--- a/src/burdockgap/http1/request.py
+++ b/src/burdockgap/http1/request.py
@@ -38,7 +38,7 @@
         return self.target.partition("?")[0]
 
     def header(self, name: str) -> str | None:
-        """Return the first value of a header, by its lower-case name."""
+        """Return a header's first value, by lower-case name."""
         for key, value in self.headers:
             if key == name:
                 return value
--- a/src/burdockgap/http1/response.py
+++ b/src/burdockgap/http1/response.py
@@ -8,8 +8,8 @@
     A whole response.
 
     :param status: the status code.
-    :param headers: pairs of name and value; names are in lower case in a
-        response that was read.
+    :param headers: pairs of name and value; names are in lower case in
+        a response that was read.
     :param body: the whole body.
     """
 
@@ -31,7 +31,7 @@
         return 200 <= self.status < 300
 
     def header(self, name: str) -> str | None:
-        """Return the first value of a header, by its lower-case name."""
+        """Return a header's first value, by lower-case name."""
         for key, value in self.headers:
             if key == name:
                 return value
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -16,15 +16,16 @@
     from burdockgap.http1.server import Server
 
 _PIPELINE = 16
-"""Requests read ahead of the one being answered before reading stops."""
+"""Requests read ahead of the one being answered before reading
+stops."""
 
 
 class ServerConnection(asyncio.Protocol):
     """
     Reads requests and answers them one after another in one task.
 
-    The task is cancelled when the caller closes the connection, which is
-    how the work for a caller that has left ends.
+    The task is cancelled when the caller closes the connection, which
+    is how the work for a caller that has left ends.
 
     :param server: the listener that the connection belongs to.
     """
--- a/src/burdockgap/platform/announcements.py
+++ b/src/burdockgap/platform/announcements.py
@@ -74,7 +74,7 @@
         self._on_event = on_event
 
     async def answer_control(self, req: Request) -> Response:
-        """Answer a server's call; an acknowledgement waits for nothing."""
+        """Answer a server's call without waiting for anything."""
         path = req.path
         target_id = path.removeprefix(_INSTANCES)
         if not path.startswith(_INSTANCES) or not target_id:
--- a/src/burdockgap/platform/documents.py
+++ b/src/burdockgap/platform/documents.py
@@ -26,7 +26,7 @@
 
     def decode(self, key: str, value: bytes) -> RoutingConfig | ZoneOut | None:
         """
-        Return the meaning of a document, ``None`` if it has none here.
+        Return a document's meaning, ``None`` if it has none.
 
         :raises ValueError: if it cannot be used.
         """
--- a/src/burdockgap/routing/document_follower.py
+++ b/src/burdockgap/routing/document_follower.py
@@ -18,7 +18,8 @@
 _WAIT_S = 10.0
 """Long, as each call has its price; peers tell of changes meanwhile."""
 _COORDINATOR_WAIT_S = 1.5
-"""Bounds how long all members miss a change behind a silent connection."""
+"""Bounds how long all members miss a change behind a silent
+connection."""
 
 
 class DocumentFollower:
--- a/src/burdockgap/routing/documents.py
+++ b/src/burdockgap/routing/documents.py
@@ -21,11 +21,11 @@
 
 
 class DocumentDecoder(Protocol):
-    """Reads operators' documents in the form in which they are stored."""
+    """Reads operators' documents in the form they are stored in."""
 
     def decode(self, key: str, value: bytes) -> RoutingConfig | ZoneOut | None:
         """
-        Return the meaning of a document, ``None`` if it has none here.
+        Return a document's meaning, ``None`` if it has none.
 
         :raises ValueError: if it cannot be used; says what is wrong.
         """
@@ -72,7 +72,7 @@
         self.raw: dict[str, bytes] = {}
 
     def replace(self, values: dict[str, bytes], end: int, source: str) -> None:
-        """Take all documents as of an offset, unless newer ones are known."""
+        """Take all documents as of an offset, if it is newer."""
         if end <= self.end and self.config is not None:
             return
         removed = [key for key in self.raw if key not in values]
--- a/src/burdockgap/shards/authority.py
+++ b/src/burdockgap/shards/authority.py
@@ -9,11 +9,11 @@
     """
     Votes of members for one coordinator's term.
 
-    A member votes with each report of the term; the vote counts from the
-    coordinator's time that the report echoes. A member that follows a
-    later term never votes for this one again, so another coordinator may
-    act without this one's knowledge only :data:`AUTHORITY_S` after a
-    majority has left.
+    A member votes with each report of the term; the vote counts from
+    the coordinator's time that the report echoes. A member that follows
+    a later term never votes for this one again, so another coordinator
+    may act without this one's knowledge only :data:`AUTHORITY_S` after
+    a majority has left.
 
     :param now: when the term was claimed, in seconds.
     :param is_first: whether no coordinator went before.
--- a/src/burdockgap/shards/control_store.py
+++ b/src/burdockgap/shards/control_store.py
@@ -19,8 +19,8 @@
     Reads and writes the control state under a condition.
 
     A write takes effect only where nobody has written since the last
-    read. After a write of unknown outcome the state has to be read again
-    before the next one.
+    read. After a write of unknown outcome the state has to be read
+    again before the next one.
 
     :param store: the platform's store.
     """
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -29,15 +29,15 @@
 _FRESH_S = 1.0
 """Age of a report beyond which its server is given no more keys."""
 _LOST_S = 2.0
-"""Silence of an owner after which its keys move; a daemon that was killed
-is back within about a second."""
+"""Silence of an owner after which its keys move; a daemon that was
+killed is back within about a second."""
 _BALANCE_S = 0.5
 _VOTER_PATIENCE_S = 5.0
 """Without a majority for so long, those that answer are the voters."""
 _ABSENT_S = 10.0
 _RESIGN_AFTER_S = 0.4
-"""A slow store answers sooner; one that turns this machine away may serve
-others."""
+"""A slow store answers sooner; one that turns this machine away may
+serve others."""
 _FIRST_PLAN_S = 0.6
 """Wait for other members before the first assignment is made."""
 
@@ -104,7 +104,7 @@
 
     @property
     def is_resigning(self) -> bool:
-        """Whether this coordinator cannot write and another should."""
+        """Whether this coordinator cannot write."""
         return (
             self.is_active
             and self._failing_since is not None
@@ -113,7 +113,7 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether this member is the coordinator, as far as it knows."""
+        """Whether this member acts as coordinator."""
         state = self._view.state
         return self.term > 0 and self.term == state.term
 
@@ -125,32 +125,20 @@
         """
         try:
             known = await self._store.read()
-            if known is not None and self._view.adopt(known):
-                # Another claim or write came first; judge it anew.
-                if known.term > self._view.state.term:
-                    return False
-            base = known or ControlState()
-            claimed = base.successor()
-            claimed.term = base.term + 1
-            claimed.coordinator = self._roster.own.name
-            claimed.incarnation = self._roster.own.incarnation
-            if not claimed.voters:
-                claimed.voters = tuple(
-                    sorted(member.name for member in self._roster.live())
-                )
+            if known is not None and self._is_own_claim(known):
+                # An earlier claim took effect without an answer.
+                self._begin(known, is_first=known.term == 1)
+                return True
+            if known is not None and known.term > self._view.state.term:
+                # Another member's claim came first.
+                self._view.adopt(known)
+                return False
+            claimed = self._claim_after(known or ControlState())
             await self._store.write(claimed)
         except StoreError as exc:
             self._on_event("claim_failed", {"why": str(exc)})
             return False
-        self._reset()
-        self.term = claimed.term
-        self._since = self._clock.now()
-        self._authority = Authority(self._since, is_first=base.term == 0)
-        self._view.adopt(claimed)
-        self._on_event(
-            "claimed",
-            {"term": claimed.term, "voters": len(claimed.voters)},
-        )
+        self._begin(claimed, is_first=known is None)
         return True
 
     async def run(self) -> None:
@@ -160,6 +148,34 @@
             if self.is_active:
                 await self._tick()
 
+    def _is_own_claim(self, state: ControlState) -> bool:
+        own = self._roster.own
+        return (
+            state.coordinator == own.name
+            and state.incarnation == own.incarnation
+            and state.term > self.term
+        )
+
+    def _claim_after(self, base: ControlState) -> ControlState:
+        claimed = base.successor()
+        claimed.term = base.term + 1
+        claimed.coordinator = self._roster.own.name
+        claimed.incarnation = self._roster.own.incarnation
+        if not claimed.voters:
+            names = {member.name for member in self._roster.live()}
+            claimed.voters = tuple(sorted(names))
+        return claimed
+
+    def _begin(self, state: ControlState, *, is_first: bool) -> None:
+        self._reset()
+        self.term = state.term
+        now = self._clock.now()
+        self._authority = Authority(now, is_first=is_first)
+        self._view.adopt(state)
+        self._on_event(
+            "claimed", {"term": state.term, "voters": len(state.voters)}
+        )
+
     def _reset(self) -> None:
         now = self._clock.now()
         self._reports: dict[str, Report] = {}
@@ -168,7 +184,7 @@
         self._rates: dict[str, KeyRates] = {}
         self._authority = Authority(now, is_first=False)
         self._balanced_at = 0.0
-        self._since = now
+        self._since: float = now
         self._failing_since: float | None = None
         self._withheld: set[str] = set()
         self._writing_voters: tuple[str, ...] = ()
@@ -287,8 +303,9 @@
         if (stored.term, stored.revision) >= (state.term, state.revision):
             self._view.adopt(stored)
             return True
-        # Not done, or still on its way: the same write again, which takes
-        # effect once at most, as its condition names the same offset.
+        # Not done, or still on its way: the same write again, which
+        # takes effect once at most, as its condition names the same
+        # offset.
         return self._view.state.term != self.term
 
     def _update_voters(
@@ -326,27 +343,26 @@
         reasons: list[str],
         gone_names: set[str],
     ) -> None:
+        is_balance_due = now - self._balanced_at >= _BALANCE_S
         for service in sorted(self._keyed_services()):
-            rates = self._rates.setdefault(service, KeyRates(now))
-            rates.fade(now)
-            servers = self._servers(service, now)
+            self._rates.setdefault(service, KeyRates(now)).fade(now)
             rows = state.shards.get(service, [])
             if not rows and now - self._since < _FIRST_PLAN_S:
                 continue
             if self._clear(state, service, now, gone_names):
                 reasons.append("cleared")
+            servers = self._servers(service, now)
             kept, gone = self._keepable(state, service, servers, now)
             gone_names |= {name for name, _ in gone}
-            if servers and self._assign(state, service, servers, kept, gone):
+            if not servers:
+                continue
+            if self._assign(state, service, servers, kept, gone):
                 reasons.append("unowned")
-            if now - self._balanced_at >= _BALANCE_S and servers:
-                if state.shards.get(service) and balance(
-                    state, service, servers, rates
-                ):
-                    reasons.append("balance")
-            if service in state.shards:
-                state.shards[service] = merged(state.shards[service])
-        if now - self._balanced_at >= _BALANCE_S:
+            rates = self._rates[service]
+            if is_balance_due and balance(state, service, servers, rates):
+                reasons.append("balance")
+            state.shards[service] = merged(state.shards[service])
+        if is_balance_due:
             self._balanced_at = now
 
     def _assign(
@@ -357,7 +373,7 @@
         kept: set[tuple[str, int]],
         gone: set[tuple[str, int]],
     ) -> bool:
-        """Give away the ranges whose owner is neither usable nor awaited."""
+        """Give away ranges without a usable or awaited owner."""
         rows = state.shards.get(service, [])
         awaited = [
             shard for shard in rows if (shard.owner, shard.born) in kept
@@ -474,7 +490,7 @@
         return changed
 
     def _is_cleared(self, shard: Shard) -> bool:
-        """Tell whether the owner reported that it holds the range alone."""
+        """Tell whether the owner holds the range alone."""
         report = self._reports.get(shard.owner)
         if report is None or report.born != shard.born:
             return False
--- a/src/burdockgap/shards/holding.py
+++ b/src/burdockgap/shards/holding.py
@@ -54,7 +54,7 @@
         self.taker: asyncio.Task[None] | None = None
 
     def follow(self, parts: list[Holding]) -> None:
-        """Take over the state of the holdings that the range came from."""
+        """Take over the state of the range's earlier parts."""
         self.cleared = all(part.cleared for part in parts)
         self.granted = all(part.granted for part in parts)
         self.hold_until = min(part.hold_until for part in parts)
--- a/src/burdockgap/shards/key_samples.py
+++ b/src/burdockgap/shards/key_samples.py
@@ -22,7 +22,7 @@
             self._keys.append(key)
 
     def take(self) -> tuple[int, list[int]]:
-        """Return how many requests there were, and some of their keys."""
+        """Return the number of requests and some of their keys."""
         seen, keys = self._seen, self._keys
         self._seen, self._keys = 0, []
         return seen, keys
--- a/src/burdockgap/shards/planner.py
+++ b/src/burdockgap/shards/planner.py
@@ -16,7 +16,8 @@
 """Use of slots below which a server is left alone."""
 _MOST_MOVES = 3
 _DEAR_KEYS = 8192
-"""Keys that halve the worth of a move, as each that changes hands costs."""
+"""Keys that halve the worth of a move, as each that changes hands
+costs."""
 
 
 class Server:
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -33,7 +33,8 @@
 _CLAIM_PAUSE_S = 0.5
 """After a failed claim, since the store may be away for everybody."""
 _UNKNOWN_S = 2.5
-"""After a start, how long a target that says nothing counts as awaited."""
+"""After a start, how long a target that says nothing counts as
+awaited."""
 _UNKNOWN = -1
 
 
@@ -50,6 +51,7 @@
     :param target: what is known of the target.
     :param holder: returns what the target holds, if it has keys.
     :param load: returns the target's load.
+    :param is_active: tells whether this member acts as coordinator.
     :param claim: tries to become coordinator.
     :param pull: fetches the control state from a member.
     :param on_event: logs a change of belief.
@@ -63,6 +65,7 @@
         "_datagrams",
         "_echo",
         "_holder",
+        "_is_active",
         "_lease",
         "_load",
         "_on_event",
@@ -88,6 +91,7 @@
         target: TargetState,
         holder: Callable[[], ShardHolder | None],
         load: Callable[[], Load],
+        is_active: Callable[[], bool],
         claim: Callable[[], Awaitable[bool]],
         pull: Callable[[Member], None],
         on_event: Callable[[str, dict[str, object]], None],
@@ -101,6 +105,7 @@
         self._target = target
         self._holder = holder
         self._load = load
+        self._is_active = is_active
         self._claim = claim
         self._pull = pull
         self._on_event = on_event
@@ -198,7 +203,7 @@
         state = self._view.state
         own = self._roster.own
         if state.coordinator == own.name:
-            return state.incarnation != own.incarnation
+            return not self._is_active()
         if state.term == 0:
             return True
         coordinator = self._roster.member(state.coordinator)
@@ -210,7 +215,7 @@
         return self._clock.now() - self._answered_at > _SILENT_S
 
     async def _try_claim(self) -> None:
-        """Claim the coordinator's place, the first member by name first."""
+        """Claim the coordinator's place, in order of names."""
         state = self._view.state
         live = sorted(
             member.name
--- a/src/burdockgap/shards/shard.py
+++ b/src/burdockgap/shards/shard.py
@@ -47,8 +47,9 @@
         """
         Tell whether two adjacent ranges may become one.
 
-        Their fencing tokens may differ if no earlier holder is left: the
-        higher one is above all tokens that either range had elsewhere.
+        Their fencing tokens may differ if no earlier holder is left:
+        the higher one is above all tokens that either range had
+        elsewhere.
         """
         if (self.owner, self.born) != (other.owner, other.born):
             return False
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -26,7 +26,8 @@
 
 _TICK_S = 0.1
 _RENEW_BELOW_S = 0.7
-"""Left of a grant when it is renewed; a lost renewal is repeated twice."""
+"""Left of a grant when it is renewed; a lost renewal is repeated
+twice."""
 _CALL_TIMEOUT_S = 0.4
 _RELEASE_TIMEOUT_S = 2.0
 _ASK_AGAIN_S = 0.15
@@ -48,7 +49,8 @@
     :param state: what is known of the target.
     :param protocol: what the target speaks.
     :param release: asks another member to let go of a range under a
-        fencing token; returns its handover, or ``None`` if it could not.
+        fencing token; returns its handover, or ``None`` if it could
+        not.
     :param on_event: logs a decision or change of belief.
     :ivar samples: keys asked for lately.
     """
@@ -177,8 +179,8 @@
         """
         Wait until the target holds an owned key.
 
-        :raises Refusal: with ``not-run`` if it is not owned, or not held
-            in time.
+        :raises Refusal: with ``not-run`` if it is not owned, or not
+            held in time.
         """
         until = self._loop.time() + wait_s
         while True:
@@ -370,7 +372,7 @@
         ]
 
     def _unanswered_until(self, first: int, last: int) -> float:
-        """Return when the last grant without an answer has run out."""
+        """Return when the last unanswered grant has run out."""
         items = self._overlapping(first, last)
         until = [item.unanswered_until for item in items]
         # An earlier process beside the same target may have sent some.
--- a/src/burdockgap/sidecar/discovery.py
+++ b/src/burdockgap/sidecar/discovery.py
@@ -66,7 +66,7 @@
         self._on_event("discovered", {"members": len(newest.values)})
 
     async def withdraw(self) -> None:
-        """Remove this member's entry, for a machine that goes for good."""
+        """Remove the entry of a machine that goes for good."""
         try:
             await self._store.remove(_TOPIC, self._roster.own.name)
         except StoreError as exc:
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -186,6 +186,7 @@
             target=self.target,
             holder=lambda: self.holder,
             load=lambda: self.gate.load,
+            is_active=lambda: self.coordinator.is_active,
             claim=self.coordinator.claim,
             pull=self._pull_table,
             on_event=self.lines.write,
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -22,7 +22,8 @@
     from burdockgap.sidecar.sidecar_settings import SidecarSettings
 
 _STAY_S = 2.6
-"""Two questions of the platform, so that callers have been sent away."""
+"""Two questions of the platform, so that callers have been sent
+away."""
 _GRACE_SHARE = 0.8
 _POLL_S = 0.05
 
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -20,8 +20,8 @@
     :param budget_ratio: repeats allowed per request.
     :param budget_extra: repeats that all daemons may make besides.
     :param budget_window_s: window of that budget, in seconds.
-    :param drain_s: how long after its notice a leaving target may be sent
-        work, in seconds.
+    :param drain_s: how long after its notice a leaving target may be
+        sent work, in seconds.
     :param grace_s: time between the signal to stop and the end, in
         seconds.
     """
--- a/standins/scenario/observer.py
+++ b/standins/scenario/observer.py
@@ -9,9 +9,9 @@
 
 from burdockgap.fold.folds import Folds
 from burdockgap.fold.loader import Loader
-from burdockgap.ownership.unit import hash_key, slice_of
 from burdockgap.logstore.http_log import open_http_log
 from burdockgap.logstore.tail import Tail
+from burdockgap.ownership.unit import hash_key, slice_of
 from burdockgap.records.streams import CONFIG, CONTROL
 from standins.scenario.scenario_error import UnmetError
 
