--- a/src/burdockgap/fleet/datagrams.py
+++ b/src/burdockgap/fleet/datagrams.py
@@ -14,6 +14,7 @@
 BEACON = 1
 REPORT = 2
 LEASE = 3
+SUSPECTS = 4
 
 
 class Datagrams(asyncio.DatagramProtocol):
--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -17,7 +17,7 @@
     :param incarnation: random number of this process.
     :param sequence: rises with each change within one incarnation.
     :param address: where it takes calls and datagrams of peers.
-    :param zone: its data centre.
+    :param data_centre: its data centre.
     :param region: the region of its data centre.
     :param service: service of the target beside it.
     :param target_id: the target's id, "" if none is known.
@@ -50,7 +50,7 @@
         "takes_work",
         "target_id",
         "term",
-        "zone",
+        "data_centre",
     )
 
     def __init__(
@@ -59,7 +59,7 @@
         name: str,
         incarnation: int,
         address: tuple[str, int],
-        zone: str,
+        data_centre: str,
         region: str,
         service: str,
         sequence: int = 0,
@@ -77,7 +77,7 @@
         self.name = name
         self.incarnation = incarnation
         self.address = address
-        self.zone = zone
+        self.data_centre = data_centre
         self.region = region
         self.service = service
         self.sequence = sequence
@@ -99,7 +99,7 @@
             self.incarnation,
             self.sequence,
             list(self.address),
-            self.zone,
+            self.data_centre,
             self.region,
             self.service,
             self.target_id,
@@ -131,7 +131,7 @@
             incarnation,
             sequence,
             (host, port),
-            zone,
+            data_centre,
             region,
             service,
             target_id,
@@ -150,7 +150,7 @@
             incarnation=incarnation,
             sequence=sequence,
             address=(host, port),
-            zone=zone,
+            data_centre=data_centre,
             region=region,
             service=service,
             target_id=target_id,
--- /dev/null
+++ b/src/burdockgap/forward/crash_watch.py
@@ -0,0 +1,110 @@
+"""Requests that were running when the target ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from burdockgap.gate.fingerprint import fingerprint_of
+from burdockgap.gate.messages.suspect import Suspect
+from burdockgap.gate.messages.suspects import Suspects
+from burdockgap.gate.quarantine import Quarantine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.clock import Clock
+    from burdockgap.forward.call import Call
+
+_BLAME_S = 1.5
+"""How long before a target's end a lost request may have caused it; the
+end shows at the next connection or announcement."""
+_MOST_LOST = 256
+
+
+class CrashWatch:
+    """
+    Blames requests whose connections were lost as their target ended.
+
+    :param service: the target's service.
+    :param clock: the time source.
+    :param tell: sends the suspects, as plain values, to other daemons.
+    :param on_event: logs a crash.
+    """
+
+    __slots__ = ("_clock", "_lost", "_on_event", "_quarantine", "_tell")
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        clock: Clock,
+        tell: Callable[[list[Any]], None],
+        on_event: Callable[[str, dict[str, object]], None],
+    ) -> None:
+        self._clock = clock
+        self._tell = tell
+        self._on_event = on_event
+        self._quarantine = Quarantine(service=service, clock=clock)
+        self._lost: list[tuple[float, int, int, str]] = []
+
+    def check(self, call: Call) -> None:
+        """
+        Refuse a request that was there at two crashes.
+
+        :raises Refusal: with ``not-run``.
+        """
+        self._quarantine.check(_fingerprint(call))
+
+    def answered(self, call: Call) -> None:
+        """Take the whole answer to a request."""
+        self._quarantine.answered(_fingerprint(call))
+
+    def lost(self, call: Call, born: int) -> None:
+        """Note a request whose connection was lost at one life."""
+        now = self._clock.now()
+        self._lost.append((now, born, _fingerprint(call), call.request_id))
+        del self._lost[:-_MOST_LOST]
+
+    def ended(self, born: int) -> None:
+        """Take the end of one life of the target."""
+        since = self._clock.now() - _BLAME_S
+        blamed = [
+            entry
+            for entry in self._lost
+            if entry[1] == born and entry[0] > since
+        ]
+        self._lost = [entry for entry in self._lost if entry[1] != born]
+        if not blamed:
+            return
+        self._quarantine.crashed(str(born), [entry[2] for entry in blamed])
+        self._on_event(
+            "target_crashed",
+            {"born": born, "in_flight": [entry[3] for entry in blamed]},
+        )
+        suspects = self._quarantine.export()
+        self._tell(
+            [
+                suspects.service,
+                [
+                    [entry.fingerprint, entry.crashes, entry.age_s]
+                    for entry in suspects.entries
+                ],
+            ]
+        )
+
+    def merge(self, values: list[Any]) -> None:
+        """Take another daemon's suspects."""
+        service, entries = values
+        self._quarantine.merge(
+            Suspects(
+                service=service,
+                entries=[
+                    Suspect(fingerprint=number, crashes=crashes, age_s=age_s)
+                    for number, crashes, age_s in entries
+                ],
+            )
+        )
+
+
+def _fingerprint(call: Call) -> int:
+    return fingerprint_of(call.method, call.target, call.body)
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -68,6 +68,7 @@
     :param links: connections to other daemons.
     :param bounds: limits that hold for all daemons together.
     :param on_event: logs a decision.
+    :param on_answer: counts an answer's status and time in seconds.
     """
 
     __slots__ = (
@@ -79,6 +80,7 @@
         "_gate",
         "_links",
         "_loop",
+        "_on_answer",
         "_on_event",
         "_roster",
         "_view",
@@ -97,7 +99,9 @@
         budget_extra: float,
         budget_window_s: float,
         on_event: Callable[[str, dict[str, object]], None],
+        on_answer: Callable[[int, float], None],
     ) -> None:
+        self._on_answer = on_answer
         self._loop = asyncio.get_running_loop()
         self._roster = roster
         self._documents = documents
@@ -195,7 +199,7 @@
             member
             for member in self._roster.servers(call.service)
             if member.name not in progress.tried
-            and member.zone not in self._documents.zones_out
+            and member.data_centre not in self._documents.data_centres_out
             and (not route.regions or member.region in route.regions)
         ]
         if not servers:
@@ -206,7 +210,7 @@
 
     def _cost(self, member: Member, route: Route) -> float:
         pressure = self._roster.pressure(member)
-        if member.zone != self._roster.own.zone:
+        if member.data_centre != self._roster.own.data_centre:
             pressure += 1.0 if route.large else 0.05
         return pressure
 
@@ -385,6 +389,9 @@
         response: Response | None,
         version: int,
     ) -> None:
+        took_s = self._loop.time() - req.arrived_at
+        if response is not None:
+            self._on_answer(response.status, took_s)
         self._on_event(
             "request",
             {
@@ -396,6 +403,6 @@
                 "control": self._view.version,
                 "attempts": progress.attempts,
                 "status": response.status if response else "caller left",
-                "ms": round((self._loop.time() - req.arrived_at) * 1000, 1),
+                "ms": round(took_s * 1000, 1),
             },
         )
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from burdockgap.forward.call import Call
+    from burdockgap.forward.crash_watch import CrashWatch
     from burdockgap.forward.target_protocol import TargetProtocol
     from burdockgap.forward.target_state import TargetState
     from burdockgap.shards.shard_holder import ShardHolder
@@ -42,22 +43,27 @@
     :param service: the target's service.
     :param state: what is known of the target.
     :param protocol: what the target speaks.
-    :param zone_out_since: returns when operators took the data centre
+    :param out_since: returns when operators took the data centre
         out, on the event loop's clock; ``None`` if it is in service.
     :param holder: keys that the target holds; ``None`` until known.
+    :param crashes: knows the requests that crash targets.
     :param on_event: logs a decision.
+    :param on_outcome: counts an outcome and its time in seconds.
     :ivar leaving: whether this daemon is about to stop.
     """
 
     __slots__ = (
+        "_crashes",
+        "_life",
         "_loop",
         "_on_event",
+        "_on_outcome",
         "_pool",
         "_protocol",
         "_runs",
         "_slots",
         "_state",
-        "_zone_out_since",
+        "_out_since",
         "holder",
         "leaving",
         "service",
@@ -69,14 +75,19 @@
         service: str,
         state: TargetState,
         protocol: TargetProtocol,
-        zone_out_since: Callable[[], float | None],
+        out_since: Callable[[], float | None],
+        crashes: CrashWatch,
         on_event: Callable[[str, dict[str, object]], None],
+        on_outcome: Callable[[Outcome, float], None],
     ) -> None:
+        self._crashes = crashes
+        self._on_outcome = on_outcome
+        self._life = 0
         self._loop = asyncio.get_running_loop()
         self.service = service
         self._state = state
         self._protocol = protocol
-        self._zone_out_since = zone_out_since
+        self._out_since = out_since
         self._on_event = on_event
         self._slots = Slots(size=1, queue_size=1)
         self._runs = RunLog()
@@ -104,6 +115,9 @@
         info = self._state.info
         if info is None:
             return
+        if self._life and (self._state.ended or info.born != self._life):
+            self._crashes.ended(self._life)
+        self._life = info.born
         if self._pool is None or self._pool.address != info.address:
             self._pool = ClientPool(
                 info.address,
@@ -155,6 +169,7 @@
 
     async def _attempt(self, call: Call, deadline: float) -> Outcome:
         try:
+            self._crashes.check(call)
             self._check_open(call)
             if self.holder is not None and call.key is not None:
                 self.holder.samples.add(call.key)
@@ -180,7 +195,7 @@
             raise _refusal(Reason.UNKNOWN_SERVICE)
         if not self._state.up or self._state.info is None:
             raise _refusal(Reason.TARGET_DOWN)
-        out_since = self._zone_out_since()
+        out_since = self._out_since()
         if self.holder is not None and call.key is not None:
             # Keys are served for a while longer, until they have moved.
             now = self._loop.time()
@@ -223,7 +238,7 @@
                     max_idle_s=None if call.idempotent else _UNSAFE_IDLE_S,
                 )
         except ExchangeError as exc:
-            return self._failed(exc, info.born)
+            return self._failed(call, exc, info.born)
         except TimeoutError:
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, offered=True
@@ -236,14 +251,19 @@
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.TRUNCATED, offered=True
             )
+        self._crashes.answered(call)
         return Outcome(verdict, response=response, offered=True)
 
-    def _failed(self, exc: ExchangeError, born: int) -> Outcome:
+    def _failed(self, call: Call, exc: ExchangeError, born: int) -> Outcome:
         if exc.refused:
             self._state.refused_connection(born)
-        self._on_event("exchange_failed", {"detail": str(exc), "born": born})
+        self._on_event(
+            "exchange_failed",
+            {"id": call.request_id, "detail": str(exc), "born": born},
+        )
         if not exc.sent:
             return Outcome(Verdict.NOT_RUN, reason=Reason.TARGET_DOWN)
+        self._crashes.lost(call, born)
         return Outcome(
             Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, offered=True
         )
@@ -257,6 +277,7 @@
         self._on_event("unexpected_bytes", {"detail": what})
 
     def _log(self, call: Call, outcome: Outcome, began: float) -> None:
+        self._on_outcome(outcome, self._loop.time() - began)
         self._on_event(
             "gate",
             {
--- a/src/burdockgap/forward/target_info.py
+++ b/src/burdockgap/forward/target_info.py
@@ -12,7 +12,7 @@
         value, whatever its id.
     :param address: where it takes requests, as host and port.
     :param service: the service that it belongs to.
-    :param zone: its data centre.
+    :param data_centre: its data centre.
     :param slots: requests that it runs at once.
     :param draining: whether it is about to leave.
     :param cold_s: how much longer it is cold, in seconds.
@@ -28,7 +28,7 @@
         "service",
         "slots",
         "target_id",
-        "zone",
+        "data_centre",
     )
 
     def __init__(
@@ -38,7 +38,7 @@
         born: int,
         address: tuple[str, int],
         service: str,
-        zone: str,
+        data_centre: str,
         slots: int,
         draining: bool,
         cold_s: float,
@@ -48,7 +48,7 @@
         self.born = born
         self.address = address
         self.service = service
-        self.zone = zone
+        self.data_centre = data_centre
         self.slots = slots
         self.draining = draining
         self.cold_s = cold_s
--- a/src/burdockgap/logs/line_writer.py
+++ b/src/burdockgap/logs/line_writer.py
@@ -6,7 +6,10 @@
 import os
 import time
 from collections import deque
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 _MOST_LINES = 4000
 """Lines held for a reader that is slow; about 1 MB."""
@@ -23,10 +26,12 @@
 
     :param fd: the descriptor.
     :param name: name of the process, part of every line.
+    :param count: told each line's event, that of a dropped one too.
     :ivar dropped: lines dropped so far.
     """
 
     __slots__ = (
+        "_count",
         "_fd",
         "_lines",
         "_name",
@@ -36,7 +41,10 @@
         "dropped",
     )
 
-    def __init__(self, *, fd: int, name: str) -> None:
+    def __init__(
+        self, *, fd: int, name: str, count: Callable[[str], None]
+    ) -> None:
+        self._count = count
         self._fd = fd
         self._name = name
         self._lines: deque[bytes] = deque()
@@ -53,6 +61,7 @@
         :param event: what happened.
         :param fields: its inputs and outcome; plain values.
         """
+        self._count(event)
         now = time.time()
         if int(now) != self._second:
             self._second, self._this_second = int(now), 0
--- a/src/burdockgap/platform/announcements.py
+++ b/src/burdockgap/platform/announcements.py
@@ -39,7 +39,7 @@
         born=field(source, "born", int),
         address=address(field(source, "address", str)),
         service=field(source, "service", str),
-        zone=field(source, "zone", str),
+        data_centre=field(source, "zone", str),
         slots=slots,
         draining=state == "draining",
         # Time left until a server is warm after its start.
--- a/src/burdockgap/platform/documents.py
+++ b/src/burdockgap/platform/documents.py
@@ -9,7 +9,7 @@
 from burdockgap.platform.fields import field
 from burdockgap.platform.names import CONFIG_KEY, ZONE_OUT_PREFIX
 from burdockgap.platform.times import decode_time
-from burdockgap.routing.documents import ZoneOut
+from burdockgap.routing.documents import DataCentreOut
 from burdockgap.routing.route import Route
 from burdockgap.routing.routing_config import RoutingConfig
 from burdockgap.routing.service_policy import ServicePolicy
@@ -24,14 +24,16 @@
 
     __slots__ = ()
 
-    def decode(self, key: str, value: bytes) -> RoutingConfig | ZoneOut | None:
+    def decode(
+        self, key: str, value: bytes
+    ) -> RoutingConfig | DataCentreOut | None:
         """
         Return a document's meaning, ``None`` if it has none.
 
         :raises ValueError: if it cannot be used.
         """
         if key.startswith(ZONE_OUT_PREFIX):
-            return ZoneOut(key.removeprefix(ZONE_OUT_PREFIX))
+            return DataCentreOut(key.removeprefix(ZONE_OUT_PREFIX))
         if key == CONFIG_KEY:
             return decode_config(value)
         return None
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -28,7 +28,7 @@
     number = (int, float)
     return SidecarSettings(
         name=field(source, "node-name", str),
-        zone=field(source, "zone", str),
+        data_centre=field(source, "zone", str),
         region=field(source, "region", str),
         service=field(source, "service", str),
         ip=field(source, "ip-address", str),
--- a/src/burdockgap/routing/documents.py
+++ b/src/burdockgap/routing/documents.py
@@ -11,19 +11,21 @@
     from burdockgap.routing.routing_config import RoutingConfig
 
 
-class ZoneOut:
+class DataCentreOut:
     """A data centre that operators took out of service."""
 
-    __slots__ = ("zone",)
+    __slots__ = ("data_centre",)
 
-    def __init__(self, zone: str) -> None:
-        self.zone = zone
+    def __init__(self, data_centre: str) -> None:
+        self.data_centre = data_centre
 
 
 class DocumentDecoder(Protocol):
     """Reads operators' documents in the form they are stored in."""
 
-    def decode(self, key: str, value: bytes) -> RoutingConfig | ZoneOut | None:
+    def decode(
+        self, key: str, value: bytes
+    ) -> RoutingConfig | DataCentreOut | None:
         """
         Return a document's meaning, ``None`` if it has none.
 
@@ -41,8 +43,8 @@
     :param on_event: logs a change of belief.
     :ivar end: offset up to which the documents are known.
     :ivar config: the configuration in force, ``None`` before the first.
-    :ivar zones_out: data centres that get no new work, with the time of
-        the event loop's clock at which that was learned.
+    :ivar data_centres_out: data centres that get no new work, with the
+        time of the event loop's clock at which that was learned.
     :ivar raw: the stored documents by key, for peers.
     """
 
@@ -53,7 +55,7 @@
         "config",
         "end",
         "raw",
-        "zones_out",
+        "data_centres_out",
     )
 
     def __init__(
@@ -68,7 +70,7 @@
         self._on_event = on_event
         self.end = 0
         self.config: RoutingConfig | None = None
-        self.zones_out: dict[str, float] = {}
+        self.data_centres_out: dict[str, float] = {}
         self.raw: dict[str, bytes] = {}
 
     def replace(self, values: dict[str, bytes], end: int, source: str) -> None:
@@ -103,10 +105,15 @@
         except ValueError as exc:
             self._event("document_refused", key, source, why=str(exc))
             return
-        if isinstance(document, ZoneOut):
+        if isinstance(document, DataCentreOut):
             now = asyncio.get_running_loop().time()
-            self.zones_out.setdefault(document.zone, now)
-            self._event("zone_out", key, source, zone=document.zone)
+            self.data_centres_out.setdefault(document.data_centre, now)
+            self._event(
+                "data_centre_out",
+                key,
+                source,
+                data_centre=document.data_centre,
+            )
         elif document is not None:
             self._take_config(document, key, source)
 
@@ -132,9 +139,11 @@
         except ValueError:
             # It was refused when it came, so it has no effect to undo.
             return
-        if isinstance(document, ZoneOut):
-            self.zones_out.pop(document.zone, None)
-            self._event("zone_in", key, source, zone=document.zone)
+        if isinstance(document, DataCentreOut):
+            self.data_centres_out.pop(document.data_centre, None)
+            self._event(
+                "data_centre_in", key, source, data_centre=document.data_centre
+            )
 
     def _event(
         self, event: str, key: str, source: str, **fields: object
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -14,7 +14,7 @@
 from burdockgap.shards.lease import LEASE_S, MARGIN_S
 from burdockgap.shards.planner import Server, assign_unowned, balance
 from burdockgap.shards.reports import Report
-from burdockgap.shards.shard import Shard, merged
+from burdockgap.shards.shard import KEYS, Shard, merged
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,7 +52,7 @@
     :param datagrams: reports come in and leases go out by it.
     :param clock: runs on through suspension.
     :param keyed_services: returns the services divided by key.
-    :param zones_out: returns the data centres that are out.
+    :param data_centres_out: returns the data centres that are out.
     :param on_event: logs a decision.
     """
 
@@ -74,7 +74,7 @@
         "_view",
         "_withheld",
         "_writing_voters",
-        "_zones_out",
+        "_data_centres_out",
         "term",
     )
 
@@ -87,7 +87,7 @@
         datagrams: Datagrams,
         clock: Clock,
         keyed_services: Callable[[], set[str]],
-        zones_out: Callable[[], set[str]],
+        data_centres_out: Callable[[], set[str]],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
         self._roster = roster
@@ -96,7 +96,7 @@
         self._clock = clock
         self._datagrams = datagrams
         self._keyed_services = keyed_services
-        self._zones_out = zones_out
+        self._data_centres_out = data_centres_out
         self._on_event = on_event
         self.term = 0
         self._reset()
@@ -145,8 +145,7 @@
         """Do a coordinator's work for ever, while this member is it."""
         while True:
             await asyncio.sleep(_TICK_S)
-            if self.is_active:
-                await self._tick()
+            await self._tick()
 
     def _is_own_claim(self, state: ControlState) -> bool:
         own = self._roster.own
@@ -228,10 +227,12 @@
         member = self._roster.member(report.name)
         if member is None or not report.keys:
             return
-        rates = self._rates.setdefault(member.service, KeyRates(now))
+        rates = self._rates.setdefault(member.service, KeyRates(now, KEYS))
         rates.add(report.seen, report.keys)
 
     async def _tick(self) -> None:
+        if not self.is_active:
+            return
         now = self._clock.now()
         self._authority.note_majority(now, self._view.state.voters)
         has_authority = self._authority_until() > now
@@ -345,7 +346,7 @@
     ) -> None:
         is_balance_due = now - self._balanced_at >= _BALANCE_S
         for service in sorted(self._keyed_services()):
-            self._rates.setdefault(service, KeyRates(now)).fade(now)
+            self._rates.setdefault(service, KeyRates(now, KEYS)).fade(now)
             rows = state.shards.get(service, [])
             if not rows and now - self._since < _FIRST_PLAN_S:
                 continue
@@ -403,7 +404,7 @@
                 and report.born
                 and report.takes_work
                 and not member.leaving
-                and member.zone not in self._zones_out()
+                and member.data_centre not in self._data_centres_out()
             )
             if usable:
                 load = report.load
--- a/src/burdockgap/shards/key_rates.py
+++ b/src/burdockgap/shards/key_rates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+import itertools
 import math
 
 _DECAY_S = 2.0
@@ -12,13 +14,20 @@
 
 
 class KeyRates:
-    """Rates by key that fade, in requests per second."""
+    """
+    Rates by key that fade, in requests per second.
 
-    __slots__ = ("_faded_at", "rates")
+    :param now: the present time, in seconds.
+    :param keys_in_all: number of keys of the service.
+    """
 
-    def __init__(self, now: float) -> None:
-        self.rates: dict[int, float] = {}
+    __slots__ = ("_base", "_faded_at", "_index", "_rates")
+
+    def __init__(self, now: float, keys_in_all: int) -> None:
+        self._rates: dict[int, float] = {}
         self._faded_at = now
+        self._base = _BASE_RATE / keys_in_all
+        self._index: tuple[list[int], list[float]] | None = None
 
     def add(self, seen: int, keys: list[int]) -> None:
         """Count some requests, of which some keys are known."""
@@ -26,21 +35,38 @@
             return
         weight = seen / len(keys) / _DECAY_S
         for key in keys:
-            self.rates[key] = self.rates.get(key, 0.0) + weight
+            self._rates[key] = self._rates.get(key, 0.0) + weight
+        self._index = None
 
     def fade(self, now: float) -> None:
         """Let old counts lose weight."""
         factor = math.exp(-(now - self._faded_at) / _DECAY_S)
         self._faded_at = now
-        self.rates = {
+        self._rates = {
             key: rate * factor
-            for key, rate in self.rates.items()
+            for key, rate in self._rates.items()
             if rate * factor > _LEAST
         }
+        self._index = None
+
+    def between(self, first: int, last: int) -> float:
+        """Return the rate of a range, both ends included."""
+        keys, sums = self._sorted()
+        low = bisect.bisect_left(keys, first)
+        high = bisect.bisect_right(keys, last)
+        return sums[high] - sums[low] + self._base * (last - first + 1)
+
+    def known(self, first: int, last: int) -> list[tuple[int, float]]:
+        """Return the keys of a range with their rates, in order."""
+        keys, _ = self._sorted()
+        low = bisect.bisect_left(keys, first)
+        high = bisect.bisect_right(keys, last)
+        return [(key, self._rates[key]) for key in keys[low:high]]
 
-    def between(self, first: int, last: int, keys_in_all: int) -> float:
-        """Return the rate of a range."""
-        known = sum(
-            rate for key, rate in self.rates.items() if first <= key <= last
-        )
-        return known + _BASE_RATE * (last - first + 1) / keys_in_all
+    def _sorted(self) -> tuple[list[int], list[float]]:
+        if self._index is None:
+            keys = sorted(self._rates)
+            rates = [self._rates[key] for key in keys]
+            sums = [0.0, *itertools.accumulate(rates)]
+            self._index = keys, sums
+        return self._index
--- a/src/burdockgap/shards/planner.py
+++ b/src/burdockgap/shards/planner.py
@@ -63,16 +63,20 @@
     use = _use(rows, servers, rates)
     result: list[Shard] = []
     changed = False
+    all_rates = rates.between(0, KEYS - 1)
     for shard in rows:
         server = servers.get(shard.owner)
         if server is not None and server.born == shard.born:
             result.append(shard)
             continue
         changed = True
-        for part in _parts(shard, len(servers)):
+        share = rates.between(shard.first, shard.last) / all_rates
+        # A small range is not worth cutting up among all servers.
+        count = min(len(servers), 1 + int(share * len(servers) * 2))
+        for part in _parts(shard, count):
             name = min(use, key=lambda name: use[name])
             result.append(_moved(state, part, servers[name], gone))
-            rate = rates.between(part.first, part.last, KEYS)
+            rate = rates.between(part.first, part.last)
             use[name] += rate / servers[name].capacity
     state.shards[service] = result
     return changed
@@ -133,7 +137,7 @@
     for shard in rows:
         server = servers.get(shard.owner)
         if server is not None and server.born == shard.born:
-            rate = rates.between(shard.first, shard.last, KEYS)
+            rate = rates.between(shard.first, shard.last)
             use[server.name] += rate / server.capacity
     return use
 
@@ -175,7 +179,7 @@
     for shard in rows:
         if shard.owner != give.name or shard.previous:
             continue
-        whole = rates.between(shard.first, shard.last, KEYS)
+        whole = rates.between(shard.first, shard.last)
         if whole <= wanted:
             candidates = [(whole, shard)]
         else:
@@ -190,22 +194,20 @@
 def _ends(
     shard: Shard, rates: KeyRates, wanted: float
 ) -> list[tuple[float, Shard]]:
-    keys = sorted(
-        key for key in rates.rates if shard.first <= key <= shard.last
-    )
+    known = rates.known(shard.first, shard.last)
     found = []
     total, end = 0.0, None
-    for key in keys:
-        if total + rates.rates[key] > wanted:
+    for key, rate in known:
+        if total + rate > wanted:
             break
-        total, end = total + rates.rates[key], key
+        total, end = total + rate, key
     if end is not None and end < shard.last:
         found.append((total, shard.part(shard.first, end)))
     total, start = 0.0, None
-    for key in reversed(keys):
-        if total + rates.rates[key] > wanted:
+    for key, rate in reversed(known):
+        if total + rate > wanted:
             break
-        total, start = total + rates.rates[key], key
+        total, start = total + rate, key
     if start is not None and start > shard.first:
         found.append((total, shard.part(start, shard.last)))
     return found
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -123,6 +123,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def cancel(self) -> None:
+        """End what runs beside."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def run(self) -> None:
         """Report for ever; the stored state is read first."""
         await self._read_first()
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -225,6 +225,11 @@
         self._event("released", first, last, fence, handover=bool(handover))
         return handover
 
+    def cancel(self) -> None:
+        """End grants and takeovers that are on their way."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def run(self) -> None:
         """Take over, grant and renew for ever."""
         while True:
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -8,9 +8,11 @@
 
 from burdockgap.clock import BootClock
 from burdockgap.fleet.beacons import Beacons
+from burdockgap.fleet.datagrams import SUSPECTS
 from burdockgap.fleet.member import Member
 from burdockgap.fleet.roster import Roster
 from burdockgap.forward.call import Call
+from burdockgap.forward.crash_watch import CrashWatch
 from burdockgap.forward.forwarder import Forwarder
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
@@ -41,12 +43,14 @@
 
 if TYPE_CHECKING:
     from burdockgap.fleet.datagrams import Datagrams
+    from burdockgap.forward.outcome import Outcome
     from burdockgap.forward.target_info import TargetInfo
     from burdockgap.http1.request import Request
     from burdockgap.http1.server import Server
     from burdockgap.logs.line_writer import LineWriter
     from burdockgap.platform.store_client import StoreClient
     from burdockgap.shards.shard import Shard
+    from burdockgap.sidecar.metrics import SidecarMetrics
     from burdockgap.sidecar.sidecar_settings import SidecarSettings
 
 _PULL_AFTER_S = 0.15
@@ -64,11 +68,13 @@
     :param store: the platform's store.
     :param datagrams: messages to and from other daemons.
     :param lines: takes log lines.
+    :param metrics: counts.
     :ivar callers: the listener for callers, once it is there.
     """
 
     __slots__ = (
         "_beacons",
+        "_crashes",
         "_pulling",
         "callers",
         "cfg",
@@ -84,6 +90,7 @@
         "lease",
         "lines",
         "links",
+        "metrics",
         "protocol",
         "reporter",
         "roster",
@@ -99,10 +106,12 @@
         store: StoreClient,
         datagrams: Datagrams,
         lines: LineWriter,
+        metrics: SidecarMetrics,
     ) -> None:
         self.cfg = cfg
         self.store = store
         self.lines = lines
+        self.metrics = metrics
         self.clock = BootClock()
         self.links = Links()
         self.leaving = False
@@ -113,7 +122,7 @@
             name=cfg.name,
             incarnation=secrets.randbits(62),
             address=(cfg.ip, cfg.peer_port),
-            zone=cfg.zone,
+            data_centre=cfg.data_centre,
             region=cfg.region,
             service=cfg.service,
         )
@@ -121,6 +130,8 @@
         self._add_beliefs()
         self._add_traffic()
         self._add_control(datagrams)
+        datagrams.handlers[SUSPECTS] = self._take_suspects
+        self._add_gauges()
 
     def _add_beliefs(self) -> None:
         self.documents = Documents(
@@ -139,12 +150,22 @@
 
     def _add_traffic(self) -> None:
         self.protocol = PlatformTarget()
+        self._crashes = CrashWatch(
+            service=self.cfg.service,
+            clock=self.clock,
+            tell=self._tell_suspects,
+            on_event=self.lines.write,
+        )
         self.gate = TargetGate(
             service=self.cfg.service,
             state=self.target,
             protocol=self.protocol,
-            zone_out_since=lambda: self.documents.zones_out.get(self.cfg.zone),
+            out_since=lambda: self.documents.data_centres_out.get(
+                self.cfg.data_centre
+            ),
+            crashes=self._crashes,
             on_event=self.lines.write,
+            on_outcome=self._count_outcome,
         )
         self.forwarder = Forwarder(
             roster=self.roster,
@@ -156,6 +177,7 @@
             budget_extra=self.cfg.budget_extra,
             budget_window_s=self.cfg.budget_window_s,
             on_event=self.lines.write,
+            on_answer=self._count_answer,
         )
 
     def _add_control(self, datagrams: Datagrams) -> None:
@@ -173,7 +195,7 @@
             datagrams=datagrams,
             clock=self.clock,
             keyed_services=self._keyed_services,
-            zones_out=lambda: set(self.documents.zones_out),
+            data_centres_out=lambda: set(self.documents.data_centres_out),
             on_event=self.lines.write,
         )
         self.reporter = Reporter(
@@ -271,6 +293,57 @@
             await asyncio.sleep(_TICK_S)
         await self.holder.run()
 
+    def _tell_suspects(self, values: list[Any]) -> None:
+        self._beacons.tell_all(SUSPECTS, values)
+
+    def _take_suspects(self, values: list[Any]) -> None:
+        self._crashes.merge(values[0])
+
+    def _count_answer(self, status: int, seconds: float) -> None:
+        self.metrics.requests.labels(status).inc()
+        self.metrics.latency.observe(seconds)
+
+    def _count_outcome(self, outcome: Outcome, seconds: float) -> None:
+        reason = outcome.reason.value if outcome.reason else ""
+        self.metrics.outcomes.labels(outcome.verdict.value, reason).inc()
+        self.metrics.target_time.observe(seconds)
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge(
+            "log_lines_dropped",
+            "Log lines dropped as too many.",
+            lambda: self.lines.dropped,
+        )
+        gauge("store_calls", "Calls of the store.", lambda: self.store.calls)
+        gauge(
+            "members",
+            "Live members, this one included.",
+            lambda: len(self.roster.live()),
+        )
+        gauge(
+            "coordinator",
+            "1 if this member acts as coordinator.",
+            lambda: int(self.coordinator.is_active),
+        )
+        gauge(
+            "config_version",
+            "Version of the configuration in force, 0 if none.",
+            lambda: (
+                self.documents.config.version if self.documents.config else 0
+            ),
+        )
+        gauge(
+            "keys_held",
+            "Keys that the target holds now.",
+            lambda: self.holder.held if self.holder else 0,
+        )
+        gauge(
+            "in_flight",
+            "Requests at the target.",
+            lambda: self.gate.in_flight,
+        )
+
     def _cold_rate(self) -> float | None:
         config = self.documents.config
         if config is None:
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -12,13 +12,16 @@
 
 from burdockgap.fleet.datagrams import open_datagrams
 from burdockgap.hop.listener import open_listener
+from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
 from burdockgap.logs.line_writer import LineWriter
 from burdockgap.platform.announcements import ControlSurface
 from burdockgap.platform.store_client import StoreClient
+from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
 
 if TYPE_CHECKING:
+    from burdockgap.http1.request import Request
     from burdockgap.sidecar.sidecar_settings import SidecarSettings
 
 _STAY_S = 2.6
@@ -26,6 +29,10 @@
 away."""
 _GRACE_SHARE = 0.8
 _POLL_S = 0.05
+METRICS_PORT = 9464
+"""Also named in deploy/system.toml."""
+METRICS_PATH = "/metrics"
+_TEXT = [("content-type", "text/plain; version=0.0.4; charset=utf-8")]
 
 
 def run_sidecar(cfg: SidecarSettings) -> int:
@@ -38,7 +45,10 @@
 
 
 async def _run(cfg: SidecarSettings) -> int:
-    lines = LineWriter(fd=sys.stdout.fileno(), name=cfg.name)
+    metrics = SidecarMetrics()
+    lines = LineWriter(
+        fd=sys.stdout.fileno(), name=cfg.name, count=metrics.count
+    )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -55,7 +65,14 @@
             store=StoreClient(cfg.store),
             datagrams=datagrams,
             lines=lines,
+            metrics=metrics,
         )
+
+        async def answer_metrics(req: Request) -> Response:
+            if req.path != METRICS_PATH:
+                return Response(404)
+            return Response(200, _TEXT, metrics.expose())
+
         surface = ControlSurface(
             announced=node.announced,
             left=node.target.leaving,
@@ -74,6 +91,7 @@
         for server, address in (
             (Server(surface.answer_control), cfg.control),
             (Server(surface.answer_readiness), cfg.readiness),
+            (Server(answer_metrics), (cfg.ip, METRICS_PORT)),
             (node.callers, cfg.callers),
         ):
             await stack.enter_async_context(open_server(server, *address))
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -8,7 +8,7 @@
     Addresses and bounds of one daemon.
 
     :param name: the machine's name.
-    :param zone: its data centre.
+    :param data_centre: its data centre.
     :param region: the region of its data centre.
     :param service: service of the target beside it.
     :param ip: the machine's address.
@@ -41,14 +41,14 @@
         "region",
         "service",
         "store",
-        "zone",
+        "data_centre",
     )
 
     def __init__(
         self,
         *,
         name: str,
-        zone: str,
+        data_centre: str,
         region: str,
         service: str,
         ip: str,
@@ -64,7 +64,7 @@
         grace_s: float,
     ) -> None:
         self.name = name
-        self.zone = zone
+        self.data_centre = data_centre
         self.region = region
         self.service = service
         self.ip = ip
--- /dev/null
+++ b/standins/sidecar/keyed_topics.py
@@ -0,0 +1,130 @@
+"""A stand-in for the store of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import struct
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
+
+from burdockgap.http1.response import Response
+
+if TYPE_CHECKING:
+    from burdockgap.http1.request import Request
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+
+
+class KeyedTopics:
+    """
+    Keyed topics with conditions on writes, and faults.
+
+    :ivar down: answers 503 to everything.
+    :ivar lose_replies: carries writes out without an answer.
+    :ivar calls: calls by path.
+    """
+
+    def __init__(self) -> None:
+        self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        self.first: dict[str, int] = {}
+        self.down = False
+        self.lose_replies = False
+        self.calls: dict[str, int] = {}
+        self._news = asyncio.Event()
+
+    async def answer(self, req: Request) -> Response:
+        """Answer one call."""
+        url = urlsplit(req.target)
+        query = {key: value[0] for key, value in parse_qs(url.query).items()}
+        self.calls[url.path] = self.calls.get(url.path, 0) + 1
+        if self.down:
+            return Response(503)
+        topic = query["topic"]
+        if url.path == "/api/log-newest":
+            return self._newest(topic)
+        if url.path == "/api/log-read":
+            return await self._read(topic, query)
+        if url.path == "/api/log-append":
+            return await self._append(topic, query, req.body)
+        return Response(404)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write as an operator does."""
+        self._rows(topic).append((key, value))
+        self._tell()
+
+    def value(self, topic: str, key: str) -> bytes | None:
+        """Return the newest value of a key."""
+        return dict(self._rows(topic)).get(key)
+
+    def drop_history(self, topic: str) -> None:
+        """Remove all records but the newest of each key."""
+        self.first[topic] = len(self._rows(topic))
+        self._tell()
+
+    def _rows(self, topic: str) -> list[tuple[str, bytes]]:
+        return self.topics.setdefault(topic, [])
+
+    def _tell(self) -> None:
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    def _newest(self, topic: str) -> Response:
+        rows = self._rows(topic)
+        newest = {
+            key: (offset, value) for offset, (key, value) in enumerate(rows)
+        }
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in newest.items()
+            if value
+        ]
+        body = {"items": items, "has-more": False, "end-offset": len(rows)}
+        return _json(200, body)
+
+    async def _read(self, topic: str, query: dict[str, str]) -> Response:
+        start = int(query["from"])
+        rows = self._rows(topic)
+        if start >= len(rows):
+            wait_s = int(query.get("wait-ms", "0")) / 1000
+            try:
+                async with asyncio.timeout(wait_s):
+                    while start >= len(rows):
+                        await self._news.wait()
+            except TimeoutError:
+                pass
+        first = self.first.get(topic, 0)
+        if start < first:
+            return _json(410, {"first-offset": first})
+        data = _OFFSETS.pack(len(rows), first)
+        for key, value in rows[start:]:
+            record = bytes([len(key)]) + key.encode() + value
+            data += _LENGTH.pack(len(record)) + record
+        return Response(200, [], data)
+
+    async def _append(
+        self, topic: str, query: dict[str, str], body: bytes
+    ) -> Response:
+        rows = self._rows(topic)
+        if "at" in query and int(query["at"]) != len(rows):
+            return _json(412, {"end-offset": len(rows)})
+        (size,) = _LENGTH.unpack_from(body)
+        record = body[_LENGTH.size : _LENGTH.size + size]
+        key_end = 1 + record[0]
+        rows.append((record[1:key_end].decode(), record[key_end:]))
+        self._tell()
+        if self.lose_replies:
+            await asyncio.Event().wait()
+        answer = {"offset": len(rows) - 1, "end-offset": len(rows)}
+        return _json(200, answer)
+
+
+def _json(status: int, body: object) -> Response:
+    return Response(status, [], json.dumps(body).encode())
--- /dev/null
+++ b/tests/shards/test_authority.py
@@ -0,0 +1,55 @@
+"""The coordinator's right to act."""
+
+from __future__ import annotations
+
+import pytest
+
+from burdockgap.shards.authority import Authority
+from burdockgap.shards.lease import AUTHORITY_S
+
+VOTERS = ("a", "b", "c", "d", "e")
+
+
+def make_authority(votes, *, is_first=False):
+    authority = Authority(0.0, is_first=is_first)
+    for name, echo in votes.items():
+        authority.vote(name, echo)
+    return authority
+
+
+@pytest.mark.parametrize(
+    ("votes", "until"),
+    [
+        pytest.param({}, AUTHORITY_S, id="none"),
+        pytest.param({"a": 9.0, "b": 9.0}, AUTHORITY_S, id="minority"),
+        pytest.param(
+            {"a": 9.0, "b": 8.0, "c": 7.0}, 7.0 + AUTHORITY_S, id="majority"
+        ),
+        pytest.param(
+            {"a": 9.0, "b": 8.0, "x": 9.0}, AUTHORITY_S, id="strangers"
+        ),
+    ],
+)
+def test_until_majority_of_voters(votes, until):
+    assert make_authority(votes).until(VOTERS) == until
+
+
+def test_until_no_voters_no_authority():
+    assert make_authority({"a": 9.0}).until(()) == 0.0
+
+
+def test_vote_late_one_takes_nothing_back():
+    authority = make_authority({"a": 9.0, "b": 9.0, "c": 9.0})
+    authority.vote("c", 1.0)
+    assert authority.until(VOTERS) == 9.0 + AUTHORITY_S
+
+
+def test_safe_at_waits_for_earlier_leases():
+    authority = make_authority({"a": 99.0, "b": 99.0, "c": 99.0})
+    assert authority.safe_at is None
+    authority.note_majority(100.0, VOTERS)
+    assert authority.safe_at >= 100.0 + AUTHORITY_S
+
+
+def test_safe_at_first_term_at_once():
+    assert make_authority({}, is_first=True).safe_at == 0.0
--- /dev/null
+++ b/tests/shards/test_planner.py
@@ -0,0 +1,240 @@
+"""Assignment and balance of ranges."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from burdockgap.shards.control_state import ControlState
+from burdockgap.shards.key_rates import KeyRates
+from burdockgap.shards.planner import Server, assign_unowned, balance
+from burdockgap.shards.shard import KEYS, Shard, find, merged
+
+SERVICE = "records"
+
+
+def make_servers(count, *, capacity=50.0):
+    return {
+        f"m{index}": Server(
+            name=f"m{index}", born=index + 1, capacity=capacity
+        )
+        for index in range(count)
+    }
+
+
+def make_rates(rates):
+    result = KeyRates(0.0, KEYS)
+    for key, rate in rates.items():
+        result.add(2 * rate, [key])  # counts fade over 2 s
+    return result
+
+
+def check_covers(rows):
+    assert rows[0].first == 0
+    assert rows[-1].last == KEYS - 1
+    for before, after in zip(rows, rows[1:], strict=False):
+        assert after.first == before.last + 1
+
+
+def test_first_assignment_covers_all_keys():
+    state = ControlState()
+    assert assign_unowned(
+        state, SERVICE, make_servers(5), make_rates({}), gone=set()
+    )
+    rows = state.shards[SERVICE]
+    check_covers(rows)
+    assert {row.owner for row in rows} == set(make_servers(5))
+    assert all(not row.previous for row in rows)
+
+
+def test_assignment_without_servers_changes_nothing():
+    state = ControlState()
+    assert not assign_unowned(state, SERVICE, {}, make_rates({}), gone=set())
+    assert SERVICE not in state.shards
+
+
+@pytest.mark.parametrize(
+    ("gone", "previous"),
+    [
+        pytest.param(set(), (("m0", 1),), id="owner-may-hold"),
+        pytest.param({("m0", 1)}, (), id="owner-gone"),
+    ],
+)
+def test_lost_owner_is_asked_unless_gone(gone, previous):
+    state = ControlState(
+        next_fence=2,
+        shards={
+            SERVICE: [Shard(0, KEYS - 1, owner="m0", born=1, fence=1)],
+        },
+    )
+    servers = make_servers(3)
+    del servers["m0"]
+    assign_unowned(state, SERVICE, servers, make_rates({}), gone=gone)
+    rows = state.shards[SERVICE]
+    check_covers(rows)
+    assert all(row.previous == previous for row in rows)
+    assert all(row.fence > 1 for row in rows)
+
+
+def test_new_life_of_an_owner_gets_a_new_fence():
+    state = ControlState(
+        next_fence=8,
+        shards={SERVICE: [Shard(0, KEYS - 1, owner="m0", born=1, fence=7)]},
+    )
+    servers = {"m0": Server(name="m0", born=2, capacity=10.0)}
+    assert assign_unowned(
+        state, SERVICE, servers, make_rates({}), gone={("m0", 1)}
+    )
+    (row,) = state.shards[SERVICE]
+    assert (row.owner, row.born, row.fence) == ("m0", 2, 8)
+
+
+def test_balance_splits_a_hot_range():
+    state = ControlState()
+    servers = make_servers(4)
+    rates = make_rates({key: 1.0 for key in range(100, 160)})
+    assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
+    for _ in range(4):
+        balance(state, SERVICE, servers, rates)
+        for row in state.shards[SERVICE]:
+            row.previous = ()
+    check_covers(state.shards[SERVICE])
+    load = dict.fromkeys(servers, 0)
+    for key in range(100, 160):
+        load[find(state.shards[SERVICE], key).owner] += 1
+    assert max(load.values()) <= 25
+
+
+def test_balance_leaves_a_single_hot_key_alone():
+    state = ControlState()
+    servers = make_servers(2)
+    assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
+    before = find(state.shards[SERVICE], 5).owner
+    balance(state, SERVICE, servers, make_rates({5: 200.0}))
+    assert find(state.shards[SERVICE], 5).owner == before
+
+
+def test_balance_leaves_idle_servers_alone():
+    state = ControlState()
+    servers = make_servers(3, capacity=1000.0)
+    assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
+    rates = make_rates({key: 2.0 for key in range(50)})
+    assert balance(state, SERVICE, servers, rates) == 0
+
+
+def test_pending_range_is_not_moved_again():
+    state = ControlState()
+    servers = make_servers(2)
+    assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
+    for row in state.shards[SERVICE]:
+        row.previous = (("m9", 1),)
+    rates = make_rates({key: 5.0 for key in range(50)})
+    assert balance(state, SERVICE, servers, rates) == 0
+
+
+def test_merged_takes_the_higher_fence():
+    rows = merged(
+        [
+            Shard(0, 9, owner="a", born=1, fence=3),
+            Shard(10, 19, owner="a", born=1, fence=5),
+        ]
+    )
+    assert [(row.first, row.last, row.fence) for row in rows] == [(0, 19, 5)]
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        pytest.param({"owner": "b"}, id="other-owner"),
+        pytest.param({"born": 2}, id="other-life"),
+        pytest.param({"previous": (("c", 1),)}, id="pending"),
+    ],
+)
+def test_merged_keeps_apart(other):
+    fields = {"owner": "a", "born": 1, "fence": 3, **other}
+    rows = [Shard(0, 9, owner="a", born=1, fence=3), Shard(10, 19, **fields)]
+    assert len(merged(rows)) == 2
+
+
+@given(st.integers(0, KEYS - 1))
+def test_find_any_key(key):
+    state = ControlState()
+    assign_unowned(state, SERVICE, make_servers(7), make_rates({}), gone=set())
+    shard = state.find(SERVICE, key)
+    assert shard.first <= key <= shard.last
+
+
+class Assignment(RuleBasedStateMachine):
+    """Servers come, go and start anew while keys get hot and cold."""
+
+    def __init__(self):
+        super().__init__()
+        self.state = ControlState()
+        self.servers = make_servers(3)
+        self.rates = make_rates({})
+        self.born = 100
+        self.highest = {}
+
+    def plan(self, gone=frozenset()):
+        self.state = ControlState.decode(self.state.successor().encode())
+        before = [
+            (row.first, row.last, row.owner, row.born, row.fence)
+            for row in self.state.shards.get(SERVICE, [])
+        ]
+        assign_unowned(
+            self.state, SERVICE, self.servers, self.rates, gone=set(gone)
+        )
+        if self.servers:
+            balance(self.state, SERVICE, self.servers, self.rates)
+        rows = self.state.shards.get(SERVICE, [])
+        self.state.shards[SERVICE] = merged(rows)
+        self.check_fences(before)
+
+    def check_fences(self, before):
+        for row in self.state.shards[SERVICE]:
+            for first, last, owner, born, fence in before:
+                if last < row.first or first > row.last:
+                    continue
+                if (owner, born) != (row.owner, row.born):
+                    assert row.fence > fence
+                else:
+                    assert row.fence >= fence
+
+    @rule(number=st.integers(0, 5))
+    def join(self, number):
+        self.born += 1
+        name = f"m{number}"
+        self.servers[name] = Server(name=name, born=self.born, capacity=50.0)
+        self.plan()
+
+    @rule(number=st.integers(0, 5), is_gone=st.booleans())
+    def leave(self, number, is_gone):
+        server = self.servers.pop(f"m{number}", None)
+        if server is not None:
+            owner = (server.name, server.born)
+            self.plan({owner} if is_gone else set())
+
+    @rule(start=st.integers(0, KEYS - 200), rate=st.floats(0.5, 4.0))
+    def heat(self, start, rate):
+        self.rates = make_rates({start + 3 * step: rate for step in range(60)})
+        self.plan()
+
+    @rule()
+    def clear(self):
+        for row in self.state.shards.get(SERVICE, []):
+            row.previous = ()
+
+    @invariant()
+    def every_key_has_one_owner(self):
+        if self.state.shards.get(SERVICE):
+            check_covers(self.state.shards[SERVICE])
+
+    @invariant()
+    def fences_stay_below_the_next(self):
+        for row in self.state.shards.get(SERVICE, []):
+            assert row.fence < self.state.next_fence
+
+
+TestAssignment = Assignment.TestCase
--- /dev/null
+++ b/tests/sidecar/builders.py
@@ -0,0 +1,302 @@
+"""Builders of a site of daemons in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from burdockgap.fleet.datagrams import open_datagrams
+from burdockgap.forward.target_info import TargetInfo
+from burdockgap.hop.listener import open_listener
+from burdockgap.http1.client_pool import ClientPool
+from burdockgap.http1.encode import encode_request
+from burdockgap.http1.server import Server, open_server
+from burdockgap.logs.line_writer import LineWriter
+from burdockgap.platform.store_client import StoreClient
+from burdockgap.sidecar.metrics import SidecarMetrics
+from burdockgap.sidecar.node import Node
+from burdockgap.sidecar.sidecar_settings import SidecarSettings
+from standins.sidecar.app_server import AppServer
+from standins.sidecar.keyed_topics import KeyedTopics
+
+HOST = "127.0.0.1"
+
+
+def free_port():
+    """Return a port that is free for TCP and UDP."""
+    with socket.socket() as tcp:
+        tcp.bind((HOST, 0))
+        return tcp.getsockname()[1]
+
+
+def make_route(name, service, **fields):
+    """Return a route as operators write it."""
+    spec = {
+        "host": "a.example",
+        "path-prefix": f"/{name}/",
+        "kind": "safe",
+        "timeout": "1000ms",
+        "target-latency": "300ms",
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        **fields,
+    }
+    return {
+        "resource-kind": "routes",
+        "metadata": {"name": name},
+        "specification": spec,
+    }
+
+
+def make_service(name, **fields):
+    """Return a service as operators write it."""
+    spec = {
+        "health-check-path": "/health",
+        "connection-limit": 120,
+        "cold-start": "3s",
+        "cold-per-s": 20.0,
+        **fields,
+    }
+    return {
+        "resource-kind": "services",
+        "metadata": {"name": name},
+        "specification": spec,
+    }
+
+
+def make_limits(**fields):
+    """Return the limits as operators write them."""
+    spec = {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 1000000,
+        "header-timeout": "3000ms",
+        "idle-timeout": "15000ms",
+        **fields,
+    }
+    return {
+        "resource-kind": "limits",
+        "metadata": {},
+        "specification": spec,
+    }
+
+
+def make_config(*resources, version="00000003"):
+    """Return a configuration as operators write it."""
+    return json.dumps({"version": version, "resources": resources}).encode()
+
+
+def make_site_config(version="00000003"):
+    """Return the configuration of the sites of these tests."""
+    return make_config(
+        make_route("read", "records"),
+        make_route("book", "dispatch", kind="unsafe"),
+        make_service("records", sharding=True),
+        make_service("dispatch"),
+        make_limits(),
+        version=version,
+    )
+
+
+def make_info(**fields):
+    """Return an announcement with defaults for what is not given."""
+    defaults = {
+        "target_id": "i-1",
+        "born": 1000,
+        "address": (HOST, 1),
+        "service": "dispatch",
+        "data_centre": "dc1",
+        "slots": 4,
+        "draining": False,
+        "cold_s": 0.0,
+        "sequence": 1,
+    }
+    return TargetInfo(**{**defaults, **fields})
+
+
+class Machine:
+    """One daemon with the server beside it."""
+
+    def __init__(self, site, index, service):
+        self.site = site
+        self.name = f"m{index}"
+        self.service = service
+        self.app = AppServer(f"i-{index}", keyed=service == "records")
+        self.app_port = free_port()
+        self.callers_port = free_port()
+        self.peer_port = free_port()
+        self.sequence = 0
+        self.born = 1000 + index
+        self.node = None
+        self._stack = AsyncExitStack()
+        self._app_stack = AsyncExitStack()
+        self._tasks = []
+
+    async def start_app(self):
+        await self._app_stack.enter_async_context(
+            open_server(Server(self.app.answer), HOST, self.app_port)
+        )
+
+    async def stop_app(self):
+        await self._app_stack.aclose()
+
+    async def start(self):
+        cfg = SidecarSettings(
+            name=self.name,
+            data_centre="dc1",
+            region="r1",
+            service=self.service,
+            ip=HOST,
+            peer_port=self.peer_port,
+            callers=(HOST, self.callers_port),
+            readiness=(HOST, 0),
+            control=(HOST, 0),
+            store=(HOST, self.site.store_port),
+            budget_ratio=0.2,
+            budget_extra=60.0,
+            budget_window_s=10.0,
+            drain_s=2.0,
+            grace_s=6.0,
+        )
+        metrics = SidecarMetrics()
+        lines = LineWriter(
+            fd=self.site.log_fd, name=self.name, count=metrics.count
+        )
+        datagrams = await self._stack.enter_async_context(
+            open_datagrams(HOST, self.peer_port)
+        )
+        self.node = Node(
+            cfg=cfg,
+            store=StoreClient(cfg.store),
+            datagrams=datagrams,
+            lines=lines,
+            metrics=metrics,
+        )
+        await self._stack.enter_async_context(
+            open_listener(self.node.handlers(), HOST, self.peer_port)
+        )
+        self.node.callers = Server(self.node.answer_caller)
+        await self._stack.enter_async_context(
+            open_server(self.node.callers, *cfg.callers)
+        )
+        self._tasks = [
+            asyncio.create_task(self.node.run()),
+            asyncio.create_task(self._announce()),
+        ]
+
+    async def kill(self):
+        """End the daemon as a kill would: without a word to anybody."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.node.links.close()
+        self.node.reporter.cancel()
+        if self.node.holder is not None:
+            self.node.holder.cancel()
+        await self._stack.aclose()
+
+    async def _announce(self):
+        while True:
+            self.announce()
+            await asyncio.sleep(0.2)
+
+    def announce(self, **fields):
+        self.sequence += 1
+        self.node.announced(
+            make_info(
+                target_id=self.app.target_id,
+                born=self.born,
+                address=(HOST, self.app_port),
+                service=self.service,
+                sequence=self.sequence,
+                **fields,
+            )
+        )
+
+    async def ask(self, path, *, key=None, method="GET", body=b"", **headers):
+        """Send a caller's request and return its answer."""
+        self.site.ids += 1
+        pairs = [
+            ("Host", "a.example"),
+            ("Attempt-Id", f"r{self.site.ids}"),
+            ("Deadline-Milliseconds", "900"),
+        ]
+        if key is not None:
+            pairs.append(("Shard-Key", str(key)))
+        pairs += headers.items()
+        pool = ClientPool(
+            (HOST, self.callers_port), connect_timeout_s=1.0, idle_s=1.0
+        )
+        response = await pool.exchange(
+            encode_request(method, path, pairs, body)
+        )
+        pool.close()
+        return response
+
+
+class Site:
+    """A store and some machines."""
+
+    def __init__(self, services):
+        self.store = KeyedTopics()
+        self.store_port = free_port()
+        self.log_fd = os.open(os.devnull, os.O_WRONLY)
+        self.ids = 0
+        self.machines = [
+            Machine(self, index, service)
+            for index, service in enumerate(services, start=1)
+        ]
+
+    def holders(self, key):
+        """Return the machines whose server holds a key now."""
+        return [item for item in self.machines if item.app.holds(key)]
+
+    async def until(self, condition, timeout_s=5.0):
+        """Wait until something holds."""
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def settled(self):
+        """Wait until all is known and all keys are held."""
+        keyed = [item for item in self.machines if item.service == "records"]
+        await self.until(
+            lambda: (
+                all(item.node.is_ready for item in self.machines)
+                and all(
+                    len(item.node.roster.servers(other.service)) > 0
+                    for item in self.machines
+                    for other in self.machines
+                )
+                and (
+                    not keyed
+                    or sum(
+                        item.node.holder.held
+                        for item in keyed
+                        if item.node.holder
+                    )
+                    == 65536
+                )
+            )
+        )
+
+
+@asynccontextmanager
+async def open_site(*services):
+    """Start a site with one machine for each service that is named."""
+    site = Site(services)
+    site.store.put("keyed.op", "config", make_site_config())
+    async with open_server(Server(site.store.answer), HOST, site.store_port):
+        for machine in site.machines:
+            await machine.start_app()
+            await machine.start()
+        try:
+            yield site
+        finally:
+            for machine in site.machines:
+                await machine.kill()
+                await machine.stop_app()
+            os.close(site.log_fd)
