Choose targets by the time that a request would take

Cause: two choices by work per slot ignore that targets differ in speed and slow down for moments; a full queue of a key's owner was asked four times; hot ranges moved twice a second. Ruled out: the daemons' own time (p50 of the hop 1 ms). Change: expected time from measured service time and the target's own figure of slowness, three choices, a price for other data centres; full queues of key owners are final; balance four times a second.

--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -14,6 +14,10 @@
 ALIVE_S = 3.2
 """Three beacons of a live member are lost by then."""
 _EJECT_S = 0.4
+_SLOWNESS_LASTS_S = 0.4
+"""A target's neighbours change that often, as its users say."""
+_CROWDING = 0.5
+"""How much longer work takes at a full target than at an idle one."""
 _FORGET_S = 60.0
 
 
@@ -23,16 +27,25 @@
 
     :ivar heard_at: when it was last heard, ``None`` if it is only known
         from the store; in seconds of the event loop's clock.
+    :ivar load_at: when it told its load.
     :ivar pending: calls of this daemon to it since its load was told.
     :ivar ejected_until: until when it is passed over after a failure.
     """
 
-    __slots__ = ("ejected_until", "heard_at", "load", "member", "pending")
+    __slots__ = (
+        "ejected_until",
+        "heard_at",
+        "load",
+        "load_at",
+        "member",
+        "pending",
+    )
 
     def __init__(self, member: Member, heard_at: float | None) -> None:
         self.member = member
         self.heard_at = heard_at
         self.load = member.load
+        self.load_at = heard_at or 0.0
         self.pending = 0
         self.ejected_until = 0.0
 
@@ -84,7 +97,7 @@
             self._log(member, "changed")
         entry.member = member
         entry.heard_at = now
-        entry.load, entry.pending = member.load, 0
+        entry.load, entry.pending, entry.load_at = member.load, 0, now
         return entry
 
     def stored(self, member: Member) -> None:
@@ -148,6 +161,7 @@
         entry = self._entries.get(name)
         if entry is not None:
             entry.load, entry.pending = load, 0
+            entry.load_at = self._loop.time()
 
     def note_call(self, name: str) -> None:
         """Count a call to a member."""
@@ -162,15 +176,19 @@
             entry.ejected_until = self._loop.time() + _EJECT_S
             self._log(entry.member, "unreachable")
 
-    def pressure(self, member: Member) -> float:
-        """Return the work per slot at a member's target."""
-        if member.name == self.own.name:
-            load, pending = self.own.load, 0
-        else:
+    def expected_s(self, member: Member) -> float:
+        """Return how long a request would take at a member's target."""
+        load, pending, age_s = self.own.load, 0, 0.0
+        if member.name != self.own.name:
             entry = self._entries[member.name]
             load, pending = entry.load, entry.pending
+            age_s = self._loop.time() - entry.load_at
+        slots = max(load.slots, 1)
         work = load.in_flight + load.waiting + pending
-        return work / max(load.slots, 1)
+        queued = max(work + 1 - slots, 0) / slots
+        slowness = load.slowness if age_s < _SLOWNESS_LASTS_S else 1.0
+        crowding = _CROWDING * min(work / slots, 1.0)
+        return load.service_s * slowness * (1 + crowding + queued)
 
     def _ejected(self, name: str, now: float) -> bool:
         entry = self._entries.get(name)
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -30,6 +30,17 @@
 _DEFAULT_WAIT_S = 30.0
 _LATE_REPLY_S = 0.05
 """How much later than its deadline a target's daemon may reply."""
+_CHOICES = 3
+"""Targets compared for one request; more would all pick the same
+one."""
+_FAR_S = 0.008
+"""What another data centre costs a small answer: the way and its
+price."""
+_FAR_LARGE_S = 0.25
+"""The same for a large answer, whose bytes are dear between data
+centres."""
+_FINAL_FOR_KEYS = frozenset({Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT})
+"""A key has one owner, so its full queue cannot be passed by."""
 _MOST_TRIES = 4
 """Daemons asked for one request; a refusal there costs one round
 trip."""
@@ -181,6 +192,8 @@
             response = self._usable(last, route, progress)
             if response is not None:
                 return response
+            if is_keyed and last.reason in _FINAL_FOR_KEYS:
+                return self._final(progress, last)
             if not self._may_repeat(last, route, service, progress):
                 return self._final(progress, last)
 
@@ -204,15 +217,15 @@
         ]
         if not servers:
             return None
-        if len(servers) > 2:
-            servers = random.sample(servers, 2)
+        if len(servers) > _CHOICES and not route.large:
+            servers = random.sample(servers, _CHOICES)
         return min(servers, key=lambda member: self._cost(member, route))
 
     def _cost(self, member: Member, route: Route) -> float:
-        pressure = self._roster.pressure(member)
+        cost_s = self._roster.expected_s(member)
         if member.data_centre != self._roster.own.data_centre:
-            pressure += 1.0 if route.large else 0.05
-        return pressure
+            cost_s += _FAR_LARGE_S if route.large else _FAR_S
+        return cost_s
 
     async def _owner(
         self, call: Call, progress: _Progress, deadline: float
--- a/src/burdockgap/forward/load.py
+++ b/src/burdockgap/forward/load.py
@@ -13,9 +13,11 @@
     :param waiting: requests queued in front of it.
     :param slots: requests that it may run at once.
     :param service_s: typical time of a request, in seconds.
+    :param slowness: how many times longer work takes at this moment
+        than usual, as the target says.
     """
 
-    __slots__ = ("in_flight", "service_s", "slots", "waiting")
+    __slots__ = ("in_flight", "service_s", "slots", "slowness", "waiting")
 
     def __init__(
         self,
@@ -24,23 +26,32 @@
         waiting: int = 0,
         slots: int = 1,
         service_s: float = 0.05,
+        slowness: float = 1.0,
     ) -> None:
         self.in_flight = in_flight
         self.waiting = waiting
         self.slots = slots
         self.service_s = service_s
+        self.slowness = slowness
 
     def encode(self) -> list[Any]:
         """Return plain values."""
-        return [self.in_flight, self.waiting, self.slots, self.service_s]
+        return [
+            self.in_flight,
+            self.waiting,
+            self.slots,
+            self.service_s,
+            self.slowness,
+        ]
 
     @classmethod
     def decode(cls, values: list[Any]) -> Load:
         """Return the load of some plain values."""
-        in_flight, waiting, slots, service_s = values
+        in_flight, waiting, slots, service_s, slowness = values
         return cls(
             in_flight=in_flight,
             waiting=waiting,
             slots=slots,
             service_s=service_s,
+            slowness=slowness,
         )
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -103,6 +103,7 @@
             waiting=self._slots.waiting,
             slots=self._slots.size,
             service_s=self._state.service_s,
+            slowness=self._state.slowness,
         )
 
     @property
@@ -243,7 +244,9 @@
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, offered=True
             )
-        self._state.answered(self._loop.time() - began)
+        self._state.answered(
+            self._loop.time() - began, self._protocol.slowness(response)
+        )
         verdict = self._protocol.verdict(response)
         if verdict is Verdict.NOT_RUN:
             return Outcome(verdict, reason=Reason.TARGET_SHED, offered=True)
--- a/src/burdockgap/forward/target_protocol.py
+++ b/src/burdockgap/forward/target_protocol.py
@@ -29,6 +29,10 @@
         """Tell whether a success is the target's whole answer."""
         ...
 
+    def slowness(self, response: Response) -> float:
+        """Return how many times longer work takes than usual."""
+        ...
+
     def encode_grant(
         self,
         *,
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -37,6 +37,8 @@
     :ivar stops_at: until when it may be sent work after it said that it
         leaves, in seconds of the event loop's clock.
     :ivar service_s: typical time of a request, in seconds.
+    :ivar slowness: how many times longer work took than usual when the
+        target answered last.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "info",
         "left",
         "service_s",
+        "slowness",
         "stops_at",
         "up",
     )
@@ -80,6 +83,7 @@
         self.stops_at = math.inf
         self.left = False
         self.service_s = 0.05
+        self.slowness = 1.0
 
     @property
     def takes_work(self) -> bool:
@@ -159,9 +163,10 @@
             self._log("target", state="left")
             self._on_change()
 
-    def answered(self, seconds: float) -> None:
-        """Note a response and the time that it took."""
+    def answered(self, seconds: float, slowness: float) -> None:
+        """Note a response, its time and what it says of the machine."""
         self._answered_at = self._loop.time()
+        self.slowness = slowness
         self.service_s += _LEARNING * (seconds - self.service_s)
 
     def refused_connection(self, born: int) -> None:
--- a/src/burdockgap/platform/names.py
+++ b/src/burdockgap/platform/names.py
@@ -7,6 +7,9 @@
 DEADLINE_MS = "deadline-milliseconds"
 SEAL = "server-seal"
 EXPECTED_TARGET = "expected-instance"
+# Running, waiting and slots; a fourth figure says in per cent how long
+# work takes at this moment.
+LOAD = "server-load"
 NOT_RUN = "not-executed"
 # Names the service beside the daemon where a request began.
 ORIGIN_SERVICE = "calling-service"
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -15,6 +15,8 @@
     from burdockgap.http1.response import Response
 
 _MISDIRECTED = 421
+_SLOWNESS_AT = 3
+_PER_CENT = 100
 _JSON = [("host", "target"), ("content-type", "application/json")]
 
 
@@ -55,6 +57,14 @@
             and response.header(names.CONTENT_ENCODING) is None
         )
 
+    def slowness(self, response: Response) -> float:
+        """Return how many times longer work takes than usual."""
+        figures = (response.header(names.LOAD) or "").split(",")
+        if len(figures) <= _SLOWNESS_AT:
+            return 1.0
+        figure = figures[_SLOWNESS_AT].strip()
+        return int(figure) / _PER_CENT if figure.isdigit() else 1.0
+
     def encode_grant(
         self,
         *,
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -31,7 +31,7 @@
 _LOST_S = 2.0
 """Silence of an owner after which its keys move; a daemon that was
 killed is back within about a second."""
-_BALANCE_S = 0.5
+_BALANCE_S = 0.25
 _VOTER_PATIENCE_S = 5.0
 """Without a majority for so long, those that answer are the voters."""
 _ABSENT_S = 10.0
--- a/src/burdockgap/shards/key_rates.py
+++ b/src/burdockgap/shards/key_rates.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 
-_DECAY_S = 2.0
+_DECAY_S = 1.2
 """Time in which an old rate falls to a third."""
 _LEAST = 0.02
 _BASE_RATE = 1.0
--- a/tests/shards/test_planner.py
+++ b/tests/shards/test_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -34,7 +36,7 @@
 def check_covers(rows):
     assert rows[0].first == 0
     assert rows[-1].last == KEYS - 1
-    for before, after in zip(rows, rows[1:], strict=False):
+    for before, after in itertools.pairwise(rows):
         assert after.first == before.last + 1
 
 
@@ -94,7 +96,7 @@
 def test_balance_splits_a_hot_range():
     state = ControlState()
     servers = make_servers(4)
-    rates = make_rates({key: 1.0 for key in range(100, 160)})
+    rates = make_rates(dict.fromkeys(range(100, 160), 1.0))
     assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
     for _ in range(4):
         balance(state, SERVICE, servers, rates)
@@ -120,7 +122,7 @@
     state = ControlState()
     servers = make_servers(3, capacity=1000.0)
     assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
-    rates = make_rates({key: 2.0 for key in range(50)})
+    rates = make_rates(dict.fromkeys(range(50), 2.0))
     assert balance(state, SERVICE, servers, rates) == 0
 
 
@@ -130,7 +132,7 @@
     assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
     for row in state.shards[SERVICE]:
         row.previous = (("m9", 1),)
-    rates = make_rates({key: 5.0 for key in range(50)})
+    rates = make_rates(dict.fromkeys(range(50), 5.0))
     assert balance(state, SERVICE, servers, rates) == 0
 
 
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -84,7 +84,7 @@
     }
 
 
-def make_config(*resources, version="00000003"):
+def make_config(*resources: object, version="00000003"):
     """Return a configuration as operators write it."""
     return json.dumps({"version": version, "resources": resources}).encode()
 
@@ -285,7 +285,7 @@
 
 
 @asynccontextmanager
-async def open_site(*services):
+async def open_site(*services: str):
     """Start a site with one machine for each service that is named."""
     site = Site(services)
     site.store.put("keyed.op", "config", make_site_config())
