--- /dev/null
+++ b/tests/forward/builders.py
@@ -0,0 +1,68 @@
+"""Builders of calls and a gate with its neighbours."""
+
+from __future__ import annotations
+
+from burdockgap.clock import BootClock
+from burdockgap.forward.call import Call
+from burdockgap.forward.crash_watch import CrashWatch
+from burdockgap.forward.target_gate import TargetGate
+from burdockgap.forward.target_state import TargetState
+from burdockgap.platform.target_protocol import PlatformTarget
+
+SERVICE = "dispatch"
+
+
+def make_call(**fields):
+    """Return a call with defaults for what is not given."""
+    defaults = {
+        "request_id": "r1",
+        "method": "POST",
+        "target": "/book/1",
+        "headers": [("host", "a.example"), ("attempt-id", "r1")],
+        "body": b"x",
+        "service": SERVICE,
+        "origin": "records",
+        "key": None,
+        "idempotent": False,
+        "priority": 1,
+        "deadline_s": 1.0,
+        "objective_s": 0.3,
+    }
+    call = Call(**{**defaults, **fields})
+    if "request_id" in fields and "headers" not in fields:
+        call.headers = [("host", "a"), ("attempt-id", fields["request_id"])]
+    return call
+
+
+class GateWorld:
+    """A gate, its target's state and what they told."""
+
+    def __init__(self, *, drain_s=0.2, cold_rate=20.0):
+        self.events = []
+        self.suspects = []
+        self.out_since = None
+        self.cold_rate = cold_rate
+        self.state = TargetState(
+            drain_s=drain_s,
+            cold_rate=lambda: self.cold_rate,
+            on_change=lambda: self.gate.target_changed(),
+            on_event=self._note,
+        )
+        self.crashes = CrashWatch(
+            service=SERVICE,
+            clock=BootClock(),
+            tell=self.suspects.append,
+            on_event=self._note,
+        )
+        self.gate = TargetGate(
+            service=SERVICE,
+            state=self.state,
+            protocol=PlatformTarget(),
+            out_since=lambda: self.out_since,
+            crashes=self.crashes,
+            on_event=self._note,
+            on_outcome=lambda _outcome, _seconds: None,
+        )
+
+    def _note(self, event, fields):
+        self.events.append((event, fields))
--- /dev/null
+++ b/tests/forward/test_slots.py
@@ -0,0 +1,84 @@
+"""Admission to slots."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from burdockgap.forward.slots import Slots
+from burdockgap.verdict import Reason, Refusal, Verdict
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def admitted(slots, order, name, *, priority=1, wait_s=1.0):
+    try:
+        await slots.acquire(priority=priority, wait_s=wait_s)
+        order.append(name)
+    except Refusal as exc:
+        order.append((name, exc.verdict, exc.reason))
+
+
+async def test_urgent_request_goes_first():
+    slots, order = Slots(size=1, queue_size=4), []
+    await slots.acquire(priority=1, wait_s=1.0)
+    async with asyncio.TaskGroup() as tasks:
+        for name, priority in (("late", 2), ("early", 2), ("urgent", 0)):
+            tasks.create_task(admitted(slots, order, name, priority=priority))
+            await asyncio.sleep(0)
+        for _ in range(3):
+            await asyncio.sleep(0.01)
+            slots.release()
+    assert order == ["urgent", "late", "early"]
+
+
+async def test_full_queue_turns_the_least_urgent_away():
+    slots, order = Slots(size=1, queue_size=1), []
+    await slots.acquire(priority=1, wait_s=1.0)
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(admitted(slots, order, "idle", priority=3))
+        await asyncio.sleep(0)
+        tasks.create_task(admitted(slots, order, "urgent", priority=0))
+        await asyncio.sleep(0.01)
+        slots.release()
+    assert order == [
+        ("idle", Verdict.NOT_RUN, Reason.QUEUE_FULL),
+        "urgent",
+    ]
+
+
+async def test_wait_ends_in_time():
+    slots, order = Slots(size=1, queue_size=1), []
+    await slots.acquire(priority=1, wait_s=1.0)
+    await admitted(slots, order, "slow", wait_s=0.02)
+    assert order == [("slow", Verdict.NOT_RUN, Reason.QUEUE_TIMEOUT)]
+    assert slots.waiting == 0
+
+
+async def test_cancelled_wait_leaves_no_trace():
+    slots = Slots(size=1, queue_size=1)
+    await slots.acquire(priority=1, wait_s=1.0)
+    task = asyncio.create_task(slots.acquire(priority=1, wait_s=1.0))
+    await asyncio.sleep(0)
+    slots.release()
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert (slots.in_flight, slots.waiting) == (0, 0)
+
+
+async def test_resize_admits_the_queue():
+    slots, order = Slots(size=1, queue_size=2), []
+    await slots.acquire(priority=1, wait_s=1.0)
+    task = asyncio.create_task(admitted(slots, order, "next"))
+    await asyncio.sleep(0)
+    slots.resize(2)
+    await task
+    assert order == ["next"]
+    assert slots.in_flight == 2
--- /dev/null
+++ b/tests/forward/test_target_gate.py
@@ -0,0 +1,146 @@
+"""The way in to the target."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from burdockgap.http1.server import Server, open_server
+from burdockgap.verdict import Reason, Verdict
+from standins.sidecar.app_server import AppServer
+from tests.forward.builders import GateWorld, make_call
+from tests.http1.sockets import HOST, open_scripted_server, read_head
+from tests.sidecar.builders import free_port, make_info
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def served():
+    """Open a gate with a target that runs requests."""
+    app = AppServer("i-1")
+    port = free_port()
+    async with open_server(Server(app.answer), HOST, port):
+        world = GateWorld()
+        world.app = app
+        world.info = {"address": (HOST, port)}
+        world.state.announced(make_info(**world.info))
+        yield world
+
+
+async def test_call_runs(served):
+    outcome = await served.gate.serve(make_call())
+    assert outcome.verdict is Verdict.RAN
+    assert outcome.response.body == b"answer to x"
+    assert served.app.requests[0].header("expected-instance") == "i-1"
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        pytest.param(
+            lambda world: world.state.announced(
+                make_info(**world.info, sequence=2, draining=True)
+            ),
+            Reason.DRAINING,
+            id="draining",
+        ),
+        pytest.param(
+            lambda world: world.state.leaving("i-1"),
+            Reason.DRAINING,
+            id="left",
+        ),
+        pytest.param(
+            lambda world: setattr(world.gate, "leaving", True),
+            Reason.DRAINING,
+            id="daemon-stops",
+        ),
+        pytest.param(
+            lambda world: setattr(world, "out_since", 0.0),
+            Reason.DATA_CENTRE_OUT,
+            id="data-centre-out",
+        ),
+        pytest.param(
+            lambda world: world.state.refused_connection(1000),
+            Reason.TARGET_DOWN,
+            id="down",
+        ),
+    ],
+)
+async def test_call_refused_as_not_run(served, change, reason):
+    change(served)
+    outcome = await served.gate.serve(make_call())
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason is reason
+    assert not served.app.runs
+
+
+async def test_other_service_is_refused(served):
+    outcome = await served.gate.serve(make_call(service="records"))
+    assert outcome.reason is Reason.UNKNOWN_SERVICE
+
+
+async def test_other_instance_at_the_address_runs_nothing(served):
+    served.app.target_id = "i-2"
+    outcome = await served.gate.serve(make_call())
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason is Reason.TARGET_SHED
+
+
+async def test_deadline_passes_while_running(served):
+    served.app.work_s = 1.0
+    outcome = await served.gate.serve(make_call(deadline_s=0.05))
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.reason is Reason.DEADLINE
+
+
+async def test_cold_target_gets_no_more_than_it_bears(served):
+    served.state.announced(make_info(**served.info, sequence=2, cold_s=5.0))
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    ran = 0
+    while loop.time() - began < 0.5:
+        call = make_call(request_id=f"r{loop.time()}")
+        outcome = await served.gate.serve(call)
+        ran += outcome.verdict is Verdict.RAN
+    assert 0 < ran <= 20.0 * 0.5 + 3
+
+
+async def test_cold_target_without_configuration_gets_nothing(served):
+    served.cold_rate = None
+    served.state.announced(make_info(**served.info, sequence=2, cold_s=5.0))
+    outcome = await served.gate.serve(make_call())
+    assert outcome.verdict is Verdict.NOT_RUN
+
+
+async def test_lost_connection_may_have_run():
+    async def script(reader, _writer):
+        await read_head(reader)
+
+    async with open_scripted_server(script) as address:
+        world = GateWorld()
+        world.state.announced(make_info(address=address))
+        outcome = await world.gate.serve(make_call())
+        assert outcome.verdict is Verdict.MAY_HAVE_RUN
+        assert outcome.reason is Reason.CONNECTION_LOST
+
+
+async def test_cancelled_call_frees_its_slot(served):
+    served.app.work_s = 1.0
+    calls = [
+        asyncio.create_task(served.gate.serve(make_call(request_id=f"r{n}")))
+        for n in range(4)
+    ]
+    await asyncio.sleep(0.05)
+    assert served.gate.in_flight == 4
+    for call in calls:
+        call.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
+    await asyncio.sleep(0.01)
+    assert served.gate.in_flight == 0
--- /dev/null
+++ b/tests/forward/test_target_state.py
@@ -0,0 +1,94 @@
+"""What is believed of the target."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from burdockgap.forward.cold_rate import ColdRate
+from tests.forward.builders import GateWorld
+from tests.sidecar.builders import make_info
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({"born": 999, "sequence": 99}, id="earlier-life"),
+        pytest.param({"sequence": 5}, id="same-announcement"),
+        pytest.param({"sequence": 4, "draining": True}, id="overtaken"),
+    ],
+)
+async def test_announcement_old_one_changes_nothing(fields):
+    world = GateWorld()
+    assert world.state.announced(make_info(sequence=5))
+    assert not world.state.announced(make_info(**fields))
+    assert world.state.takes_work
+
+
+async def test_announcement_new_life_counts_anew():
+    world = GateWorld()
+    world.state.announced(make_info(sequence=9, draining=True))
+    assert world.state.announced(make_info(born=2000, sequence=1))
+    assert world.state.takes_work
+
+
+async def test_draining_is_not_taken_back():
+    world = GateWorld()
+    world.state.announced(make_info(sequence=1, draining=True))
+    world.state.announced(make_info(sequence=2))
+    assert not world.state.takes_work
+
+
+async def test_leaving_of_another_id_is_passed_over():
+    world = GateWorld()
+    world.state.announced(make_info())
+    world.state.leaving("i-9")
+    assert world.state.takes_work
+
+
+async def test_silent_target_with_work_is_down_but_not_ended():
+    world = GateWorld()
+    world.state.announced(make_info())
+    world.state._heard_at -= 5
+    world.state.check_silence(0)
+    assert world.state.up
+    world.state.check_silence(1)
+    assert not world.state.up
+    assert not world.state.ended
+
+
+async def test_refused_connection_of_an_earlier_life_is_passed_over():
+    world = GateWorld()
+    world.state.announced(make_info(born=2000))
+    world.state.refused_connection(1000)
+    assert world.state.up
+
+
+@pytest.mark.parametrize("rate", [5.0, 20.0, 100.0])
+def test_cold_rate_any_second(rate):
+    cold, taken, now = ColdRate(rate=rate, now=0.0), [], 0.0
+    while now < 3.0:
+        if cold.take(now):
+            taken.append(now)
+        now += 0.001
+    for start in taken:
+        within = [at for at in taken if start <= at < start + 1]
+        assert len(within) <= rate * 1.1 + 2
+
+
+async def test_stops_at_counts_from_the_first_notice():
+    world = GateWorld(drain_s=1.0)
+    now = asyncio.get_running_loop().time()
+    world.state.announced(make_info(draining=True))
+    first = world.state.stops_at
+    assert first == pytest.approx(now + 1.0, abs=0.1)
+    world.state.leaving("i-1")
+    assert world.state.stops_at == first
--- /dev/null
+++ b/tests/hop/test_link.py
@@ -0,0 +1,141 @@
+"""Calls between daemons over connections that fail."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from burdockgap.hop.frames import FrameBuffer, FrameError, encode_frame
+from burdockgap.hop.link import Links
+from burdockgap.hop.link_error import LinkError
+from burdockgap.hop.listener import LINK_LOST, open_listener
+from tests.http1.sockets import HOST, open_scripted_server
+from tests.sidecar.builders import free_port
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def test_calls_share_a_connection():
+    async def double(payload):
+        await asyncio.sleep(0.05 * (3 - payload))
+        return payload * 2
+
+    port = free_port()
+    async with open_listener({1: double}, HOST, port):
+        links = Links()
+        calls = [links.call((HOST, port), 1, number) for number in range(3)]
+        assert await asyncio.gather(*calls) == [0, 2, 4]
+        links.close()
+
+
+async def test_cancelled_call_is_cancelled_at_the_peer():
+    ended = asyncio.Event()
+    messages = []
+
+    async def wait(_payload):
+        try:
+            await asyncio.sleep(10)
+        except asyncio.CancelledError as exc:
+            messages.append(exc.args)
+            ended.set()
+            raise
+
+    port = free_port()
+    async with open_listener({1: wait}, HOST, port):
+        links = Links()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await links.call((HOST, port), 1, None)
+        async with asyncio.timeout(1):
+            await ended.wait()
+        assert messages == [()]
+        links.close()
+
+
+async def test_lost_connection_is_told_apart_from_a_cancellation():
+    messages = []
+    began = asyncio.Event()
+
+    async def wait(_payload):
+        began.set()
+        try:
+            await asyncio.sleep(10)
+        except asyncio.CancelledError as exc:
+            messages.append(exc.args)
+            raise
+
+    port = free_port()
+    async with open_listener({1: wait}, HOST, port):
+        links = Links()
+        call = asyncio.create_task(links.call((HOST, port), 1, None))
+        await began.wait()
+        links.close()
+        with pytest.raises(LinkError) as caught:
+            await call
+        assert caught.value.sent
+        await asyncio.sleep(0.05)
+        assert messages == [(LINK_LOST,)]
+
+
+async def test_silent_connection_is_given_up():
+    async def script(reader, _writer):
+        await reader.read()
+
+    async with open_scripted_server(script) as address:
+        links = Links()
+        async with asyncio.timeout(2.0):
+            with pytest.raises(LinkError) as caught:
+                await links.call(address, 1, None)
+        assert caught.value.sent
+
+
+async def test_slow_reply_of_a_live_peer_is_awaited():
+    async def slow(_payload):
+        await asyncio.sleep(1.5)
+        return "late"
+
+    port = free_port()
+    async with open_listener({1: slow}, HOST, port):
+        links = Links()
+        assert await links.call((HOST, port), 1, None) == "late"
+        links.close()
+
+
+async def test_nobody_listens_is_not_sent():
+    with pytest.raises(LinkError) as caught:
+        await Links().call((HOST, free_port()), 1, None)
+    assert not caught.value.sent
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"\xff\xff\xff\xff", id="too-long"),
+        pytest.param(b"\x00\x00\x00\x01\xc1", id="no-values"),
+        pytest.param(b"\x00\x00\x00\x01\x05", id="no-list"),
+    ],
+)
+async def test_garbage_ends_the_connection(data):
+    with pytest.raises(FrameError):
+        list(FrameBuffer().feed(data))
+    port = free_port()
+    async with open_listener({}, HOST, port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(data)
+        async with asyncio.timeout(1):
+            assert await reader.read() == b""
+        writer.close()
+
+
+def test_frames_any_cut():
+    data = encode_frame(1, "a") + encode_frame(2, b"bc")
+    for cut in range(len(data)):
+        buffer = FrameBuffer()
+        frames = [*buffer.feed(data[:cut]), *buffer.feed(data[cut:])]
+        assert frames == [[1, "a"], [2, b"bc"]]
--- /dev/null
+++ b/tests/http1/test_client_pool.py
@@ -0,0 +1,191 @@
+"""Connections to servers that answer well and badly."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from burdockgap.http1.client_pool import ClientPool
+from burdockgap.http1.encode import encode_request
+from burdockgap.http1.exchange_error import ExchangeError
+from tests.http1.sockets import HOST, open_scripted_server, read_head
+
+pytestmark = pytest.mark.anyio
+
+REQUEST = encode_request("GET", "/", [("host", "h")])
+ANSWER = b"HTTP/1.1 200 OK\r\nid: %s\r\ncontent-length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def make_pool(address, seen=None, **options):
+    defaults = {"connect_timeout_s": 1.0, "idle_s": 5.0}
+    return ClientPool(
+        address[:2],
+        on_unexpected=(seen if seen is not None else []).append,
+        **{**defaults, **options},
+    )
+
+
+async def test_connection_is_kept():
+    async def script(reader, writer):
+        while True:
+            await read_head(reader)
+            writer.write(ANSWER % b"1")
+
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address)
+        for _ in range(3):
+            assert (await pool.exchange(REQUEST)).body == b"ok"
+        assert pool.opened == 1
+        pool.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nconnection: close\r\n"
+            b"content-length: 2\r\n\r\nok",
+            id="close",
+        ),
+        pytest.param(ANSWER % b"1" + b"more", id="extra-bytes"),
+        pytest.param(ANSWER % b"1" + ANSWER % b"1", id="second-answer"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\n"
+            b"content-length: 2\r\n\r\nok",
+            id="keep-alive-ends",
+        ),
+    ],
+)
+async def test_connection_is_not_used_again(answer):
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(answer)
+        await asyncio.sleep(1)
+
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address)
+        assert (await pool.exchange(REQUEST)).body == b"ok"
+        await asyncio.sleep(0.25)
+        assert (await pool.exchange(REQUEST)).body == b"ok"
+        assert pool.opened == 2
+        pool.close()
+
+
+async def test_answer_to_an_earlier_request_is_passed_over():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(ANSWER % b"old" + ANSWER % b"new")
+        await asyncio.sleep(1)
+
+    seen = []
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address, seen)
+        response = await pool.exchange(
+            REQUEST, accepts=lambda got: got.header("id") == "new"
+        )
+        assert response.header("id") == "new"
+        assert seen == ["a response to an earlier request"]
+        pool.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(b"", id="nothing"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", id="cut"
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok",
+            id="cut-chunks",
+        ),
+        pytest.param(b"SSH-2.0-x\r\n\r\n", id="no-http"),
+    ],
+)
+async def test_no_whole_answer_fails_as_sent(answer):
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(answer)
+
+    async with open_scripted_server(script) as address:
+        with pytest.raises(ExchangeError) as caught:
+            await make_pool(address).exchange(REQUEST)
+    assert caught.value.sent
+
+
+async def test_answer_without_length_ends_with_the_connection():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nok")
+
+    async with open_scripted_server(script) as address:
+        assert (await make_pool(address).exchange(REQUEST)).body == b"ok"
+
+
+async def test_answer_without_length_reset_is_not_whole():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nok")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    async with open_scripted_server(script) as address:
+        with pytest.raises(ExchangeError):
+            await make_pool(address).exchange(REQUEST)
+
+
+async def test_interim_answer_is_passed_over():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 103 Early Hints\r\n\r\n" + ANSWER % b"1")
+        await asyncio.sleep(1)
+
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address)
+        assert (await pool.exchange(REQUEST)).status == 200
+        pool.close()
+
+
+async def test_nobody_listens_fails_as_not_sent():
+    async with open_scripted_server(None) as address:
+        pass
+    with pytest.raises(ExchangeError) as caught:
+        await make_pool(address).exchange(REQUEST)
+    assert not caught.value.sent
+    assert caught.value.refused
+
+
+async def test_cancelled_exchange_closes_the_connection():
+    closed = asyncio.Event()
+
+    async def script(reader, _writer):
+        await read_head(reader)
+        await reader.read()
+        closed.set()
+
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await pool.exchange(REQUEST)
+        async with asyncio.timeout(1):
+            await closed.wait()
+
+
+async def test_request_bytes_carry_the_length():
+    data = encode_request("POST", "/a", [("host", HOST)], b"xyz")
+    assert data.endswith(b"content-length: 3\r\n\r\nxyz")
+    assert b"content-length: 0" in encode_request("POST", "/a", [])
+    assert b"content-length" not in encode_request("GET", "/a", [])
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,65 @@
+"""Configurations that cannot be used."""
+
+from __future__ import annotations
+
+import pytest
+
+from burdockgap.platform.documents import PlatformDocuments, decode_config
+from burdockgap.routing.documents import DataCentreOut
+from tests.sidecar.builders import make_config, make_route, make_service
+
+
+@pytest.mark.parametrize(
+    ("resources", "why"),
+    [
+        pytest.param(
+            [make_route("x", "b")], "unknown service 'b'", id="unknown-service"
+        ),
+        pytest.param(
+            [make_route("x", "a", **{"path-prefix": "/x"})],
+            "must begin and end",
+            id="bare-prefix",
+        ),
+        pytest.param(
+            [make_route("x", "a"), make_route("x", "a")],
+            "twice",
+            id="same-place",
+        ),
+        pytest.param([make_route("x", "a", host="")], "no host", id="no-host"),
+        pytest.param(
+            [make_route("x", "a", timeout="soon")], "not a time", id="no-time"
+        ),
+        pytest.param(
+            [make_route("x", "a", kind=5)], "field 'kind'", id="no-kind"
+        ),
+    ],
+)
+def test_config_unusable_says_why(resources, why):
+    with pytest.raises(ValueError, match=why):
+        decode_config(make_config(*resources, make_service("a")))
+
+
+@pytest.mark.parametrize(
+    ("kind", "idempotent", "large"),
+    [
+        pytest.param("safe", True, False, id="safe"),
+        pytest.param("unsafe", False, False, id="unsafe"),
+        pytest.param("download", True, True, id="download"),
+        pytest.param("keyed", False, False, id="keyed"),
+        pytest.param("new-kind", False, False, id="unknown"),
+    ],
+)
+def test_kind_says_what_may_be_repeated(kind, idempotent, large):
+    config = decode_config(
+        make_config(make_route("x", "a", kind=kind), make_service("a"))
+    )
+    route = config.find("a.example", "/x/1")
+    assert (route.idempotent, route.large) == (idempotent, large)
+
+
+def test_decode_other_keys():
+    documents = PlatformDocuments()
+    assert documents.decode("unknown", b"{}") is None
+    out = documents.decode("evacuate/tanta", b"{}")
+    assert isinstance(out, DataCentreOut)
+    assert out.data_centre == "tanta"
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,53 @@
+"""Callers' requests, well and badly formed."""
+
+from __future__ import annotations
+
+import pytest
+
+from burdockgap.http1.request import Request
+from burdockgap.platform.requests import decode_request
+
+HEADERS = [("host", "a.example"), ("attempt-id", "r1")]
+
+
+def make_request(*headers: tuple[str, str], target="/x/1?q=1"):
+    return Request(method="GET", target=target, headers=[*HEADERS, *headers])
+
+
+def test_request_is_read():
+    req = decode_request(
+        make_request(
+            ("deadline-milliseconds", "800"),
+            ("shard-key", "65535"),
+            ("calling-service", "liar"),
+            ("expected-instance", "i-9"),
+            ("connection", "x-hop"),
+            ("x-hop", "1"),
+            ("x-kept", "2"),
+        )
+    )
+    assert (req.request_id, req.host, req.path) == ("r1", "a.example", "/x/1")
+    assert (req.wait_s, req.key) == (0.8, 65535)
+    assert req.headers == [*HEADERS, ("shard-key", "65535"), ("x-kept", "2")]
+
+
+@pytest.mark.parametrize(
+    "req",
+    [
+        pytest.param(make_request(("host", "b")), id="two-hosts"),
+        pytest.param(make_request(("shard-key", "x")), id="key-text"),
+        pytest.param(
+            make_request(("deadline-milliseconds", "soon")), id="deadline-text"
+        ),
+        pytest.param(
+            make_request(("deadline-milliseconds", "0")), id="deadline-passed"
+        ),
+        pytest.param(make_request(target="http://a/x/"), id="absolute"),
+        pytest.param(
+            Request(method="GET", target="/", headers=HEADERS[:1]), id="no-id"
+        ),
+    ],
+)
+def test_request_unusable(req):
+    with pytest.raises(ValueError, match=r"."):
+        decode_request(req)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,70 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import pytest
+
+from burdockgap.cli.exit_code import ExitCode
+from burdockgap.platform.settings import SETTINGS_VARIABLE, read_settings
+from burdockgap.run import main
+
+TEXT = """
+node-name = "sidecar-tanta-1"
+new-field = "ignored"
+ip-address = "10.1.0.8"
+zone = "tanta"
+region = "delta"
+internal-port-range = [7620,7635]
+service = "huvo11a"
+[listen-addresses]
+inbound = "10.1.0.8:8300"
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[bounds]
+drain = "2000ms"
+grace-period = "6s"
+retry-budget-ratio = 0.2
+budget-window = "10s"
+budget-extra-retries = 60
+[platform]
+address = "10.200.1.7:8309"
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    return path
+
+
+def test_settings_are_read(tmp_path):
+    cfg = read_settings(write(tmp_path, TEXT))
+    assert (cfg.name, cfg.data_centre) == ("sidecar-tanta-1", "tanta")
+    assert cfg.callers == ("10.1.0.8", 8304)
+    assert cfg.store == ("10.200.1.7", 8309)
+    assert (cfg.drain_s, cfg.grace_s, cfg.peer_port) == (2.0, 6.0, 7620)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "why"),
+    [
+        pytest.param('zone = "tanta"', "", "zone", id="missing"),
+        pytest.param('"6s"', '"six"', "six", id="no-time"),
+        pytest.param("8304", "port", "outbound|address", id="no-port"),
+        pytest.param("[7620,7635]", "[]", "internal-port", id="no-ports"),
+        pytest.param("0.2", '"much"', "retry-budget-ratio", id="no-number"),
+    ],
+)
+def test_settings_unusable_are_named(tmp_path, old, new, why):
+    with pytest.raises(ValueError, match=why):
+        read_settings(write(tmp_path, TEXT.replace(old, new, 1)))
+
+
+def test_command_names_the_file(tmp_path, capsys, monkeypatch):
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    assert main(["sidecar"]) == ExitCode.BAD_INPUT
+    assert SETTINGS_VARIABLE in capsys.readouterr().err
+    path = write(tmp_path, "zone = 5")
+    assert main(["sidecar", "--settings", str(path)]) == ExitCode.BAD_INPUT
+    assert str(path) in capsys.readouterr().err
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,120 @@
+"""Calls of the store against its stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from burdockgap.http1.response import Response
+from burdockgap.http1.server import Server, open_server
+from burdockgap.metadata.store_error import (
+    HistoryLost,
+    StoreError,
+    WriteConflict,
+)
+from burdockgap.platform.store_client import StoreClient
+from standins.sidecar.keyed_topics import KeyedTopics
+from tests.http1.sockets import HOST
+from tests.sidecar.builders import free_port
+
+pytestmark = pytest.mark.anyio
+
+TOPIC = "keyed.t"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def served():
+    """Open a store with a client."""
+    topics, port = KeyedTopics(), free_port()
+    async with open_server(Server(topics.answer), HOST, port):
+        client = StoreClient((HOST, port))
+        yield topics, client
+
+
+async def test_put_and_newest(served):
+    _, client = served
+    assert await client.put(TOPIC, "a", b"\x00\x01") == 1
+    assert await client.put(TOPIC, "b", b"2") == 2
+    assert await client.put(TOPIC, "a", b"3") == 3
+    await client.remove(TOPIC, "b")
+    newest = await client.newest(TOPIC)
+    assert (newest.values, newest.end) == ({"a": b"3"}, 4)
+
+
+async def test_put_condition(served):
+    topics, client = served
+    assert await client.put(TOPIC, "a", b"1", at=0) == 1
+    with pytest.raises(WriteConflict):
+        await client.put(TOPIC, "a", b"2", at=0)
+    assert topics.value(TOPIC, "a") == b"1"
+
+
+async def test_changes_come_as_they_are_written(served):
+    topics, client = served
+    waiting = asyncio.create_task(client.changes(TOPIC, 0, 5.0))
+    await asyncio.sleep(0.05)
+    topics.put(TOPIC, "a", b"1")
+    topics.put(TOPIC, "b", b"")
+    changes = await waiting
+    assert changes.records[0] == ("a", b"1")
+    rest = await client.changes(TOPIC, 1, 0.0)
+    assert (rest.records, rest.end) == ([("b", None)], 2)
+
+
+async def test_changes_none_in_time(served):
+    _, client = served
+    changes = await client.changes(TOPIC, 0, 0.05)
+    assert (changes.records, changes.end) == ([], 0)
+
+
+async def test_changes_history_lost(served):
+    topics, client = served
+    topics.put(TOPIC, "a", b"1")
+    topics.put(TOPIC, "a", b"2")
+    topics.drop_history(TOPIC)
+    with pytest.raises(HistoryLost):
+        await client.changes(TOPIC, 0, 0.0)
+
+
+async def test_store_down(served):
+    topics, client = served
+    topics.down = True
+    with pytest.raises(StoreError):
+        await client.newest(TOPIC)
+
+
+async def test_lost_reply_is_an_unknown_outcome(served):
+    topics, client = served
+    topics.lose_replies = True
+    with pytest.raises(StoreError) as caught:
+        await client.put(TOPIC, "a", b"1", at=0)
+    assert not isinstance(caught.value, WriteConflict)
+    assert topics.value(TOPIC, "a") == b"1"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b"\xff", id="no-json"),
+        pytest.param(b"[]", id="list"),
+        pytest.param(b'{"items": 5}', id="items-number"),
+        pytest.param(b'{"items": [{"key": 5}]}', id="key-number"),
+    ],
+)
+async def test_garbage_is_a_store_error(body):
+    async def answer(_req):
+        return Response(200, [], body)
+
+    port = free_port()
+    async with open_server(Server(answer), HOST, port):
+        client = StoreClient((HOST, port))
+        with pytest.raises(StoreError):
+            await client.newest(TOPIC)
+        with pytest.raises(StoreError):
+            await client.changes(TOPIC, 0, 0.0)
--- /dev/null
+++ b/tests/platform/test_target_protocol.py
@@ -0,0 +1,97 @@
+"""What servers are told, and what their answers mean."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from burdockgap.http1.response import Response
+from burdockgap.platform.target_protocol import PlatformTarget
+from burdockgap.verdict import Verdict
+from tests.forward.builders import make_call
+
+SEALED = [("attempt-id", "r1"), ("server-seal", "s")]
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        pytest.param(200, SEALED, Verdict.RAN, id="success"),
+        pytest.param(500, SEALED, Verdict.RAN, id="failure"),
+        pytest.param(504, SEALED, Verdict.RAN, id="deadline"),
+        pytest.param(503, [], Verdict.RAN, id="no-promise"),
+        pytest.param(503, [("not-executed", "1")], Verdict.NOT_RUN, id="shed"),
+        pytest.param(421, [], Verdict.NOT_RUN, id="other-instance"),
+    ],
+)
+def test_verdict_of_response(status, headers, verdict):
+    assert PlatformTarget().verdict(Response(status, headers)) is verdict
+
+
+@pytest.mark.parametrize(
+    ("headers", "trusted"),
+    [
+        pytest.param(SEALED, True, id="sealed"),
+        pytest.param(SEALED[:1], False, id="no-seal"),
+        pytest.param(SEALED[1:], False, id="no-id"),
+        pytest.param(
+            [*SEALED, ("content-encoding", "gzip")], False, id="encoded"
+        ),
+    ],
+)
+def test_success_is_trusted_if_sealed(headers, trusted):
+    protocol = PlatformTarget()
+    assert protocol.is_trustworthy(Response(200, headers)) is trusted
+
+
+@pytest.mark.parametrize(
+    ("value", "slowness"),
+    [
+        pytest.param("3,0,8,250", 2.5, id="slow"),
+        pytest.param("3,0,8", 1.0, id="three-figures"),
+        pytest.param("3,0,8,x", 1.0, id="garbage"),
+        pytest.param("", 1.0, id="empty"),
+    ],
+)
+def test_slowness_of_load(value, slowness):
+    response = Response(200, [("server-load", value)])
+    assert PlatformTarget().slowness(response) == slowness
+
+
+def test_answers_by_echoed_id():
+    protocol, call = PlatformTarget(), make_call()
+    assert protocol.answers(call, Response(200, [("attempt-id", "r1")]))
+    assert not protocol.answers(call, Response(200, [("attempt-id", "r2")]))
+    assert protocol.answers(call, Response(503))
+
+
+def test_grant_and_release_bytes():
+    protocol = PlatformTarget()
+    data = protocol.encode_grant(
+        first=1, last=9, fence=5, hold_s=1.2345, handover="h"
+    )
+    assert data.startswith(b"POST /api/grant HTTP/1.1\r\n")
+    assert json.loads(data.partition(b"\r\n\r\n")[2]) == {
+        "from": 1,
+        "to": 9,
+        "fence": 5,
+        "hold_time": "1234ms",
+        "handover": "h",
+    }
+    data = protocol.encode_release(first=1, last=9, fence=5)
+    assert json.loads(data.partition(b"\r\n\r\n")[2]) == {
+        "from": 1,
+        "to": 9,
+        "fence": 5,
+    }
+
+
+def test_encode_own_headers_replace_the_callers():
+    call = make_call(headers=[("host", "a"), ("x-other", "1")])
+    data = PlatformTarget().encode(call, target_id="i-1", left_s=0.5)
+    head = data.partition(b"\r\n\r\n")[0].decode().lower()
+    assert "deadline-milliseconds: 500" in head
+    assert "expected-instance: i-1" in head
+    assert "calling-service: records" in head
+    assert "x-other: 1" in head
