--- a/tests/routing/test_routing_config.py
+++ b/tests/routing/test_routing_config.py
@@ -15,7 +15,7 @@
 )
 
 
-def make_routing(*routes, version="00000001"):
+def make_routing(*routes: object, version="00000001"):
     return decode_config(
         make_config(
             *routes,
