Await an owner whose daemon has just started; refuse requests late in a stop

New requests are refused as not run after 3.6 s, and the end comes once all are answered, at 5.6 s at the latest.

--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -80,6 +80,8 @@
     :param bounds: limits that hold for all daemons together.
     :param on_event: logs a decision.
     :param on_answer: counts an answer's status and time in seconds.
+    :ivar in_flight: callers' requests that are being served.
+    :ivar closed: whether new requests are refused.
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         "_on_event",
         "_roster",
         "_view",
+        "closed",
         "in_flight",
     )
 
@@ -125,10 +128,13 @@
         self._budgets: dict[str, RetryShare] = {}
         self._on_event = on_event
         self.in_flight = 0
+        self.closed = False
 
     async def serve(self, req: CallerRequest) -> Response:
         """Answer a caller's request."""
         config = self._documents.config
+        if self.closed:
+            return self._refuse(req, 503, "the daemon stops")
         if config is None:
             return self._refuse(req, 503, "no configuration is known yet")
         route = config.find(req.host, req.path)
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -49,7 +49,9 @@
     :param crashes: knows the requests that crash targets.
     :param on_event: logs a decision.
     :param on_outcome: counts an outcome and its time in seconds.
-    :ivar leaving: whether this daemon is about to stop.
+    :ivar leaving: whether this daemon is about to stop; only keys are
+        served then, until they have moved.
+    :ivar closed: whether every call is refused.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "_slots",
         "_state",
         "_out_since",
+        "closed",
         "holder",
         "leaving",
         "service",
@@ -94,6 +97,7 @@
         self._pool: ClientPool | None = None
         self.holder: ShardHolder | None = None
         self.leaving = False
+        self.closed = False
 
     @property
     def load(self) -> Load:
@@ -194,6 +198,8 @@
     def _check_open(self, call: Call) -> None:
         if call.service != self.service:
             raise _refusal(Reason.UNKNOWN_SERVICE)
+        if self.closed:
+            raise _refusal(Reason.DRAINING)
         if not self._state.up or self._state.info is None:
             raise _refusal(Reason.TARGET_DOWN)
         out_since = self._out_since()
--- a/src/burdockgap/http1/server.py
+++ b/src/burdockgap/http1/server.py
@@ -82,6 +82,12 @@
             logger.exception("request {} failed in the daemon", req.target)
             return Response(500)
 
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is being answered."""
+        for conn in list(self.connections):
+            if not conn.busy:
+                conn.close()
+
     async def sweep(self) -> None:
         """Close connections of callers that take too long, for ever."""
         while True:
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -13,7 +13,7 @@
 from burdockgap.shards.key_rates import KeyRates
 from burdockgap.shards.lease import LEASE_S, MARGIN_S
 from burdockgap.shards.planner import Server, assign_unowned, balance
-from burdockgap.shards.reports import Report
+from burdockgap.shards.reports import TARGET_UNKNOWN, Report
 from burdockgap.shards.shard import KEYS, Shard, merged
 
 if TYPE_CHECKING:
@@ -431,25 +431,33 @@
         gone: set[tuple[str, int]] = set()
         for shard in state.shards.get(service, []):
             owner = (shard.owner, shard.born)
-            report = self._reports.get(shard.owner)
-            heard_at = self._received.get(shard.owner, self._since)
-            if shard.owner in servers or not shard.owner:
-                if report is not None and report.born != shard.born:
-                    gone.add(owner)
+            if not shard.owner or owner in kept or owner in gone:
                 continue
-            if now - heard_at < _LOST_S and (
-                report is None or now - heard_at > _FRESH_S
-            ):
-                kept.add(owner)
-            elif now - heard_at < _FRESH_S and report is not None:
-                if report.born not in (0, shard.born):
+            if shard.owner in servers:
+                if servers[shard.owner].born != shard.born:
                     gone.add(owner)
-            elif self._expired(shard.owner, now):
-                gone.add(owner)
-            else:
+            elif self._is_awaited(shard, now):
                 kept.add(owner)
+            elif self._holds_nothing(shard, now):
+                gone.add(owner)
         return kept, gone
 
+    def _is_awaited(self, shard: Shard, now: float) -> bool:
+        """Tell whether a range stays with an owner that is away."""
+        silent_s = now - self._received.get(shard.owner, self._since)
+        report = self._reports.get(shard.owner)
+        if silent_s < _FRESH_S and report is not None:
+            return report.born == TARGET_UNKNOWN
+        return silent_s < _LOST_S or not self._expired(shard.owner, now)
+
+    def _holds_nothing(self, shard: Shard, now: float) -> bool:
+        """Tell whether an owner surely holds nothing any more."""
+        report = self._reports.get(shard.owner)
+        silent_s = now - self._received.get(shard.owner, self._since)
+        if silent_s < _FRESH_S and report is not None:
+            return report.born not in (0, shard.born)
+        return self._expired(shard.owner, now)
+
     def _expired(self, name: str, now: float) -> bool:
         """Tell whether a member's last lease has surely run out."""
         if self._authority.safe_at is None:
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -9,7 +9,7 @@
 from burdockgap.fleet.datagrams import LEASE, REPORT
 from burdockgap.metadata.store_error import StoreError
 from burdockgap.shards.lease import REPORT_S
-from burdockgap.shards.reports import Report
+from burdockgap.shards.reports import TARGET_UNKNOWN, Report
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -35,7 +35,6 @@
 _UNKNOWN_S = 2.5
 """After a start, how long a target that says nothing counts as
 awaited."""
-_UNKNOWN = -1
 
 
 class Reporter:
@@ -187,7 +186,7 @@
         if self._target.info is not None:
             return self._target.born
         uptime_s = self._clock.now() - self._started_at
-        return _UNKNOWN if uptime_s < _UNKNOWN_S else 0
+        return TARGET_UNKNOWN if uptime_s < _UNKNOWN_S else 0
 
     def _take_lease(self, values: list[Any]) -> None:
         incarnation, term, revision, stamp, sent_at, lease_s = values
--- a/src/burdockgap/shards/reports.py
+++ b/src/burdockgap/shards/reports.py
@@ -6,6 +6,10 @@
 
 from burdockgap.forward.load import Load
 
+TARGET_UNKNOWN = -1
+"""In place of the target's life, by a daemon that started just now; an
+earlier daemon may have given the target keys."""
+
 
 class Report:
     """
@@ -18,6 +22,7 @@
     :param sent_at: when it was sent, on the member's clock, in seconds.
     :param echo: the coordinator's time that the member saw last.
     :param born: its target's life, 0 if the target is down.
+        :data:`TARGET_UNKNOWN` right after the daemon's start.
     :param takes_work: whether the target takes new requests.
     :param pending: ranges whose earlier holders have not let go, as
         first key, last key and fencing token.
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -282,6 +282,17 @@
         self.gate.leaving = True
         self._beacons.changed()
 
+    def stop_taking(self) -> None:
+        """Refuse all new work as not run."""
+        self.forwarder.closed = True
+        self.gate.closed = True
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that somebody waits for here."""
+        callers = self.callers.in_flight if self.callers else 0
+        return callers + self.gate.in_flight
+
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(_TICK_S)
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -27,7 +27,10 @@
 _STAY_S = 2.6
 """Two questions of the platform, so that callers have been sent
 away."""
-_GRACE_SHARE = 0.8
+_TAKES_SHARE = 0.6
+"""Share of the grace time in which new requests are served."""
+_GRACE_SHARE = 0.93
+"""Share of the grace time after which the process ends in any case."""
 _POLL_S = 0.05
 METRICS_PORT = 9464
 """Also named in deploy/system.toml."""
@@ -118,12 +121,14 @@
     assert node.callers is not None
     node.callers.leaving = True
     began = loop.time()
-    end = began + node.cfg.grace_s * _GRACE_SHARE
     if node.target.left or not node.target.up:
-        await node.discovery.withdraw()
-    while loop.time() < end:
-        busy = node.callers.in_flight or node.gate.in_flight
-        if loop.time() - began > _STAY_S and not busy:
-            return True
+        node.reporter.spawn(node.discovery.withdraw())
+    while loop.time() < began + node.cfg.grace_s * _GRACE_SHARE:
+        if loop.time() - began > node.cfg.grace_s * _TAKES_SHARE:
+            node.stop_taking()
+        if loop.time() - began > _STAY_S and not node.in_flight:
+            break
         await asyncio.sleep(_POLL_S)
-    return not (node.callers.in_flight or node.gate.in_flight)
+    node.stop_taking()
+    node.callers.close_idle()
+    return not node.in_flight
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -10,6 +10,7 @@
 from burdockgap.shards.control_view import ControlView
 from burdockgap.shards.coordinator import Coordinator
 from burdockgap.shards.lease import AUTHORITY_S, LEASE_S
+from burdockgap.shards.reports import TARGET_UNKNOWN
 from tests.shards.builders import SERVICE, make_report
 from tests.shards.fakes import FakeClock, FakeDatagrams, FakeStore, make_roster
 
@@ -203,3 +204,16 @@
 def test_control_state_garbage_is_refused():
     with pytest.raises(ValueError, match="not a control state"):
         ControlState.decode(b"\xc1\x00")
+
+
+async def test_restarted_daemon_that_knows_no_target_yet_is_awaited():
+    world = World()
+    await world.coordinator.claim()
+    await world.steps(1.0, *NAMES)
+    revision = world.view.state.revision
+    world.born["c"] = TARGET_UNKNOWN
+    for _ in range(10):
+        world.report("c", takes_work=False)
+        await world.steps(0.1, "a", "b")
+    assert world.view.state.revision == revision
+    assert "c" in world.owners()
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -249,3 +249,18 @@
         before = sum(site.store.calls.values())
         await asyncio.sleep(2.0)
         assert sum(site.store.calls.values()) - before <= 3
+
+
+async def test_stopping_daemon_refuses_late_requests_as_not_run():
+    async with open_site("records", "records") as site:
+        await site.settled()
+        stopping, other = site.machines
+        stopping.node.begin_leaving()
+        assert not stopping.node.is_ready
+        answer = await stopping.ask("/read/1", key=0)
+        assert answer.status == 200
+        stopping.node.stop_taking()
+        runs = len(stopping.app.runs) + len(other.app.runs)
+        answer = await stopping.ask("/read/1", key=0)
+        assert answer.status == 503
+        assert len(stopping.app.runs) + len(other.app.runs) == runs
