Close a peer's connections with their listener

Cause of a test that failed once: a daemon that a test ended went on answering calls on connections that were open, so its keys were served until its lease ended.

--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -34,12 +34,23 @@
     Runs one task per call of a peer.
 
     :param handlers: answers by kind of call.
+    :param others: all open connections of the listener.
     """
 
-    __slots__ = ("_buffer", "_handlers", "_loop", "_tasks", "_transport")
+    __slots__ = (
+        "_buffer",
+        "_handlers",
+        "_loop",
+        "_others",
+        "_tasks",
+        "_transport",
+    )
 
-    def __init__(self, handlers: dict[int, Handler]) -> None:
+    def __init__(
+        self, handlers: dict[int, Handler], others: set[_Incoming]
+    ) -> None:
         self._handlers = handlers
+        self._others = others
         self._loop = asyncio.get_running_loop()
         self._buffer = FrameBuffer()
         self._tasks: dict[int, asyncio.Task[None]] = {}
@@ -49,7 +60,10 @@
         # The event loop's own transports are of no common base class.
         self._transport = cast("asyncio.Transport", transport)
 
+        self._others.add(self)
+
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        self._others.discard(self)
         for task in list(self._tasks.values()):
             task.cancel(LINK_LOST)
 
@@ -59,7 +73,7 @@
                 self._take(frame)
         except (FrameError, IndexError, TypeError) as exc:
             logger.warning("closing a peer's connection: {}", exc)
-            self._close()
+            self.close()
 
     def _take(self, frame: list[Any]) -> None:
         if frame[0] == CALL:
@@ -79,14 +93,14 @@
             reply = await self._handlers[kind](payload)
         except Exception:
             logger.exception("a peer's call of kind {} failed", kind)
-            self._close()
+            self.close()
         else:
             if self._transport is not None:
                 self._transport.write(encode_frame(REPLY, number, reply))
         finally:
             self._tasks.pop(number, None)
 
-    def _close(self) -> None:
+    def close(self) -> None:
         if self._transport is not None:
             self._transport.abort()
 
@@ -97,10 +111,16 @@
 ) -> AsyncIterator[None]:
     """Answer calls of peers at an address until the context ends."""
     loop = asyncio.get_running_loop()
+    connections: set[_Incoming] = set()
     listener = await loop.create_server(
-        lambda: _Incoming(handlers), host, port, reuse_address=True
+        lambda: _Incoming(handlers, connections),
+        host,
+        port,
+        reuse_address=True,
     )
     try:
         yield
     finally:
         listener.close()
+        for conn in list(connections):
+            conn.close()
