Give up early where a key has no owner; leave more of the retry budget

Change: a fifth of the objective for finding a target, half of it in a queue; a longer time to come back; 35 % of the retry ratio in place of 50 %. Also: burdockgap explain prints a request's timeline; a daemon that starts during an outage of the store learns documents from its peers at once.

--- a/src/burdockgap/cli/parser.py
+++ b/src/burdockgap/cli/parser.py
@@ -11,6 +11,7 @@
     config,
     daemon,
     data_centre,
+    explain,
     owner,
     session,
     settings,
@@ -21,6 +22,7 @@
 
 _COMMANDS = (
     daemon,
+    explain,
     check,
     settings,
     status,
--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -20,7 +20,8 @@
     :param idempotent: whether it may run more than once.
     :param priority: rank; 0 is the most urgent.
     :param deadline_s: seconds until nobody waits for the answer.
-    :param objective_s: seconds until the answer loses its worth.
+    :param patience_s: seconds that it may wait before a target is given
+        it.
     :param attempt: 1 for the first target that is tried.
     """
 
@@ -32,7 +33,7 @@
         "idempotent",
         "key",
         "method",
-        "objective_s",
+        "patience_s",
         "origin",
         "priority",
         "request_id",
@@ -54,7 +55,7 @@
         idempotent: bool,
         priority: int,
         deadline_s: float,
-        objective_s: float,
+        patience_s: float,
         attempt: int = 1,
     ) -> None:
         self.request_id = request_id
@@ -68,7 +69,7 @@
         self.idempotent = idempotent
         self.priority = priority
         self.deadline_s = deadline_s
-        self.objective_s = objective_s
+        self.patience_s = patience_s
         self.attempt = attempt
 
     def encode(self) -> list[Any]:
@@ -85,7 +86,7 @@
             self.idempotent,
             self.priority,
             self.deadline_s,
-            self.objective_s,
+            self.patience_s,
             self.attempt,
         ]
 
@@ -108,7 +109,7 @@
             idempotent,
             priority,
             deadline_s,
-            objective_s,
+            patience_s,
             attempt,
         ) = values
         return cls(
@@ -123,6 +124,6 @@
             idempotent=idempotent,
             priority=priority,
             deadline_s=deadline_s,
-            objective_s=objective_s,
+            patience_s=patience_s,
             attempt=attempt,
         )
--- a/src/burdockgap/forward/crash_watch.py
+++ b/src/burdockgap/forward/crash_watch.py
@@ -79,7 +79,7 @@
         self._quarantine.crashed(str(born), [entry[2] for entry in blamed])
         self._on_event(
             "target_crashed",
-            {"born": born, "in_flight": [entry[3] for entry in blamed]},
+            {"born": born, "in_flight_ids": [entry[3] for entry in blamed]},
         )
         suspects = self._quarantine.export()
         self._tell(
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -44,12 +44,15 @@
 _MOST_TRIES = 4
 """Daemons asked for one request; a refusal there costs one round
 trip."""
-_OWNER_PAUSE_S = 0.03
-_OWNER_SHARE = 0.5
-"""Share of the objective that may be spent on looking for an owner."""
-_RETRY_AFTER_S = (0.05, 0.15)
+_PAUSE_S = 0.03
+_QUEUE_SHARE = 0.5
+"""Share of the objective within which a queued request must begin."""
+_UNTRIED_SHARE = 0.2
+"""Share of the objective after which a request is given up that no
+target was given."""
+_RETRY_AFTER_S = (0.1, 0.25)
 _SERVER_ERROR = 500
-_RATIO_SHARE = 0.5
+_RATIO_SHARE = 0.35
 _EXTRA_SHARE = 0.5
 """Shares of the common retry budget that are used. The rest is for
 calls that targets make again while they run a request again."""
@@ -185,14 +188,22 @@
             idempotent=route.idempotent,
             priority=route.priority,
             deadline_s=wait_s,
-            objective_s=route.objective_s,
+            patience_s=0.0,
         )
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
+        give_up_at = min(
+            deadline, req.arrived_at + route.objective_s * _UNTRIED_SHARE
+        )
         while True:
-            member = await self._choose(call, route, progress, deadline)
-            if member is None or self._loop.time() >= deadline:
+            member = await self._choose(call, route, progress, give_up_at)
+            now = self._loop.time()
+            if member is None or now >= deadline:
                 return self._final(progress, last)
-            call.deadline_s = deadline - self._loop.time()
+            call.deadline_s = deadline - now
+            waited_s = now - req.arrived_at
+            call.patience_s = max(
+                route.objective_s * _QUEUE_SHARE - waited_s, 0.0
+            )
             call.attempt = len(progress.attempts) + 1
             last = await self._attempt(member, call, progress)
             response = self._usable(last, route, progress)
@@ -200,7 +211,9 @@
                 return response
             if is_keyed and last.reason in _FINAL_FOR_KEYS:
                 return self._final(progress, last)
-            if not self._may_repeat(last, route, service, progress):
+            if not self._may_repeat(
+                last, route, service, progress, give_up_at
+            ):
                 return self._final(progress, last)
 
     async def _choose(
@@ -208,12 +221,25 @@
         call: Call,
         route: Route,
         progress: _Progress,
-        deadline: float,
+        give_up_at: float,
+    ) -> Member | None:
+        """Return the next target, after a wait if there is none yet."""
+        while len(progress.attempts) < _MOST_TRIES:
+            if call.key is None:
+                member = self._best(call, route, progress)
+            else:
+                member = await self._owner(call, progress)
+            tried_all = call.key is None and bool(progress.attempts)
+            if member is not None or tried_all:
+                return member
+            if self._loop.time() >= give_up_at:
+                return None
+            await asyncio.sleep(_PAUSE_S)
+        return None
+
+    def _best(
+        self, call: Call, route: Route, progress: _Progress
     ) -> Member | None:
-        if call.key is not None:
-            return await self._owner(call, progress, deadline)
-        if len(progress.attempts) >= _MOST_TRIES:
-            return None
         servers = [
             member
             for member in self._roster.servers(call.service)
@@ -227,34 +253,23 @@
             servers = random.sample(servers, _CHOICES)
         return min(servers, key=lambda member: self._cost(member, route))
 
+    async def _owner(self, call: Call, progress: _Progress) -> Member | None:
+        """Return the key's owner, if it is known and alive."""
+        assert call.key is not None
+        if progress.attempts:
+            # The assignment that the last owner knew is on its way.
+            await asyncio.sleep(_PAUSE_S)
+        shard = self._view.state.find(call.service, call.key)
+        if shard is None or not self._roster.is_alive(shard.owner):
+            return None
+        return self._roster.member(shard.owner)
+
     def _cost(self, member: Member, route: Route) -> float:
         cost_s = self._roster.expected_s(member)
         if member.data_centre != self._roster.own.data_centre:
             cost_s += _FAR_LARGE_S if route.large else _FAR_S
         return cost_s
 
-    async def _owner(
-        self, call: Call, progress: _Progress, deadline: float
-    ) -> Member | None:
-        """Return the key's owner, after a wait if there is none."""
-        assert call.key is not None
-        until = min(
-            deadline, self._loop.time() + call.objective_s * _OWNER_SHARE
-        )
-        if len(progress.attempts) >= _MOST_TRIES:
-            return None
-        if progress.attempts:
-            await asyncio.sleep(_OWNER_PAUSE_S)
-        while True:
-            shard = self._view.state.find(call.service, call.key)
-            if shard is not None:
-                member = self._roster.member(shard.owner)
-                if member is not None and self._roster.is_alive(shard.owner):
-                    return member
-            if self._loop.time() >= until:
-                return None
-            await asyncio.sleep(_OWNER_PAUSE_S)
-
     async def _attempt(
         self, member: Member, call: Call, progress: _Progress
     ) -> Outcome:
@@ -330,7 +345,7 @@
             except TimeoutError:
                 break
             except LinkError:
-                await asyncio.sleep(_OWNER_PAUSE_S)
+                await asyncio.sleep(_PAUSE_S)
         return Outcome(
             Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, offered=True
         )
@@ -352,10 +367,11 @@
         route: Route,
         service: str,
         progress: _Progress,
+        give_up_at: float,
     ) -> bool:
         if outcome.verdict is Verdict.NOT_RUN:
             if not outcome.offered:
-                return True
+                return progress.ran > 0 or self._loop.time() < give_up_at
         elif not route.idempotent or progress.ran >= route.max_attempts:
             return False
         if outcome.reason is Reason.DEADLINE:
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -28,9 +28,9 @@
 """Below the 10 s after which the users' servers close."""
 _UNSAFE_IDLE_S = 4.0
 _QUEUE_SHARE = 0.5
-_WAIT_SHARE = 0.5
-"""Share of the objective that a request may spend in the queue."""
-_RETRY_AFTER_S = 0.05
+_GRANT_SHARE = 0.4
+"""Share of a request's patience that a grant on its way may take."""
+_RETRY_AFTER_S = 0.1
 _KEYS_LEAVE_S = 2.0
 """Time for keys to leave a data centre that is out; the users allow 5
 s."""
@@ -178,7 +178,8 @@
             self._check_open(call)
             if self.holder is not None and call.key is not None:
                 self.holder.samples.add(call.key)
-                await self.holder.ready(call.key, self._wait_s(call, deadline))
+                wait_s = self._wait_s(call, deadline) * _GRANT_SHARE
+                await self.holder.ready(call.key, wait_s)
             await self._slots.acquire(
                 priority=call.priority, wait_s=self._wait_s(call, deadline)
             )
@@ -193,7 +194,7 @@
 
     def _wait_s(self, call: Call, deadline: float) -> float:
         left_s = deadline - self._loop.time()
-        return min(call.objective_s * _WAIT_SHARE, left_s)
+        return min(call.patience_s, left_s)
 
     def _check_open(self, call: Call) -> None:
         if call.service != self.service:
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -230,7 +230,7 @@
         return (
             not self.leaving
             and self.documents.config is not None
-            and self.discovery.has_read
+            and (self.discovery.has_read or len(self.roster.live()) > 1)
         )
 
     async def answer_caller(self, req: Request) -> Response:
@@ -450,7 +450,8 @@
         self.view.adopt(ControlState.decode(data))
 
     async def _fetch_documents(self, member: Member) -> None:
-        await asyncio.sleep(_PULL_AFTER_S)
+        if self.documents.config is not None:
+            await asyncio.sleep(_PULL_AFTER_S)
         if member.documents <= self.documents.end:
             return
         async with asyncio.timeout(_TICK_S * 4):
--- a/tests/forward/builders.py
+++ b/tests/forward/builders.py
@@ -26,7 +26,7 @@
         "idempotent": False,
         "priority": 1,
         "deadline_s": 1.0,
-        "objective_s": 0.3,
+        "patience_s": 0.15,
     }
     call = Call(**{**defaults, **fields})
     if "request_id" in fields and "headers" not in fields:
