--- a/src/burdockgap/shards/holding.py
+++ b/src/burdockgap/shards/holding.py
@@ -53,6 +53,13 @@
         self.rejected = False
         self.taker: asyncio.Task[None] | None = None
 
+    def may_last(self, now: float) -> bool:
+        """Tell whether the target may hold the range at some time."""
+        until = max(
+            self.hold_until, self.may_hold_until, self.unanswered_until
+        )
+        return self.granting or until > now
+
     def follow(self, parts: list[Holding]) -> None:
         """Take over the state of the range's earlier parts."""
         self.cleared = all(part.cleared for part in parts)
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -151,13 +151,8 @@
                 continue
             if item.taker is not None:
                 item.taker.cancel()
-            if max(item.hold_until, item.may_hold_until) > now:
-                self._lost.append(item)
-        self._lost = [
-            item
-            for item in self._lost
-            if max(item.hold_until, item.may_hold_until) > now
-        ]
+            self._lost.append(item)
+        self._lost = [item for item in self._lost if item.may_last(now)]
         self._holdings = after
         self._wake()
 
@@ -282,13 +277,13 @@
             handover="" if item.granted else item.handover,
         )
         sent_at = self._clock.now()
+        answered_until = item.unanswered_until
+        # Until it is answered, the target may take it at any moment.
+        item.unanswered_until = sent_at + _CALL_TIMEOUT_S + hold_s * CLOCK_RATE
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 response = await self._target().exchange(data)
         except (ExchangeError, TimeoutError) as exc:
-            end = self._clock.now() + hold_s * CLOCK_RATE
-            item.may_hold_until = max(item.may_hold_until, end)
-            item.unanswered_until = max(item.unanswered_until, end)
             if isinstance(exc, ExchangeError) and exc.refused:
                 self._state.refused_connection(shard.born)
             self._event(
@@ -301,6 +296,7 @@
             return False
         finally:
             item.granting = False
+        item.unanswered_until = answered_until
         if response.status == _OK:
             is_first = not item.granted
             item.granted = True
@@ -386,7 +382,9 @@
     def _held_until(self, first: int, last: int) -> float:
         """Return when nothing granted so far can be held any more."""
         items = self._overlapping(first, last)
-        until = [item.may_hold_until for item in items]
+        until = [
+            max(item.may_hold_until, item.unanswered_until) for item in items
+        ]
         return max([*until, self._started_at + LEASE_S]) + MARGIN_S
 
     def _continued(self, shard: Shard, before: list[Holding]) -> Holding:
