--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -163,6 +163,11 @@
             entry.load, entry.pending = load, 0
             entry.load_at = self._loop.time()
 
+    def load_age_s(self, name: str) -> float:
+        """Return how long ago a member told its load, in seconds."""
+        entry = self._entries.get(name)
+        return self._loop.time() - entry.load_at if entry else 0.0
+
     def note_call(self, name: str) -> None:
         """Count a call to a member."""
         entry = self._entries.get(name)
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -59,7 +59,13 @@
 
 
 class _Progress:
-    """What has been tried for one request."""
+    """
+    What has been tried for one request.
+
+    :ivar attempts: per attempt the member, the verdict, the reason, the
+        milliseconds that it took and the age of the load by which the
+        member was chosen, in milliseconds.
+    """
 
     __slots__ = ("attempts", "best", "offers", "ran", "tried")
 
@@ -274,6 +280,7 @@
         self, member: Member, call: Call, progress: _Progress
     ) -> Outcome:
         began = self._loop.time()
+        load_age_s = self._roster.load_age_s(member.name)
         progress.tried.add(member.name)
         if member.name == self._roster.own.name:
             outcome = await self._gate.serve(call)
@@ -289,6 +296,7 @@
                 outcome.verdict.value,
                 outcome.reason.value if outcome.reason else None,
                 round((self._loop.time() - began) * 1000, 1),
+                round(load_age_s * 1000),
             ]
         )
         return outcome
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -286,7 +286,13 @@
     def _unexpected(self, what: str) -> None:
         self._on_event("unexpected_bytes", {"detail": what})
 
+    def _lease_s(self, call: Call) -> float | None:
+        if self.holder is None or call.key is None:
+            return None
+        return round(self.holder.lease.hold_s(), 3)
+
     def _log(self, call: Call, outcome: Outcome, began: float) -> None:
+        info = self._state.info
         self._on_outcome(outcome, self._loop.time() - began)
         self._on_event(
             "gate",
@@ -302,7 +308,10 @@
                 "ms": round((self._loop.time() - began) * 1000, 1),
                 "in_flight": self._slots.in_flight,
                 "waiting": self._slots.waiting,
+                "slots": self._slots.size,
                 "born": self._state.born,
+                "sequence": info.sequence if info else None,
+                "lease_s": self._lease_s(call),
             },
         )
 
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -20,7 +20,7 @@
 
 
 def _commands():
-    text = (DOCS / "operations.md").read_text()
+    text = (DOCS / "OPERATIONS.md").read_text()
     return sorted(set(COMMAND.findall(text)))
 
 
@@ -32,7 +32,7 @@
 
 def test_metrics_of_operations_exist():
     listed = set(METRIC.findall((DOCS / "metrics.md").read_text()))
-    named = set(METRIC.findall((DOCS / "operations.md").read_text()))
+    named = set(METRIC.findall((DOCS / "OPERATIONS.md").read_text()))
     assert len(named) > 10
     assert named - listed == set()
 
