Keep the voters steady after a majority is lost; measure the new data path

Cause: without a majority the voters were those that had just reported, and with one those of the last 10 s, so that one member alone wrote another list every 0.1 s (seen while measuring; test seen failing before). Ruled out: reports that come late.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -12,6 +12,7 @@
 from measure.datapath import measure_datapath
 from measure.decisions import measure_decisions
 from measure.recorder import Recorder
+from measure.sidecar import measure_sidecar
 from measure.slopes import fit_slopes
 from measure.table_sizes import measure_tables
 
@@ -31,6 +32,7 @@
     control.add_argument("--steps", nargs="+", default=STEPS, choices=STEPS)
     parts.add_parser("baseline", help="interpreters that only import")
     parts.add_parser("path", help="requests a second, local and one hop")
+    parts.add_parser("sidecar", help="requests on the users' platform")
     parts.add_parser("slopes", help="fits and plots of what was measured")
     parts.add_parser("decisions", help="the coordinator's decisions")
     parts.add_parser("table", help="fold and routing table at full size")
@@ -44,8 +46,8 @@
         measure_tables(args.seed)
     if args.part in (None, "decisions"):
         measure_decisions(Recorder("decisions", args.seed), args.seed)
-    if args.part in (None, "path"):
-        anyio.run(_path, args.seed)
+    if args.part in (None, "path", "sidecar"):
+        anyio.run(_requests, args)
     if args.part in (None, "control"):
         _control(args)
     if args.part in (None, "slopes"):
@@ -59,8 +61,11 @@
             anyio.run(_one_site, recorder, daemons, slices, args)
 
 
-async def _path(seed: int) -> None:
-    await measure_datapath(Recorder("path", seed), seed=seed)
+async def _requests(args: argparse.Namespace) -> None:
+    if args.part in (None, "path"):
+        await measure_datapath(Recorder("path", args.seed), seed=args.seed)
+    if args.part in (None, "sidecar"):
+        await measure_sidecar(Recorder("sidecar", args.seed))
 
 
 async def _one_site(
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -67,12 +67,11 @@
         member was chosen, in milliseconds.
     """
 
-    __slots__ = ("attempts", "best", "offers", "ran", "tried")
+    __slots__ = ("attempts", "best", "ran", "tried")
 
     def __init__(self) -> None:
         self.attempts: list[list[Any]] = []
         self.tried: set[str] = set()
-        self.offers = 0
         self.ran = 0
         self.best: Response | None = None
 
@@ -286,8 +285,6 @@
             outcome = await self._gate.serve(call)
         else:
             outcome = await self._remote(member, call)
-        if outcome.offered:
-            progress.offers += 1
         if outcome.verdict is not Verdict.NOT_RUN:
             progress.ran += 1
         progress.attempts.append(
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -300,6 +300,7 @@
                 "id": call.request_id,
                 "service": call.service,
                 "key": call.key,
+                "attempt": call.attempt,
                 "verdict": outcome.verdict.value,
                 "reason": outcome.reason.value if outcome.reason else None,
                 "status": outcome.response.status
--- a/src/burdockgap/hop/link.py
+++ b/src/burdockgap/hop/link.py
@@ -156,13 +156,6 @@
             link = await self._open(address)
         return await link.call(kind, payload)
 
-    def forget(self, address: tuple[str, int]) -> None:
-        """Close the connection to a peer that is gone."""
-        link = self._links.pop(address, None)
-        self._locks.pop(address, None)
-        if link is not None:
-            link.close()
-
     def close(self) -> None:
         """Close all connections."""
         for link in self._links.values():
--- a/src/burdockgap/http1/encode.py
+++ b/src/burdockgap/http1/encode.py
@@ -14,7 +14,6 @@
 HOP_BY_HOP = frozenset(
     {
         "connection",
-        "content-length",
         "expect",
         "keep-alive",
         "proxy-authenticate",
@@ -68,6 +67,14 @@
     return head if bodiless else head + body
 
 
+def first_value(headers: Iterable[tuple[str, str]], name: str) -> str | None:
+    """Return a header's first value, by lower-case name."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
 def connection_headers(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
     """Return the lower-case names that Connection lists."""
     names: set[str] = set()
@@ -78,11 +85,17 @@
 
 
 def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Return the headers that do not concern one connection only."""
+    """
+    Return the headers that do not concern one connection only.
+
+    The length is left out as well; it is written with the body.
+    """
     pairs = list(headers)
     listed = connection_headers(pairs)
     return [
         pair
         for pair in pairs
-        if pair[0] not in HOP_BY_HOP and pair[0] not in listed
+        if pair[0] not in HOP_BY_HOP
+        and pair[0] not in listed
+        and pair[0] != "content-length"
     ]
--- a/src/burdockgap/http1/request.py
+++ b/src/burdockgap/http1/request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from burdockgap.http1.encode import first_value
+
 
 class Request:
     """
@@ -39,7 +41,4 @@
 
     def header(self, name: str) -> str | None:
         """Return a header's first value, by lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return first_value(self.headers, name)
--- a/src/burdockgap/http1/response.py
+++ b/src/burdockgap/http1/response.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from burdockgap.http1.encode import first_value
+
 
 class Response:
     """
@@ -32,7 +34,4 @@
 
     def header(self, name: str) -> str | None:
         """Return a header's first value, by lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return first_value(self.headers, name)
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -312,26 +312,22 @@
     def _update_voters(
         self, state: ControlState, now: float, *, has_authority: bool
     ) -> bool:
-        heard = {
-            name for name, at in self._received.items() if now - at < _ABSENT_S
-        }
-        if has_authority or now - self._since > _VOTER_PATIENCE_S:
-            voters = heard
-        else:
-            return False
+        """Follow members that come and go; one absent stays a while."""
         if now - self._since < _FIRST_PLAN_S:
             return False
-        if not has_authority:
-            voters = {
+        fresh = {
+            name for name, at in self._received.items() if now - at < _FRESH_S
+        }
+        if has_authority:
+            voters = fresh | {
                 name
-                for name, at in self._received.items()
-                if now - at < _FRESH_S
+                for name in state.voters
+                if now - self._received.get(name, self._since) < _ABSENT_S
             }
-        elif not voters - set(state.voters):
-            # Absent voters leave once they are many, not one by one.
-            missing = set(state.voters) - voters
-            if not missing or now - self._since < _ABSENT_S:
-                return False
+        elif now - self._since > _VOTER_PATIENCE_S:
+            voters = fresh
+        else:
+            return False
         if not voters or set(state.voters) == voters:
             return False
         state.voters = tuple(sorted(voters))
--- a/src/burdockgap/target/http_headers.py
+++ b/src/burdockgap/target/http_headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from burdockgap.http1.encode import HOP_BY_HOP
+
 REQUEST_ID = "Burdockgap-Request-Id"
 KEY = "Burdockgap-Key"
 """The caller's key, passed on to the target as it is."""
@@ -19,20 +21,6 @@
 """Set to 1 on a 503 by a target that did not run the request."""
 
 _OWN_PREFIX = "burdockgap-"
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    }
-)
 
 
 def end_to_end(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
@@ -53,7 +41,7 @@
 def _is_end_to_end(name: str) -> bool:
     if name == KEY.lower():
         return True
-    return name not in _HOP_BY_HOP and not name.startswith(_OWN_PREFIX)
+    return name not in HOP_BY_HOP and not name.startswith(_OWN_PREFIX)
 
 
 def _named_by_connection(headers: list[tuple[str, str]]) -> set[str]:
--- a/standins/sidecar/app_server.py
+++ b/standins/sidecar/app_server.py
@@ -50,6 +50,23 @@
             return await self._release(json.loads(req.body))
         return await self._run(req)
 
+    def announcement(
+        self, *, address: str, service: str, sequence: int
+    ) -> bytes:
+        """Return the body of a heartbeat."""
+        body = {
+            "service": service,
+            "address": address,
+            "zone": "dc1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-remaining": "0ms",
+            "sequence": sequence,
+            "born": 1000,
+        }
+        return json.dumps(body).encode()
+
     def holds(self, key: int) -> bool:
         """Tell whether a key is held now."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/standins/sidecar/documents.py
@@ -0,0 +1,75 @@
+"""Builders of operators' documents in the platform's form."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+
+def make_route(name: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route as operators write it."""
+    spec = {
+        "host": "a.example",
+        "path-prefix": f"/{name}/",
+        "kind": "safe",
+        "timeout": "1000ms",
+        "target-latency": "300ms",
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        **fields,
+    }
+    return {
+        "resource-kind": "routes",
+        "metadata": {"name": name},
+        "specification": spec,
+    }
+
+
+def make_service(name: str, **fields: Any) -> dict[str, Any]:
+    """Return a service as operators write it."""
+    spec = {
+        "health-check-path": "/health",
+        "connection-limit": 120,
+        "cold-start": "3s",
+        "cold-per-s": 20.0,
+        **fields,
+    }
+    return {
+        "resource-kind": "services",
+        "metadata": {"name": name},
+        "specification": spec,
+    }
+
+
+def make_limits(**fields: Any) -> dict[str, Any]:
+    """Return the limits as operators write them."""
+    spec = {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 1000000,
+        "header-timeout": "3000ms",
+        "idle-timeout": "15000ms",
+        **fields,
+    }
+    return {
+        "resource-kind": "limits",
+        "metadata": {},
+        "specification": spec,
+    }
+
+
+def make_config(*resources: object, version: str = "00000003") -> bytes:
+    """Return a configuration as operators write it."""
+    return json.dumps({"version": version, "resources": resources}).encode()
+
+
+def make_site_config(version: str = "00000003") -> bytes:
+    """Return the configuration of the sites of these tests."""
+    return make_config(
+        make_route("read", "records"),
+        make_route("book", "dispatch", kind="unsafe"),
+        make_service("records", sharding=True),
+        make_service("dispatch"),
+        make_limits(),
+        version=version,
+    )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,7 +6,7 @@
 
 from burdockgap.platform.documents import PlatformDocuments, decode_config
 from burdockgap.routing.documents import DataCentreOut
-from tests.sidecar.builders import make_config, make_route, make_service
+from standins.sidecar.documents import make_config, make_route, make_service
 
 
 @pytest.mark.parametrize(
--- a/tests/routing/test_documents.py
+++ b/tests/routing/test_documents.py
@@ -6,7 +6,7 @@
 
 from burdockgap.platform.documents import PlatformDocuments
 from burdockgap.routing.documents import Documents
-from tests.sidecar.builders import make_site_config
+from standins.sidecar.documents import make_site_config
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/routing/test_routing_config.py
+++ b/tests/routing/test_routing_config.py
@@ -7,7 +7,7 @@
 import pytest
 
 from burdockgap.platform.documents import decode_config
-from tests.sidecar.builders import (
+from standins.sidecar.documents import (
     make_config,
     make_limits,
     make_route,
--- a/tests/shards/fakes.py
+++ b/tests/shards/fakes.py
@@ -9,19 +9,6 @@
 from tests.shards.builders import make_member
 
 
-class FakeClock:
-    """A clock that a test moves."""
-
-    def __init__(self):
-        self.seconds = 1000.0
-
-    def now(self):
-        return self.seconds
-
-    def wall(self):
-        return self.seconds
-
-
 class FakeStore:
     """One conditional value, with faults."""
 
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -11,8 +11,9 @@
 from burdockgap.shards.coordinator import Coordinator
 from burdockgap.shards.lease import AUTHORITY_S, LEASE_S
 from burdockgap.shards.reports import TARGET_UNKNOWN
+from tests.gate.fakes import FakeClock
 from tests.shards.builders import SERVICE, make_report
-from tests.shards.fakes import FakeClock, FakeDatagrams, FakeStore, make_roster
+from tests.shards.fakes import FakeDatagrams, FakeStore, make_roster
 
 NAMES = ("a", "b", "c")
 
@@ -217,3 +218,16 @@
         await world.steps(0.1, "a", "b")
     assert world.view.state.revision == revision
     assert "c" in world.owners()
+
+
+async def test_voters_shrink_once_when_the_majority_is_lost():
+    world = World()
+    await world.coordinator.claim()
+    await world.steps(6.0, *NAMES)
+    revision = world.view.state.revision
+    await world.steps(4.0, "a")
+    assert world.view.state.voters == ("a",)
+    changes = world.view.state.revision - revision
+    assert changes <= 3
+    await world.steps(1.0, *NAMES)
+    assert world.view.state.voters == NAMES
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import socket
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -20,6 +19,7 @@
 from burdockgap.sidecar.node import Node
 from burdockgap.sidecar.sidecar_settings import SidecarSettings
 from standins.sidecar.app_server import AppServer
+from standins.sidecar.documents import make_site_config
 from standins.sidecar.keyed_topics import KeyedTopics
 
 HOST = "127.0.0.1"
@@ -32,75 +32,6 @@
         return tcp.getsockname()[1]
 
 
-def make_route(name, service, **fields):
-    """Return a route as operators write it."""
-    spec = {
-        "host": "a.example",
-        "path-prefix": f"/{name}/",
-        "kind": "safe",
-        "timeout": "1000ms",
-        "target-latency": "300ms",
-        "priority": 1,
-        "service": service,
-        "max-attempts": 2,
-        **fields,
-    }
-    return {
-        "resource-kind": "routes",
-        "metadata": {"name": name},
-        "specification": spec,
-    }
-
-
-def make_service(name, **fields):
-    """Return a service as operators write it."""
-    spec = {
-        "health-check-path": "/health",
-        "connection-limit": 120,
-        "cold-start": "3s",
-        "cold-per-s": 20.0,
-        **fields,
-    }
-    return {
-        "resource-kind": "services",
-        "metadata": {"name": name},
-        "specification": spec,
-    }
-
-
-def make_limits(**fields):
-    """Return the limits as operators write them."""
-    spec = {
-        "max-header-bytes": 16384,
-        "max-body-bytes": 1000000,
-        "header-timeout": "3000ms",
-        "idle-timeout": "15000ms",
-        **fields,
-    }
-    return {
-        "resource-kind": "limits",
-        "metadata": {},
-        "specification": spec,
-    }
-
-
-def make_config(*resources: object, version="00000003"):
-    """Return a configuration as operators write it."""
-    return json.dumps({"version": version, "resources": resources}).encode()
-
-
-def make_site_config(version="00000003"):
-    """Return the configuration of the sites of these tests."""
-    return make_config(
-        make_route("read", "records"),
-        make_route("book", "dispatch", kind="unsafe"),
-        make_service("records", sharding=True),
-        make_service("dispatch"),
-        make_limits(),
-        version=version,
-    )
-
-
 def make_info(**fields):
     """Return an announcement with defaults for what is not given."""
     defaults = {
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.sidecar.builders import make_site_config, open_site
+from standins.sidecar.documents import make_site_config
+from tests.sidecar.builders import open_site
 
 pytestmark = pytest.mark.anyio
 
