Await the targets before the first assignment; replace rejected tokens

Ruled out: balancing, which began only with load. The first assignment now waits up to 3 s for the targets of all known members.

A grant answered 409 marked its range as rejected, but the coordinator never read that; the range waited until the assignment changed. It gets a new token now. Found by reading; the test failed before.

--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -40,6 +40,9 @@
 serve others."""
 _FIRST_PLAN_S = 0.6
 """Wait for other members before the first assignment is made."""
+_FIRST_TARGETS_S = 3.0
+"""Longest wait for the targets of known members before that; they
+announce themselves about once a second."""
 
 
 class Coordinator:
@@ -344,11 +347,13 @@
         for service in sorted(self._keyed_services()):
             self._rates.setdefault(service, KeyRates(now, KEYS)).fade(now)
             rows = state.shards.get(service, [])
-            if not rows and now - self._since < _FIRST_PLAN_S:
+            servers = self._servers(service, now)
+            if not rows and self._awaits_servers(service, servers, now):
                 continue
             if self._clear(state, service, now, gone_names):
                 reasons.append("cleared")
-            servers = self._servers(service, now)
+            if self._replace_rejected(state, service):
+                reasons.append("rejected")
             kept, gone = self._keepable(state, service, servers, now)
             gone_names |= {name for name, _ in gone}
             if not servers:
@@ -362,6 +367,45 @@
         if is_balance_due:
             self._balanced_at = now
 
+    def _awaits_servers(
+        self, service: str, servers: dict[str, Server], now: float
+    ) -> bool:
+        """Tell whether the first assignment should wait for servers."""
+        waited_s = now - self._since
+        if waited_s < _FIRST_PLAN_S:
+            return True
+        known = {
+            member.name
+            for member in self._roster.live()
+            if member.service == service and not member.leaving
+        }
+        return not known <= set(servers) and waited_s < _FIRST_TARGETS_S
+
+    def _replace_rejected(self, state: ControlState, service: str) -> bool:
+        """Give ranges whose token a target found too low a new one."""
+        changed = False
+        rows: list[Shard] = []
+        for shard in state.shards.get(service, []):
+            if self._is_rejected(shard):
+                shard = shard.part(shard.first, shard.last)
+                shard.fence = state.take_fence()
+                changed = True
+            rows.append(shard)
+        if changed:
+            state.shards[service] = rows
+        return changed
+
+    def _is_rejected(self, shard: Shard) -> bool:
+        report = self._reports.get(shard.owner)
+        if report is None or report.born != shard.born:
+            return False
+        return any(
+            fence == shard.fence
+            and first <= shard.last
+            and shard.first <= last
+            for first, last, fence in report.rejected
+        )
+
     def _assign(
         self,
         state: ControlState,
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -231,3 +231,39 @@
     assert changes <= 3
     await world.steps(1.0, *NAMES)
     assert world.view.state.voters == NAMES
+
+
+async def test_range_refused_as_too_low_gets_a_higher_token():
+    world = World()
+    await world.coordinator.claim()
+    await world.steps(1.0, *NAMES)
+    rows = world.view.state.shards[SERVICE]
+    low = next(row for row in rows if row.owner == "b")
+    highest = max(row.fence for row in rows)
+    world.report("b", rejected=[[low.first, low.last, low.fence]])
+    await world.coordinator._tick()
+    rows = world.view.state.shards[SERVICE]
+    again = next(row for row in rows if row.first == low.first)
+    assert (again.owner, again.last) == ("b", low.last)
+    assert again.fence > highest
+    revision = world.view.state.revision
+    world.report("b", rejected=[[low.first, low.last, low.fence]])
+    await world.coordinator._tick()
+    assert world.view.state.revision == revision
+
+
+async def test_first_assignment_waits_for_targets_that_are_not_up_yet():
+    world = World()
+    await world.coordinator.claim()
+    await world.steps(1.0, "a", "b")
+    assert world.owners() == set()
+    await world.steps(0.3, *NAMES)
+    assert world.owners() == set(NAMES)
+
+
+async def test_first_assignment_does_not_wait_for_ever():
+    world = World()
+    await world.coordinator.claim()
+    world.born["c"] = 0
+    await world.steps(4.0, *NAMES)
+    assert world.owners() == {"a", "b"}
