Learn service times apart from a machine's momentary slowness

Now only good answers count, divided by the slowness they tell, and the usual slowness of each machine is learned besides.

--- a/src/burdockgap/forward/outcome.py
+++ b/src/burdockgap/forward/outcome.py
@@ -19,6 +19,8 @@
     :param retry_after_s: when another attempt may succeed, in seconds.
     :param load: the target's load at the end.
     :param offered: whether a target was given the request.
+    :ivar waited_s: seconds in the queue or for a grant before that; known
+        to the target's daemon only.
     """
 
     __slots__ = (
@@ -28,6 +30,7 @@
         "response",
         "retry_after_s",
         "verdict",
+        "waited_s",
     )
 
     def __init__(
@@ -46,6 +49,7 @@
         self.retry_after_s = retry_after_s
         self.load = load
         self.offered = offered
+        self.waited_s = 0.0
 
     def encode(self) -> list[Any]:
         """Return plain values."""
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -173,6 +173,7 @@
         return outcome
 
     async def _attempt(self, call: Call, deadline: float) -> Outcome:
+        began = self._loop.time()
         try:
             self._crashes.check(call)
             self._check_open(call)
@@ -185,12 +186,15 @@
             )
         except Refusal as exc:
             return self._refused(exc)
+        waited_s = self._loop.time() - began
         try:
-            return await self._dispatch(call, deadline)
+            outcome = await self._dispatch(call, deadline)
         except Refusal as exc:
-            return self._refused(exc)
+            outcome = self._refused(exc)
         finally:
             self._slots.release()
+        outcome.waited_s = waited_s
+        return outcome
 
     def _wait_s(self, call: Call, deadline: float) -> float:
         left_s = deadline - self._loop.time()
@@ -251,9 +255,7 @@
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, offered=True
             )
-        self._state.answered(
-            self._loop.time() - began, self._protocol.slowness(response)
-        )
+        self._state.heard()
         verdict = self._protocol.verdict(response)
         if verdict is Verdict.NOT_RUN:
             return Outcome(verdict, reason=Reason.TARGET_SHED, offered=True)
@@ -261,6 +263,11 @@
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.TRUNCATED, offered=True
             )
+        if response.is_success:
+            # Errors come too soon to tell how long work takes.
+            self._state.worked(
+                self._loop.time() - began, self._protocol.slowness(response)
+            )
         self._crashes.answered(call)
         return Outcome(verdict, response=response, offered=True)
 
@@ -307,6 +314,8 @@
                 if outcome.response
                 else None,
                 "ms": round((self._loop.time() - began) * 1000, 1),
+                "waited_ms": round(outcome.waited_s * 1000, 1),
+                "slowness": self._state.slowness,
                 "in_flight": self._slots.in_flight,
                 "waiting": self._slots.waiting,
                 "slots": self._slots.size,
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -16,7 +16,11 @@
 _SILENT_AFTER_S = 2.4
 """Beyond two announcements that are late."""
 _NO_ANSWER_S = 1.0
-_LEARNING = 0.1
+_LEARNING = 0.05
+"""Weight of one response's time; some dozen requests run at once."""
+_USUAL_LEARNING = 0.02
+"""Weight of one response's slowness; neighbours come and go within
+fractions of a second, and several of their visits make a mean."""
 
 
 class TargetState:
@@ -36,13 +40,11 @@
     :ivar left: whether it said that it is gone.
     :ivar stops_at: until when it may be sent work after it said that it
         leaves, in seconds of the event loop's clock.
-    :ivar service_s: typical time of a request, in seconds.
-    :ivar slowness: how many times longer work took than usual when the
-        target answered last.
     """
 
     __slots__ = (
         "_answered_at",
+        "_base_s",
         "_cold_rate",
         "_cold_until",
         "_drain_s",
@@ -51,11 +53,11 @@
         "_loop",
         "_on_change",
         "_on_event",
+        "_slowness",
+        "_usual_slowness",
         "ended",
         "info",
         "left",
-        "service_s",
-        "slowness",
         "stops_at",
         "up",
     )
@@ -82,8 +84,19 @@
         self.ended = False
         self.stops_at = math.inf
         self.left = False
-        self.service_s = 0.05
-        self.slowness = 1.0
+        self._base_s = 0.05
+        self._slowness = 1.0
+        self._usual_slowness: float | None = None
+
+    @property
+    def service_s(self) -> float:
+        """Typical time of a request at this target, in seconds."""
+        return self._base_s * (self._usual_slowness or 1.0)
+
+    @property
+    def slowness(self) -> float:
+        """How many times longer than usual here work took lately."""
+        return self._slowness / (self._usual_slowness or 1.0)
 
     @property
     def takes_work(self) -> bool:
@@ -163,11 +176,24 @@
             self._log("target", state="left")
             self._on_change()
 
-    def answered(self, seconds: float, slowness: float) -> None:
-        """Note a response, its time and what it says of the machine."""
+    def heard(self) -> None:
+        """Note that the target answers."""
         self._answered_at = self._loop.time()
-        self.slowness = slowness
-        self.service_s += _LEARNING * (seconds - self.service_s)
+
+    def worked(self, seconds: float, slowness: float) -> None:
+        """
+        Learn from a request that ran well.
+
+        :param seconds: the time that it took.
+        :param slowness: how many times longer than on a machine of
+            usual speed work took then.
+        """
+        self._slowness = slowness
+        usual = self._usual_slowness
+        if usual is None:
+            usual = slowness
+        self._usual_slowness = usual + _USUAL_LEARNING * (slowness - usual)
+        self._base_s += _LEARNING * (seconds / slowness - self._base_s)
 
     def refused_connection(self, born: int) -> None:
         """Note that nothing listens at the address of one life."""
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -58,12 +58,17 @@
         )
 
     def slowness(self, response: Response) -> float:
-        """Return how many times longer work takes than usual."""
+        """
+        Return how many times longer work takes than usual.
+
+        The figure includes the lasting speed of the target's machine.
+        """
         figures = (response.header(names.LOAD) or "").split(",")
         if len(figures) <= _SLOWNESS_AT:
             return 1.0
         figure = figures[_SLOWNESS_AT].strip()
-        return int(figure) / _PER_CENT if figure.isdigit() else 1.0
+        per_cent = int(figure) if figure.isdigit() else 0
+        return per_cent / _PER_CENT if per_cent else 1.0
 
     def encode_grant(
         self,
--- a/tests/forward/test_target_state.py
+++ b/tests/forward/test_target_state.py
@@ -92,3 +92,15 @@
     assert first == pytest.approx(now + 1.0, abs=0.1)
     world.state.leaving("i-1")
     assert world.state.stops_at == first
+
+
+async def test_slowness_is_told_apart_from_a_machine_s_lasting_speed():
+    world = GateWorld()
+    state = world.state
+    for _ in range(400):
+        state.worked(0.06, 0.6)
+    assert state.service_s == pytest.approx(0.06, rel=0.05)
+    assert state.slowness == pytest.approx(1.0)
+    state.worked(0.18, 1.8)
+    assert state.slowness == pytest.approx(3.0, rel=0.1)
+    assert state.service_s == pytest.approx(0.06, rel=0.1)
