--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -28,8 +28,6 @@
 """Below the 10 s after which the users' servers close."""
 _UNSAFE_IDLE_S = 4.0
 _QUEUE_SHARE = 0.5
-_GRANT_SHARE = 0.4
-"""Share of a request's patience that a grant on its way may take."""
 _RETRY_AFTER_S = 0.1
 _KEYS_LEAVE_S = 2.0
 """Time for keys to leave a data centre that is out; the users allow 5
@@ -174,15 +172,15 @@
 
     async def _attempt(self, call: Call, deadline: float) -> Outcome:
         began = self._loop.time()
+        until = min(began + call.patience_s, deadline)
         try:
             self._crashes.check(call)
             self._check_open(call)
             if self.holder is not None and call.key is not None:
                 self.holder.samples.add(call.key)
-                wait_s = self._wait_s(call, deadline) * _GRANT_SHARE
-                await self.holder.ready(call.key, wait_s)
+                await self.holder.ready(call.key, until - began)
             await self._slots.acquire(
-                priority=call.priority, wait_s=self._wait_s(call, deadline)
+                priority=call.priority, wait_s=until - self._loop.time()
             )
         except Refusal as exc:
             return self._refused(exc)
@@ -196,10 +194,6 @@
         outcome.waited_s = waited_s
         return outcome
 
-    def _wait_s(self, call: Call, deadline: float) -> float:
-        left_s = deadline - self._loop.time()
-        return min(call.patience_s, left_s)
-
     def _check_open(self, call: Call) -> None:
         if call.service != self.service:
             raise _refusal(Reason.UNKNOWN_SERVICE)
