Send large answers in parts, paced by the link; tell changes of the assignment

Ruled out: processor time (0.06 of a core at most), slots of the library (80 % free).

Cause of the rest: each revision of the assignment was fetched whole by 77 members from the coordinator, 280 KB three times a second, and announced by each member to all.

Moves at once grow with the servers; one server whose ranges are all on their way no longer holds up the others; rates rest on more time where many servers share the requests. The coordinator's files are split by job.

--- a/measure/sidecar.py
+++ b/measure/sidecar.py
@@ -20,6 +20,7 @@
 from standins.sidecar.app_server import AppServer
 from standins.sidecar.documents import make_site_config
 from standins.sidecar.keyed_topics import KeyedTopics
+from standins.sidecar.settings_file import make_settings_text
 
 if TYPE_CHECKING:
     from burdockgap.http1.request import Request
@@ -33,26 +34,6 @@
 _SETTLE_S = 4.0
 _BEAT_S = 0.87
 _HOSTS = ("127.0.0.2", "127.0.0.3")
-_SETTINGS = """
-node-name = "m{index}"
-ip-address = "{host}"
-zone = "dc1"
-region = "r1"
-internal-port-range = [7620, 7635]
-service = "{service}"
-[listen-addresses]
-outbound = "{host}:8304"
-ready = "{host}:8302"
-control = "{host}:8306"
-[bounds]
-drain = "2000ms"
-grace-period = "6s"
-retry-budget-ratio = 0.2
-budget-window = "10s"
-budget-extra-retries = 60
-[platform]
-address = "127.0.0.1:8309"
-"""
 
 
 class _Site:
@@ -72,7 +53,12 @@
             await self._listen(app.answer, host, 8301)
             path = folder / f"m{index}.toml"
             path.write_text(
-                _SETTINGS.format(index=index, host=host, service=service)
+                make_settings_text(
+                    name=f"m{index}",
+                    host=host,
+                    service=service,
+                    store="127.0.0.1:8309",
+                )
             )
             await self._start_daemon(path)
             beats = asyncio.create_task(_announce(app, host, service))
--- a/src/burdockgap/fleet/datagrams.py
+++ b/src/burdockgap/fleet/datagrams.py
@@ -15,6 +15,7 @@
 REPORT = 2
 LEASE = 3
 SUSPECTS = 4
+CHANGES = 5
 
 
 class Datagrams(asyncio.DatagramProtocol):
--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -163,6 +163,11 @@
             entry.load, entry.pending = load, 0
             entry.load_at = self._loop.time()
 
+    def load(self, member: Member) -> Load:
+        """Return what a member told of its load last."""
+        entry = self._entries.get(member.name)
+        return entry.load if entry else member.load
+
     def load_age_s(self, name: str) -> float:
         """Return how long ago a member told its load, in seconds."""
         entry = self._entries.get(name)
--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -18,6 +18,7 @@
     :param origin: service beside the daemon where the request began.
     :param key: the key, or ``None`` where the service has no keys.
     :param idempotent: whether it may run more than once.
+    :param large: whether a large answer is expected.
     :param priority: rank; 0 is the most urgent.
     :param deadline_s: seconds until nobody waits for the answer.
     :param patience_s: seconds that it may wait before a target is given
@@ -32,6 +33,7 @@
         "headers",
         "idempotent",
         "key",
+        "large",
         "method",
         "patience_s",
         "origin",
@@ -53,6 +55,7 @@
         origin: str,
         key: int | None,
         idempotent: bool,
+        large: bool,
         priority: int,
         deadline_s: float,
         patience_s: float,
@@ -67,6 +70,7 @@
         self.origin = origin
         self.key = key
         self.idempotent = idempotent
+        self.large = large
         self.priority = priority
         self.deadline_s = deadline_s
         self.patience_s = patience_s
@@ -84,6 +88,7 @@
             self.origin,
             self.key,
             self.idempotent,
+            self.large,
             self.priority,
             self.deadline_s,
             self.patience_s,
@@ -107,6 +112,7 @@
             origin,
             key,
             idempotent,
+            large,
             priority,
             deadline_s,
             patience_s,
@@ -122,6 +128,7 @@
             origin=origin,
             key=key,
             idempotent=idempotent,
+            large=large,
             priority=priority,
             deadline_s=deadline_s,
             patience_s=patience_s,
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -191,6 +191,7 @@
             origin=self._roster.own.service,
             key=req.key if is_keyed else None,
             idempotent=route.idempotent,
+            large=route.large,
             priority=route.priority,
             deadline_s=wait_s,
             patience_s=0.0,
@@ -254,8 +255,13 @@
         ]
         if not servers:
             return None
-        if len(servers) > _CHOICES and not route.large:
-            servers = random.sample(servers, _CHOICES)
+        if route.large:
+            own = self._roster.own.data_centre
+            near = [item for item in servers if item.data_centre == own]
+            far = [item for item in servers if item.data_centre != own]
+            servers = [*_some(near), *_some(far)]
+        else:
+            servers = _some(servers)
         return min(servers, key=lambda member: self._cost(member, route))
 
     async def _owner(self, call: Call, progress: _Progress) -> Member | None:
@@ -271,6 +277,8 @@
 
     def _cost(self, member: Member, route: Route) -> float:
         cost_s = self._roster.expected_s(member)
+        if route.large:
+            cost_s += self._roster.load(member).uplink_s
         if member.data_centre != self._roster.own.data_centre:
             cost_s += _FAR_LARGE_S if route.large else _FAR_S
         return cost_s
@@ -446,3 +454,7 @@
                 "ms": round(took_s * 1000, 1),
             },
         )
+
+
+def _some(members: list[Member]) -> list[Member]:
+    return random.sample(members, min(len(members), _CHOICES))
--- a/src/burdockgap/forward/load.py
+++ b/src/burdockgap/forward/load.py
@@ -15,9 +15,18 @@
     :param service_s: typical time of a request, in seconds.
     :param slowness: how many times longer work takes at this moment
         than usual, as the target says.
+    :param uplink_s: seconds until the machine's link has sent what it
+        and the target are about to send.
     """
 
-    __slots__ = ("in_flight", "service_s", "slots", "slowness", "waiting")
+    __slots__ = (
+        "in_flight",
+        "service_s",
+        "slots",
+        "slowness",
+        "uplink_s",
+        "waiting",
+    )
 
     def __init__(
         self,
@@ -27,7 +36,9 @@
         slots: int = 1,
         service_s: float = 0.05,
         slowness: float = 1.0,
+        uplink_s: float = 0.0,
     ) -> None:
+        self.uplink_s = uplink_s
         self.in_flight = in_flight
         self.waiting = waiting
         self.slots = slots
@@ -42,16 +53,18 @@
             self.slots,
             self.service_s,
             self.slowness,
+            self.uplink_s,
         ]
 
     @classmethod
     def decode(cls, values: list[Any]) -> Load:
         """Return the load of some plain values."""
-        in_flight, waiting, slots, service_s, slowness = values
+        in_flight, waiting, slots, service_s, slowness, uplink_s = values
         return cls(
             in_flight=in_flight,
             waiting=waiting,
             slots=slots,
             service_s=service_s,
             slowness=slowness,
+            uplink_s=uplink_s,
         )
--- a/src/burdockgap/forward/outcome.py
+++ b/src/burdockgap/forward/outcome.py
@@ -19,8 +19,8 @@
     :param retry_after_s: when another attempt may succeed, in seconds.
     :param load: the target's load at the end.
     :param offered: whether a target was given the request.
-    :ivar waited_s: seconds in the queue or for a grant before that; known
-        to the target's daemon only.
+    :ivar waited_s: seconds in the queue or for a grant before that;
+        known to the target's daemon only.
     """
 
     __slots__ = (
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -22,6 +22,7 @@
     from burdockgap.forward.target_protocol import TargetProtocol
     from burdockgap.forward.target_state import TargetState
     from burdockgap.shards.shard_holder import ShardHolder
+    from burdockgap.uplink import Uplink
 
 _CONNECT_TIMEOUT_S = 0.5
 _IDLE_S = 8.0
@@ -29,6 +30,8 @@
 _UNSAFE_IDLE_S = 4.0
 _QUEUE_SHARE = 0.5
 _RETRY_AFTER_S = 0.1
+_SIZE_LEARNING = 0.1
+"""Weight of one large answer's size; sizes vary by half."""
 _KEYS_LEAVE_S = 2.0
 """Time for keys to leave a data centre that is out; the users allow 5
 s."""
@@ -44,6 +47,7 @@
     :param out_since: returns when operators took the data centre
         out, on the event loop's clock; ``None`` if it is in service.
     :param holder: keys that the target holds; ``None`` until known.
+    :param uplink: what the machine sends.
     :param crashes: knows the requests that crash targets.
     :param on_event: logs a decision.
     :param on_outcome: counts an outcome and its time in seconds.
@@ -54,6 +58,8 @@
 
     __slots__ = (
         "_crashes",
+        "_large_bytes",
+        "_large_running",
         "_life",
         "_loop",
         "_on_event",
@@ -64,6 +70,7 @@
         "_slots",
         "_state",
         "_out_since",
+        "_uplink",
         "closed",
         "holder",
         "leaving",
@@ -77,10 +84,14 @@
         state: TargetState,
         protocol: TargetProtocol,
         out_since: Callable[[], float | None],
+        uplink: Uplink,
         crashes: CrashWatch,
         on_event: Callable[[str, dict[str, object]], None],
         on_outcome: Callable[[Outcome, float], None],
     ) -> None:
+        self._uplink = uplink
+        self._large_bytes = 0.0
+        self._large_running = 0
         self._crashes = crashes
         self._on_outcome = on_outcome
         self._life = 0
@@ -106,6 +117,7 @@
             slots=self._slots.size,
             service_s=self._state.service_s,
             slowness=self._state.slowness,
+            uplink_s=self._uplink_s,
         )
 
     @property
@@ -113,6 +125,12 @@
         """Requests at the target."""
         return self._slots.in_flight
 
+    @property
+    def _uplink_s(self) -> float:
+        """Time until the link has sent all that is expected."""
+        coming = self._large_running * self._large_bytes
+        return self._uplink.backlog_s + self._uplink.sending_s(int(coming))
+
     def target_changed(self) -> None:
         """Follow a change of the target's state."""
         info = self._state.info
@@ -176,6 +194,8 @@
         try:
             self._crashes.check(call)
             self._check_open(call)
+            if call.large and self._uplink_s > call.patience_s:
+                raise _refusal(Reason.OVERLOADED)
             if self.holder is not None and call.key is not None:
                 self.holder.samples.add(call.key)
                 await self.holder.ready(call.key, until - began)
@@ -185,11 +205,13 @@
         except Refusal as exc:
             return self._refused(exc)
         waited_s = self._loop.time() - began
+        self._large_running += call.large
         try:
             outcome = await self._dispatch(call, deadline)
         except Refusal as exc:
             outcome = self._refused(exc)
         finally:
+            self._large_running -= call.large
             self._slots.release()
         outcome.waited_s = waited_s
         return outcome
@@ -262,9 +284,16 @@
             self._state.worked(
                 self._loop.time() - began, self._protocol.slowness(response)
             )
+            if call.large:
+                self._learn_size(len(response.body))
         self._crashes.answered(call)
         return Outcome(verdict, response=response, offered=True)
 
+    def _learn_size(self, size: int) -> None:
+        if not self._large_bytes:
+            self._large_bytes = size
+        self._large_bytes += _SIZE_LEARNING * (size - self._large_bytes)
+
     def _failed(self, call: Call, exc: ExchangeError, born: int) -> Outcome:
         if exc.refused:
             self._state.refused_connection(born)
@@ -313,6 +342,7 @@
                 "in_flight": self._slots.in_flight,
                 "waiting": self._slots.waiting,
                 "slots": self._slots.size,
+                "uplink_s": round(self._uplink.backlog_s, 3),
                 "born": self._state.born,
                 "sequence": info.sequence if info else None,
                 "lease_s": self._lease_s(call),
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -18,6 +18,8 @@
 _NO_ANSWER_S = 1.0
 _LEARNING = 0.05
 """Weight of one response's time; some dozen requests run at once."""
+_PRIOR_S = 0.05
+"""Taken for a request's time until one has run."""
 _USUAL_LEARNING = 0.02
 """Weight of one response's slowness; neighbours come and go within
 fractions of a second, and several of their visits make a mean."""
@@ -53,6 +55,7 @@
         "_loop",
         "_on_change",
         "_on_event",
+        "_samples",
         "_slowness",
         "_usual_slowness",
         "ended",
@@ -84,7 +87,8 @@
         self.ended = False
         self.stops_at = math.inf
         self.left = False
-        self._base_s = 0.05
+        self._base_s = _PRIOR_S
+        self._samples = 0
         self._slowness = 1.0
         self._usual_slowness: float | None = None
 
@@ -189,11 +193,16 @@
             usual speed work took then.
         """
         self._slowness = slowness
+        self._samples += 1
+        # The first samples count for more, as nothing is known before.
+        weight = 1 / (self._samples + 1)
         usual = self._usual_slowness
         if usual is None:
             usual = slowness
-        self._usual_slowness = usual + _USUAL_LEARNING * (slowness - usual)
-        self._base_s += _LEARNING * (seconds / slowness - self._base_s)
+        usual += max(_USUAL_LEARNING, weight) * (slowness - usual)
+        self._usual_slowness = usual
+        error_s = seconds / slowness - self._base_s
+        self._base_s += max(_LEARNING, weight) * error_s
 
     def refused_connection(self, born: int) -> None:
         """Note that nothing listens at the address of one life."""
--- a/src/burdockgap/hop/frames.py
+++ b/src/burdockgap/hop/frames.py
@@ -15,6 +15,8 @@
 CANCEL = 2
 PING = 3
 PONG = 4
+PART = 5
+"""A part of a long frame, sent so that short ones may come between."""
 
 _LENGTH = struct.Struct(">I")
 _MAX_FRAME_BYTES = 80 * 1024 * 1024
--- a/src/burdockgap/hop/link.py
+++ b/src/burdockgap/hop/link.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from burdockgap.hop.frames import (
     CALL,
     CANCEL,
+    PART,
     PING,
     REPLY,
     FrameBuffer,
@@ -16,6 +17,9 @@
 )
 from burdockgap.hop.link_error import LinkError
 
+if TYPE_CHECKING:
+    from burdockgap.uplink import Uplink
+
 _CONNECT_TIMEOUT_S = 0.5
 """Above a round trip between regions, 40 ms, and one lost packet."""
 _CHECK_S = 0.2
@@ -32,6 +36,8 @@
     something between the two ends may have lost track of it.
 
     :param loop: the event loop.
+    :param uplink: what the machine sends, ``None`` where its link is no
+        limit.
     """
 
     __slots__ = (
@@ -41,12 +47,18 @@
         "_heard_at",
         "_loop",
         "_next_id",
+        "_parts",
         "_transport",
+        "_uplink",
         "lost",
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, uplink: Uplink | None = None
+    ) -> None:
         self._loop = loop
+        self._uplink = uplink
+        self._parts: dict[int, FrameBuffer] = {}
         self._buffer = FrameBuffer()
         self._calls: dict[int, asyncio.Future[Any]] = {}
         self._next_id = 0
@@ -69,13 +81,23 @@
         self._heard_at = self._loop.time()
         try:
             for frame in self._buffer.feed(data):
-                if frame[0] == REPLY:
-                    fut = self._calls.pop(frame[1], None)
-                    if fut is not None and not fut.done():
-                        fut.set_result(frame[2])
+                self._take(frame)
         except (FrameError, IndexError) as exc:
             self._fail(f"the peer's reply cannot be read: {exc}")
 
+    def _take(self, frame: list[Any]) -> None:
+        number = frame[1] if len(frame) > 1 else 0
+        if number not in self._calls:
+            return
+        if frame[0] == PART:
+            buffer = self._parts.setdefault(number, FrameBuffer())
+            for whole in buffer.feed(frame[2]):
+                self._take(whole)
+        elif frame[0] == REPLY:
+            fut = self._calls.pop(number)
+            if not fut.done():
+                fut.set_result(frame[2])
+
     async def call(self, kind: int, payload: Any) -> Any:
         """
         Send a call and return the reply's payload.
@@ -92,7 +114,10 @@
             self._heard_at = self._loop.time()
         fut: asyncio.Future[Any] = self._loop.create_future()
         self._calls[number] = fut
-        self._transport.write(encode_frame(CALL, number, kind, payload))
+        frame = encode_frame(CALL, number, kind, payload)
+        if self._uplink is not None:
+            self._uplink.count(len(frame))
+        self._transport.write(frame)
         self._watch()
         try:
             return await fut
@@ -102,6 +127,7 @@
             raise
         finally:
             self._calls.pop(number, None)
+            self._parts.pop(number, None)
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -134,12 +160,18 @@
 
 
 class Links:
-    """Connections to peers by address, opened when first used."""
+    """
+    Connections to peers by address, opened when first used.
+
+    :param uplink: what the machine sends, ``None`` where its link is no
+        limit.
+    """
 
-    __slots__ = ("_links", "_locks", "_loop")
+    __slots__ = ("_links", "_locks", "_loop", "_uplink")
 
-    def __init__(self) -> None:
+    def __init__(self, uplink: Uplink | None = None) -> None:
         self._loop = asyncio.get_running_loop()
+        self._uplink = uplink
         self._links: dict[tuple[str, int], Link] = {}
         self._locks: dict[tuple[str, int], asyncio.Lock] = {}
 
@@ -170,7 +202,7 @@
             try:
                 async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                     _, link = await self._loop.create_connection(
-                        lambda: Link(self._loop), *address
+                        lambda: Link(self._loop, self._uplink), *address
                     )
             except (OSError, TimeoutError) as exc:
                 detail = f"connecting to the peer failed: {exc!r}"
--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -11,6 +11,7 @@
 from burdockgap.hop.frames import (
     CALL,
     CANCEL,
+    PART,
     PING,
     PONG,
     REPLY,
@@ -22,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from burdockgap.uplink import Uplink
+
     Handler = Callable[[Any], Awaitable[Any]]
 
 LINK_LOST = "link lost"
@@ -35,6 +38,8 @@
 
     :param handlers: answers by kind of call.
     :param others: all open connections of the listener.
+    :param uplink: what the machine sends, ``None`` where its link is no
+        limit.
     """
 
     __slots__ = (
@@ -44,11 +49,16 @@
         "_others",
         "_tasks",
         "_transport",
+        "_uplink",
     )
 
     def __init__(
-        self, handlers: dict[int, Handler], others: set[_Incoming]
+        self,
+        handlers: dict[int, Handler],
+        others: set[_Incoming],
+        uplink: Uplink | None,
     ) -> None:
+        self._uplink = uplink
         self._handlers = handlers
         self._others = others
         self._loop = asyncio.get_running_loop()
@@ -95,11 +105,25 @@
             logger.exception("a peer's call of kind {} failed", kind)
             self.close()
         else:
-            if self._transport is not None:
-                self._transport.write(encode_frame(REPLY, number, reply))
+            await self._reply(number, reply)
         finally:
             self._tasks.pop(number, None)
 
+    async def _reply(self, number: int, reply: Any) -> None:
+        transport, uplink = self._transport, self._uplink
+        if transport is None:
+            return
+        frame = encode_frame(REPLY, number, reply)
+        if uplink is None or len(frame) <= uplink.part_bytes:
+            if uplink is not None:
+                uplink.count(len(frame))
+            transport.write(frame)
+            return
+        await uplink.send(
+            frame,
+            lambda part: transport.write(encode_frame(PART, number, part)),
+        )
+
     def close(self) -> None:
         if self._transport is not None:
             self._transport.abort()
@@ -107,13 +131,22 @@
 
 @asynccontextmanager
 async def open_listener(
-    handlers: dict[int, Handler], host: str, port: int
+    handlers: dict[int, Handler],
+    host: str,
+    port: int,
+    *,
+    uplink: Uplink | None = None,
 ) -> AsyncIterator[None]:
-    """Answer calls of peers at an address until the context ends."""
+    """
+    Answer calls of peers at an address until the context ends.
+
+    :param uplink: what the machine sends, ``None`` where its link is no
+        limit.
+    """
     loop = asyncio.get_running_loop()
     connections: set[_Incoming] = set()
     listener = await loop.create_server(
-        lambda: _Incoming(handlers, connections),
+        lambda: _Incoming(handlers, connections, uplink),
         host,
         port,
         reuse_address=True,
--- a/src/burdockgap/http1/server.py
+++ b/src/burdockgap/http1/server.py
@@ -16,6 +16,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from burdockgap.http1.request import Request
+    from burdockgap.uplink import Uplink
 
 _SWEEP_S = 0.5
 _BACKLOG = 512
@@ -29,6 +30,8 @@
 
     :param handler: answers one request.
     :param on_malformed: told the status of each unreadable request.
+    :param uplink: what the machine sends, ``None`` where its link is no
+        limit.
     :ivar limits: limits in force, replaced when they change.
     :ivar leaving: whether each answer closes its connection.
     :ivar connections: the open connections.
@@ -43,6 +46,7 @@
         "limits",
         "loop",
         "on_malformed",
+        "uplink",
     )
 
     def __init__(
@@ -51,7 +55,9 @@
         *,
         on_malformed: Callable[[int], None] = lambda _status: None,
         limits: ConnectionLimits | None = None,
+        uplink: Uplink | None = None,
     ) -> None:
+        self.uplink = uplink
         self._handler = handler
         self.on_malformed = on_malformed
         self.limits = limits or ConnectionLimits()
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -192,7 +192,7 @@
             while not self._requests:
                 if self._refused is not None:
                     self._server.on_malformed(self._refused)
-                    self._write(Response(self._refused), close=True)
+                    await self._write(Response(self._refused), close=True)
                     return
                 self._waiter = self._server.loop.create_future()
                 await self._waiter
@@ -200,7 +200,9 @@
             self.busy = True
             response = await self._server.answer(req)
             close = not keep_alive or self._server.leaving
-            self._write(response, close=close, bodiless=req.method == "HEAD")
+            await self._write(
+                response, close=close, bodiless=req.method == "HEAD"
+            )
             self.busy = False
             self._idle_since = self._server.now()
             if close:
@@ -208,18 +210,23 @@
             if self._transport is not None and not self._requests:
                 self._transport.resume_reading()
 
-    def _write(
+    async def _write(
         self, response: Response, *, close: bool, bodiless: bool = False
     ) -> None:
         assert self._transport is not None
-        self._transport.write(
-            encode_response(
-                response.status,
-                response.headers,
-                response.body,
-                close=close,
-                bodiless=bodiless,
-            )
+        data = encode_response(
+            response.status,
+            response.headers,
+            response.body,
+            close=close,
+            bodiless=bodiless,
         )
+        uplink = self._server.uplink
+        if uplink is not None and len(data) > uplink.part_bytes:
+            await uplink.send(data, self._transport.write)
+        else:
+            if uplink is not None:
+                uplink.count(len(data))
+            self._transport.write(data)
         if close:
             self._transport.close()
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+_BYTES_PER_MBIT = 125_000
 SETTINGS_VARIABLE = "BURDOCKGAP_NODE_FILE"
 
 
@@ -24,6 +25,7 @@
     """
     source = tomllib.loads(path.read_text(encoding="utf-8"))
     bounds = field(source, "bounds", dict)
+    limits = field(source, "limits", dict)
     listen = field(source, "listen-addresses", dict)
     number = (int, float)
     return SidecarSettings(
@@ -41,6 +43,7 @@
         budget_ratio=field(bounds, "retry-budget-ratio", number),
         budget_extra=field(bounds, "budget-extra-retries", number),
         budget_window_s=decode_time(field(bounds, "budget-window", str)),
+        link_bytes_per_s=field(limits, "link-mbps", number) * _BYTES_PER_MBIT,
         drain_s=decode_time(field(bounds, "drain", str)),
         grace_s=decode_time(field(bounds, "grace-period", str)),
     )
--- /dev/null
+++ b/src/burdockgap/shards/control_changes.py
@@ -0,0 +1,146 @@
+"""What one revision of the control state changed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+
+from burdockgap.shards.shard import KEYS, Shard
+
+if TYPE_CHECKING:
+    from burdockgap.shards.control_state import ControlState
+
+MOST_BYTES = 8192
+"""Above this the whole state is fetched instead; a lost fragment loses
+the whole datagram."""
+
+
+class ControlChanges:
+    """
+    The step from one revision to the next of the same term.
+
+    :param term: the term.
+    :param revision: the revision that the step leads to.
+    :param voters: names of the voters after it.
+    :param next_fence: above every fencing token given so far.
+    :param shards: by keyed service, the ranges that are new or have
+        changed.
+    """
+
+    __slots__ = ("next_fence", "revision", "shards", "term", "voters")
+
+    def __init__(
+        self,
+        *,
+        term: int,
+        revision: int,
+        voters: tuple[str, ...],
+        next_fence: int,
+        shards: dict[str, list[Shard]],
+    ) -> None:
+        self.term = term
+        self.revision = revision
+        self.voters = voters
+        self.next_fence = next_fence
+        self.shards = shards
+
+    @classmethod
+    def between(
+        cls, before: ControlState, after: ControlState
+    ) -> ControlChanges:
+        """Return what changed from one revision to the next."""
+        return cls(
+            term=after.term,
+            revision=after.revision,
+            voters=after.voters,
+            next_fence=after.next_fence,
+            shards={
+                service: _new_rows(before.shards.get(service, []), rows)
+                for service, rows in after.shards.items()
+            },
+        )
+
+    def applied(self, state: ControlState) -> ControlState | None:
+        """
+        Return the state after these changes.
+
+        :return: ``None`` if they do not follow on the given state.
+        """
+        if (state.term, state.revision + 1) != (self.term, self.revision):
+            return None
+        after = state.successor()
+        after.voters = self.voters
+        after.next_fence = self.next_fence
+        for service, changed in self.shards.items():
+            rows = _replaced(after.shards.get(service, []), changed)
+            if rows is None:
+                return None
+            after.shards[service] = rows
+        return after
+
+    def encode(self) -> bytes:
+        """Return the bytes for a datagram."""
+        data: bytes = msgpack.packb(
+            [
+                self.term,
+                self.revision,
+                list(self.voters),
+                self.next_fence,
+                {
+                    service: [row.values() for row in rows]
+                    for service, rows in self.shards.items()
+                },
+            ]
+        )
+        return data
+
+    @classmethod
+    def decode(cls, data: bytes) -> ControlChanges:
+        """
+        Return the changes of some bytes.
+
+        :raises ValueError: if they cannot be read.
+        """
+        try:
+            term, revision, voters, next_fence, shards = msgpack.unpackb(data)
+            return cls(
+                term=term,
+                revision=revision,
+                voters=tuple(voters),
+                next_fence=next_fence,
+                shards={
+                    service: [Shard.from_values(row) for row in rows]
+                    for service, rows in shards.items()
+                },
+            )
+        except (TypeError, ValueError, AttributeError) as exc:
+            raise ValueError(f"not control changes: {exc}") from exc
+
+
+def _new_rows(before: list[Shard], after: list[Shard]) -> list[Shard]:
+    known = {_identity(row) for row in before}
+    return [row for row in after if _identity(row) not in known]
+
+
+def _identity(row: Shard) -> tuple[Any, ...]:
+    first, last, owner, born, fence, _ = row.values()
+    return first, last, owner, born, fence, row.previous
+
+
+def _replaced(rows: list[Shard], changed: list[Shard]) -> list[Shard] | None:
+    """Put changed ranges in place of all that they overlap."""
+    kept = [
+        row
+        for row in rows
+        if not any(
+            row.first <= new.last and new.first <= row.last for new in changed
+        )
+    ]
+    result = sorted([*kept, *changed], key=lambda row: row.first)
+    key = 0
+    for row in result:
+        if row.first != key:
+            return None
+        key = row.last + 1
+    return result if key == KEYS else None
--- a/src/burdockgap/shards/key_rates.py
+++ b/src/burdockgap/shards/key_rates.py
@@ -6,8 +6,11 @@
 import itertools
 import math
 
-_DECAY_S = 1.2
-"""Time in which an old rate falls to a third."""
+_SAMPLES = 30
+"""Requests of each server that a rate should rest on, which leaves an
+error of about 20 %."""
+_DECAY_S = (1.2, 4.0)
+"""Least and most time in which an old rate falls to a third."""
 _LEAST = 0.02
 _BASE_RATE = 1.0
 """Requests per second spread evenly over keys that no report named."""
@@ -21,10 +24,11 @@
     :param keys_in_all: number of keys of the service.
     """
 
-    __slots__ = ("_base", "_faded_at", "_index", "_rates")
+    __slots__ = ("_base", "_decay_s", "_faded_at", "_index", "_rates")
 
     def __init__(self, now: float, keys_in_all: int) -> None:
         self._rates: dict[int, float] = {}
+        self._decay_s = _DECAY_S[0]
         self._faded_at = now
         self._base = _BASE_RATE / keys_in_all
         self._index: tuple[list[int], list[float]] | None = None
@@ -33,15 +37,23 @@
         """Count some requests, of which some keys are known."""
         if not keys:
             return
-        weight = seen / len(keys) / _DECAY_S
+        weight = seen / len(keys) / self._decay_s
         for key in keys:
             self._rates[key] = self._rates.get(key, 0.0) + weight
         self._index = None
 
-    def fade(self, now: float) -> None:
-        """Let old counts lose weight."""
-        factor = math.exp(-(now - self._faded_at) / _DECAY_S)
+    def fade(self, now: float, servers: int) -> None:
+        """
+        Let old counts lose weight.
+
+        :param servers: servers that the requests are spread over; the
+            more there are, the longer it takes to see what each gets.
+        """
+        factor = math.exp(-(now - self._faded_at) / self._decay_s)
         self._faded_at = now
+        wanted_s = _SAMPLES * servers / max(sum(self._rates.values()), 1.0)
+        least_s, most_s = _DECAY_S
+        self._decay_s = min(max(wanted_s, least_s), most_s)
         self._rates = {
             key: rate * factor
             for key, rate in self._rates.items()
--- a/src/burdockgap/shards/planner.py
+++ b/src/burdockgap/shards/planner.py
@@ -14,7 +14,10 @@
 """Least gap between two servers' use of their slots for a move."""
 _SPARE_USE = 0.35
 """Use of slots below which a server is left alone."""
-_MOST_MOVES = 3
+_LEAST_MOVES = 3
+_SERVERS_A_MOVE = 4
+"""Moves made at once are at most one for so many servers, but at least
+:data:`_LEAST_MOVES`."""
 _DEAR_KEYS = 8192
 """Keys that halve the worth of a move, as each that changes hands
 costs."""
@@ -95,20 +98,26 @@
     :return: the number of moves.
     """
     moves = 0
-    while moves < _MOST_MOVES and len(servers) > 1:
-        rows = state.shards[service]
-        use = _use(rows, servers, rates)
-        busiest = max(use, key=lambda name: use[name])
-        idlest = min(use, key=lambda name: use[name])
+    stuck: set[str] = set()
+    use = _use(state.shards[service], servers, rates)
+    most = max(len(servers) // _SERVERS_A_MOVE, _LEAST_MOVES)
+    while moves < most and len(stuck) < len(servers) - 1:
+        busiest = max(servers.keys() - stuck, key=lambda name: use[name])
+        idlest = min(servers, key=lambda name: use[name])
         gap = use[busiest] - use[idlest]
         if gap < _WORTH_MOVING or use[busiest] < _SPARE_USE:
             break
         give, take = servers[busiest], servers[idlest]
         wanted = gap / (1 / give.capacity + 1 / take.capacity)
+        rows = state.shards[service]
         part = _part_to_move(rows, give, rates, wanted)
         if part is None:
-            break
+            stuck.add(busiest)
+            continue
         _replace(state, service, part, _moved(state, part, take, set()))
+        rate = rates.between(part.first, part.last)
+        use[busiest] -= rate / give.capacity
+        use[idlest] += rate / take.capacity
         moves += 1
     return moves
 
--- /dev/null
+++ b/src/burdockgap/shards/report_book.py
@@ -0,0 +1,123 @@
+"""What the coordinator knows of its members from their reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from burdockgap.shards.lease import MARGIN_S
+from burdockgap.shards.reports import TARGET_UNKNOWN, Report
+
+if TYPE_CHECKING:
+    from burdockgap.shards.authority import Authority
+    from burdockgap.shards.shard import Shard
+
+FRESH_S = 1.0
+"""Age of a report beyond which its server is given no more keys."""
+_LOST_S = 2.0
+"""Silence of an owner after which its keys move; a daemon that was
+killed is back within about a second."""
+
+
+class ReportBook:
+    """
+    The members' last reports and the leases that answered them.
+
+    :param authority: knows when an earlier coordinator's leases have
+        run out.
+    :param since: when this member became coordinator, in seconds.
+    :ivar term: the coordinator's term.
+    """
+
+    __slots__ = (
+        "_authority",
+        "_lease_ends",
+        "_received",
+        "_reports",
+        "since",
+        "term",
+    )
+
+    def __init__(
+        self, *, authority: Authority, since: float, term: int
+    ) -> None:
+        self._authority = authority
+        self._reports: dict[str, Report] = {}
+        self._received: dict[str, float] = {}
+        self._lease_ends: dict[str, float] = {}
+        self.since = since
+        self.term = term
+
+    def take(self, report: Report, now: float) -> None:
+        """Keep a member's newest report."""
+        self._reports[report.name] = report
+        self._received[report.name] = now
+
+    def note_lease(self, name: str, end: float) -> None:
+        """Keep the end of the lease that a member was sent."""
+        self._lease_ends[name] = end
+
+    def silent_s(self, name: str, now: float) -> float:
+        """Return for how long a member has not reported, in seconds."""
+        return now - self._received.get(name, self.since)
+
+    def fresh(self, now: float) -> dict[str, Report]:
+        """Return the reports of members that reported just now."""
+        return {
+            name: report
+            for name, report in self._reports.items()
+            if now - self._received[name] < FRESH_S
+        }
+
+    def is_awaited(self, shard: Shard, now: float) -> bool:
+        """Tell whether a range stays with an owner that is away."""
+        silent_s = self.silent_s(shard.owner, now)
+        report = self._reports.get(shard.owner)
+        if silent_s < FRESH_S and report is not None:
+            return report.born == TARGET_UNKNOWN
+        return silent_s < _LOST_S or not self.expired(shard.owner, now)
+
+    def holds_nothing(self, shard: Shard, now: float) -> bool:
+        """Tell whether an owner surely holds nothing any more."""
+        report = self._reports.get(shard.owner)
+        if self.silent_s(shard.owner, now) < FRESH_S and report is not None:
+            return report.born not in (0, shard.born)
+        return self.expired(shard.owner, now)
+
+    def expired(self, name: str, now: float) -> bool:
+        """Tell whether a member's last lease has surely run out."""
+        if self._authority.safe_at is None:
+            return False
+        end = max(self._lease_ends.get(name, 0.0), self._authority.safe_at)
+        return now > end + MARGIN_S
+
+    def lost(self, name: str, now: float) -> bool:
+        """Tell whether a member is silent and its lease has run out."""
+        return self.silent_s(name, now) > _LOST_S and self.expired(name, now)
+
+    def is_cleared(self, shard: Shard, revision: int) -> bool:
+        """
+        Tell whether the owner holds the range alone.
+
+        :param revision: revision of the assignment that says so.
+        """
+        report = self._reports.get(shard.owner)
+        if report is None or report.born != shard.born:
+            return False
+        if report.term != self.term or report.revision < revision:
+            return False
+        return not any(
+            first <= shard.last and shard.first <= last
+            for first, last, _fence in report.pending
+        )
+
+    def is_rejected(self, shard: Shard) -> bool:
+        """Tell whether the owner's target found the token too low."""
+        report = self._reports.get(shard.owner)
+        if report is None or report.born != shard.born:
+            return False
+        return any(
+            fence == shard.fence
+            and first <= shard.last
+            and shard.first <= last
+            for first, last, fence in report.rejected
+        )
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -52,7 +52,8 @@
     :param load: returns the target's load.
     :param is_active: tells whether this member acts as coordinator.
     :param claim: tries to become coordinator.
-    :param pull: fetches the control state from a member.
+    :param pull: fetches the control state from a member that knows
+        some term and revision.
     :param on_event: logs a change of belief.
     """
 
@@ -92,7 +93,7 @@
         load: Callable[[], Load],
         is_active: Callable[[], bool],
         claim: Callable[[], Awaitable[bool]],
-        pull: Callable[[Member], None],
+        pull: Callable[[Member, tuple[int, int]], None],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
         self._roster = roster
@@ -199,7 +200,7 @@
             # The assignment that the lease is for is not known yet.
             member = self._roster.member(state.coordinator)
             if member is not None:
-                self._pull(member)
+                self._pull(member, (term, revision))
             return
         self._lease.extend(sent_at, lease_s)
 
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
 from typing import TYPE_CHECKING, Any
 
 from burdockgap.clock import BootClock
 from burdockgap.fleet.beacons import Beacons
-from burdockgap.fleet.datagrams import SUSPECTS
+from burdockgap.fleet.datagrams import CHANGES, SUSPECTS
 from burdockgap.fleet.member import Member
 from burdockgap.fleet.roster import Roster
 from burdockgap.forward.call import Call
@@ -32,6 +33,7 @@
 from burdockgap.platform.target_protocol import PlatformTarget
 from burdockgap.routing.document_follower import DocumentFollower
 from burdockgap.routing.documents import Documents
+from burdockgap.shards.control_changes import ControlChanges
 from burdockgap.shards.control_state import ControlState
 from burdockgap.shards.control_store import ControlStore
 from burdockgap.shards.control_view import ControlView
@@ -40,6 +42,7 @@
 from burdockgap.shards.reporter import Reporter
 from burdockgap.shards.shard_holder import ShardHolder
 from burdockgap.sidecar.discovery import Discovery
+from burdockgap.uplink import Uplink
 
 if TYPE_CHECKING:
     from burdockgap.fleet.datagrams import Datagrams
@@ -55,6 +58,9 @@
 
 _PULL_AFTER_S = 0.15
 """Time for the store to tell a change before a peer is asked."""
+_SPREAD_S = 0.1
+"""Longest pause before the assignment is fetched: what changed is on
+its way, and many would ask the same member at once."""
 _TICK_S = 0.25
 _DRAIN_MARGIN_S = 0.2
 """Time that a request may need from the decision to its arrival."""
@@ -96,6 +102,7 @@
         "roster",
         "store",
         "target",
+        "uplink",
         "view",
     )
 
@@ -113,7 +120,8 @@
         self.lines = lines
         self.metrics = metrics
         self.clock = BootClock()
-        self.links = Links()
+        self.uplink = Uplink(cfg.link_bytes_per_s)
+        self.links = Links(self.uplink)
         self.leaving = False
         self.holder: ShardHolder | None = None
         self.callers: Server | None = None
@@ -131,6 +139,7 @@
         self._add_traffic()
         self._add_control(datagrams)
         datagrams.handlers[SUSPECTS] = self._take_suspects
+        datagrams.handlers[CHANGES] = self._take_changes
         self._add_gauges()
 
     def _add_beliefs(self) -> None:
@@ -163,6 +172,7 @@
             out_since=lambda: self.documents.data_centres_out.get(
                 self.cfg.data_centre
             ),
+            uplink=self.uplink,
             crashes=self._crashes,
             on_event=self.lines.write,
             on_outcome=self._count_outcome,
@@ -310,6 +320,11 @@
     def _take_suspects(self, values: list[Any]) -> None:
         self._crashes.merge(values[0])
 
+    def _take_changes(self, values: list[Any]) -> None:
+        changed = ControlChanges.decode(values[0]).applied(self.view.state)
+        if changed is not None:
+            self.view.adopt(changed)
+
     def _count_answer(self, status: int, seconds: float) -> None:
         self.metrics.requests.labels(status).inc()
         self.metrics.latency.observe(seconds)
@@ -415,16 +430,15 @@
     def _control_changed(self) -> None:
         if self.holder is not None:
             self.holder.adopt(self.view.state)
-        self._beacons.changed()
 
     def _heard(self, member: Member) -> None:
-        if (member.term, member.revision) > self.view.version:
-            self._pull_table(member)
+        self._pull_table(member, (member.term, member.revision))
         if member.documents > self.documents.end:
             self._start_pull("documents", self._fetch_documents(member))
 
-    def _pull_table(self, member: Member) -> None:
-        self._start_pull("table", self._fetch_table(member))
+    def _pull_table(self, member: Member, version: tuple[int, int]) -> None:
+        if version > self.view.version:
+            self._start_pull("table", self._fetch_table(member, version))
 
     def _start_pull(self, what: str, pull: Any) -> None:
         if what in self._pulling:
@@ -444,7 +458,12 @@
 
         self.reporter.spawn(run())
 
-    async def _fetch_table(self, member: Member) -> None:
+    async def _fetch_table(
+        self, member: Member, version: tuple[int, int]
+    ) -> None:
+        await asyncio.sleep(random.uniform(0, _SPREAD_S))
+        if version <= self.view.version:
+            return
         async with asyncio.timeout(_TICK_S * 2):
             data = await self.links.call(member.address, TABLE, None)
         self.view.adopt(ControlState.decode(data))
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -87,9 +87,12 @@
             on_malformed=lambda status: lines.write(
                 "malformed_request", {"status": status}
             ),
+            uplink=node.uplink,
         )
         await stack.enter_async_context(
-            open_listener(node.handlers(), cfg.ip, cfg.peer_port)
+            open_listener(
+                node.handlers(), cfg.ip, cfg.peer_port, uplink=node.uplink
+            )
         )
         for server, address in (
             (Server(surface.answer_control), cfg.control),
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -20,6 +20,7 @@
     :param budget_ratio: repeats allowed per request.
     :param budget_extra: repeats that all daemons may make besides.
     :param budget_window_s: window of that budget, in seconds.
+    :param link_bytes_per_s: what the machine's link can send.
     :param drain_s: how long after its notice a leaving target may be
         sent work, in seconds.
     :param grace_s: time between the signal to stop and the end, in
@@ -35,6 +36,7 @@
         "drain_s",
         "grace_s",
         "ip",
+        "link_bytes_per_s",
         "name",
         "peer_port",
         "readiness",
@@ -60,6 +62,7 @@
         budget_ratio: float,
         budget_extra: float,
         budget_window_s: float,
+        link_bytes_per_s: float,
         drain_s: float,
         grace_s: float,
     ) -> None:
@@ -76,5 +79,6 @@
         self.budget_ratio = budget_ratio
         self.budget_extra = budget_extra
         self.budget_window_s = budget_window_s
+        self.link_bytes_per_s = link_bytes_per_s
         self.drain_s = drain_s
         self.grace_s = grace_s
--- /dev/null
+++ b/standins/sidecar/settings_file.py
@@ -0,0 +1,42 @@
+"""Settings files as the users' platform writes them."""
+
+from __future__ import annotations
+
+_TEXT = """
+node-name = "{name}"
+new-field = "ignored"
+ip-address = "{host}"
+zone = "{zone}"
+region = "delta"
+internal-port-range = [7620,7635]
+service = "{service}"
+[listen-addresses]
+inbound = "{host}:8300"
+outbound = "{host}:8304"
+ready = "{host}:8302"
+control = "{host}:8306"
+[limits]
+link-mbps = 1000.0
+[bounds]
+drain = "2000ms"
+grace-period = "6s"
+retry-budget-ratio = 0.2
+budget-window = "10s"
+budget-extra-retries = 60
+[platform]
+address = "{store}"
+"""
+
+
+def make_settings_text(
+    *,
+    name: str = "sidecar-tanta-1",
+    host: str = "10.1.0.8",
+    zone: str = "tanta",
+    service: str = "huvo11a",
+    store: str = "10.200.1.7:8309",
+) -> str:
+    """Return the text of one machine's settings file."""
+    return _TEXT.format(
+        name=name, host=host, zone=zone, service=service, store=store
+    )
--- a/tests/forward/builders.py
+++ b/tests/forward/builders.py
@@ -8,6 +8,7 @@
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
 from burdockgap.platform.target_protocol import PlatformTarget
+from burdockgap.uplink import Uplink
 
 SERVICE = "dispatch"
 
@@ -24,6 +25,7 @@
         "origin": "records",
         "key": None,
         "idempotent": False,
+        "large": False,
         "priority": 1,
         "deadline_s": 1.0,
         "patience_s": 0.15,
@@ -54,11 +56,13 @@
             tell=self.suspects.append,
             on_event=self._note,
         )
+        self.uplink = Uplink(125e6)
         self.gate = TargetGate(
             service=SERVICE,
             state=self.state,
             protocol=PlatformTarget(),
             out_since=lambda: self.out_since,
+            uplink=self.uplink,
             crashes=self.crashes,
             on_event=self._note,
             on_outcome=lambda _outcome, _seconds: None,
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -144,3 +144,14 @@
     await asyncio.gather(*calls, return_exceptions=True)
     await asyncio.sleep(0.01)
     assert served.gate.in_flight == 0
+
+
+async def test_large_answer_is_refused_while_the_link_is_behind():
+    world = GateWorld()
+    world.state.announced(make_info())
+    world.uplink.count(int(125e6))
+    call = make_call(large=True, idempotent=True, patience_s=0.2)
+    outcome = await world.gate.serve(call)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason is Reason.OVERLOADED
+    assert outcome.load.uplink_s > 1.0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,29 +7,9 @@
 from burdockgap.cli.exit_code import ExitCode
 from burdockgap.platform.settings import SETTINGS_VARIABLE, read_settings
 from burdockgap.run import main
+from standins.sidecar.settings_file import make_settings_text
 
-TEXT = """
-node-name = "sidecar-tanta-1"
-new-field = "ignored"
-ip-address = "10.1.0.8"
-zone = "tanta"
-region = "delta"
-internal-port-range = [7620,7635]
-service = "huvo11a"
-[listen-addresses]
-inbound = "10.1.0.8:8300"
-outbound = "10.1.0.8:8304"
-ready = "10.1.0.8:8302"
-control = "10.1.0.8:8306"
-[bounds]
-drain = "2000ms"
-grace-period = "6s"
-retry-budget-ratio = 0.2
-budget-window = "10s"
-budget-extra-retries = 60
-[platform]
-address = "10.200.1.7:8309"
-"""
+TEXT = make_settings_text()
 
 
 def write(tmp_path, text):
@@ -42,6 +22,7 @@
     cfg = read_settings(write(tmp_path, TEXT))
     assert (cfg.name, cfg.data_centre) == ("sidecar-tanta-1", "tanta")
     assert cfg.callers == ("10.1.0.8", 8304)
+    assert cfg.link_bytes_per_s == 125e6
     assert cfg.store == ("10.200.1.7", 8309)
     assert (cfg.drain_s, cfg.grace_s, cfg.peer_port) == (2.0, 6.0, 7620)
 
--- /dev/null
+++ b/tests/shards/test_control_changes.py
@@ -0,0 +1,113 @@
+"""Steps from one revision of the control state to the next."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockgap.fleet.datagrams import CHANGES
+from burdockgap.shards.control_changes import ControlChanges
+from burdockgap.shards.control_state import ControlState
+from burdockgap.shards.shard import KEYS, Shard, merged
+from tests.shards.builders import SERVICE
+from tests.shards.test_coordinator import NAMES, World
+
+
+def make_state(edges, *, revision=1, owners=("a", "b")):
+    """Return a state whose ranges begin at some keys."""
+    edges = [0, *sorted(set(edges) - {0}), KEYS]
+    rows = [
+        Shard(
+            first,
+            after - 1,
+            owner=owners[index % len(owners)],
+            born=1,
+            fence=index + 1,
+        )
+        for index, (first, after) in enumerate(itertools.pairwise(edges))
+    ]
+    return ControlState(
+        term=1, revision=revision, next_fence=99, shards={SERVICE: rows}
+    )
+
+
+def values(state):
+    return ControlState.decode(state.encode()).encode()
+
+
+edges = st.lists(st.integers(1, KEYS - 1), max_size=12)
+
+
+@given(edges, edges)
+def test_changes_lead_to_the_same_state(before_edges, after_edges):
+    before = make_state(before_edges)
+    after = make_state(after_edges, revision=2, owners=("b", "c"))
+    changes = ControlChanges.between(before, after)
+    result = ControlChanges.decode(changes.encode()).applied(before)
+    assert values(result) == values(after)
+
+
+@given(edges, st.integers(1, KEYS - 1))
+def test_changes_of_joined_ranges(before_edges, edge):
+    before = make_state([*before_edges, edge], owners=("a",))
+    after = before.successor()
+    after.shards[SERVICE] = merged(before.shards[SERVICE])
+    changes = ControlChanges.between(before, after)
+    assert values(changes.applied(before)) == values(after)
+
+
+@pytest.mark.parametrize(
+    ("term", "revision"),
+    [
+        pytest.param(1, 1, id="known-already"),
+        pytest.param(1, 3, id="one-is-missing"),
+        pytest.param(2, 2, id="another-term"),
+    ],
+)
+def test_changes_that_do_not_follow_are_not_applied(term, revision):
+    before = make_state([100])
+    after = make_state([200])
+    after.term, after.revision = term, revision
+    assert ControlChanges.between(before, after).applied(before) is None
+
+
+def test_changes_that_leave_a_gap_are_not_applied():
+    before = make_state([100])
+    changes = ControlChanges(
+        term=1,
+        revision=2,
+        voters=(),
+        next_fence=9,
+        shards={SERVICE: [Shard(50, 60, owner="b", born=1, fence=8)]},
+    )
+    assert changes.applied(before) is None
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xc1", b"\x90", b"\x95\x01\x01\x90\x01\x05"]
+)
+def test_changes_garbage_is_refused(data):
+    with pytest.raises(ValueError, match="not control changes"):
+        ControlChanges.decode(data)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_coordinator_tells_changes_to_all():
+    world = World()
+    await world.coordinator.claim()
+    before = world.view.state
+    await world.steps(1.0, *NAMES)
+    sent = [
+        values[0]
+        for _address, kind, values in world.datagrams.sent
+        if kind == CHANGES
+    ]
+    state = before
+    for data in sent[::2]:
+        state = ControlChanges.decode(data).applied(state)
+    assert values(state) == values(world.view.state)
+    assert len(sent) == 2 * (world.view.state.revision - before.revision)
--- a/tests/shards/test_planner.py
+++ b/tests/shards/test_planner.py
@@ -240,3 +240,48 @@
 
 
 TestAssignment = Assignment.TestCase
+
+
+def test_balance_server_without_a_range_to_move_holds_up_nobody():
+    servers = make_servers(4)
+    state = ControlState()
+    assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
+    rows = state.shards[SERVICE]
+    hot, second = rows[0], rows[1]
+    hot.previous = (("m9", 1),)
+    rates = make_rates(
+        {
+            hot.first: 40.0,
+            hot.first + 9: 40.0,
+            second.first: 20.0,
+            second.first + 9: 20.0,
+        }
+    )
+    assert balance(state, SERVICE, servers, rates) >= 1
+    moved = [row for row in state.shards[SERVICE] if row.fence > 4]
+    assert second.owner in {row.previous[0][0] for row in moved}
+
+
+@pytest.mark.parametrize(
+    ("count", "least"),
+    [pytest.param(5, 3, id="few"), pytest.param(40, 8, id="many")],
+)
+def test_balance_moves_at_once_grow_with_the_servers(count, least):
+    servers = make_servers(count)
+    state = ControlState()
+    assign_unowned(state, SERVICE, servers, make_rates({}), gone=set())
+    busy = {}
+    for row in state.shards[SERVICE][: count // 2]:
+        busy.update({row.first + step: 12.0 for step in range(4)})
+    moves = balance(state, SERVICE, servers, make_rates(busy))
+    assert least <= moves <= max(count // 4, 3)
+
+
+def test_rates_rest_on_more_time_where_many_servers_share_them():
+    rates = KeyRates(0.0, KEYS)
+    for step in range(1, 40):
+        rates.add(10, list(range(10)))
+        rates.fade(step * 0.1, servers=40)
+    before = rates.between(0, 9)
+    rates.fade(3.9 + 1.2, servers=40)
+    assert rates.between(0, 9) > before * 0.6
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -89,6 +89,7 @@
             budget_ratio=0.2,
             budget_extra=60.0,
             budget_window_s=10.0,
+            link_bytes_per_s=125e6,
             drain_s=2.0,
             grace_s=6.0,
         )
--- /dev/null
+++ b/tests/test_uplink.py
@@ -0,0 +1,75 @@
+"""Large messages must not delay small ones."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from burdockgap.hop.link import Links
+from burdockgap.hop.listener import open_listener
+from burdockgap.uplink import Uplink
+from tests.sidecar.builders import HOST, free_port
+
+pytestmark = pytest.mark.anyio
+
+SLOW = 400_000
+"""Bytes per second; 340,000 of them are used, so a part takes 48 ms."""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def test_large_message_is_paced_by_the_link():
+    uplink = Uplink(SLOW)
+    parts = []
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    await uplink.send(bytes(80_000), parts.append)
+    assert b"".join(parts) == bytes(80_000)
+    assert max(map(len, parts)) == uplink.part_bytes
+    assert loop.time() - began > 0.1
+    assert uplink.backlog_s < 0.07
+
+
+async def test_backlog_counts_what_waits_and_what_is_on_its_way():
+    uplink = Uplink(SLOW)
+    uplink.count(40_000)
+    sending = asyncio.create_task(uplink.send(bytes(80_000), lambda _: None))
+    await asyncio.sleep(0)
+    assert uplink.backlog_s == pytest.approx(0.35, abs=0.02)
+    sending.cancel()
+    await asyncio.gather(sending, return_exceptions=True)
+    assert uplink.backlog_s == pytest.approx(0.12, abs=0.02)
+
+
+async def test_cancelled_message_lets_the_next_one_go():
+    uplink = Uplink(SLOW)
+    first = asyncio.create_task(uplink.send(bytes(400_000), lambda _: None))
+    parts = []
+    second = asyncio.create_task(uplink.send(b"x" * 20_000, parts.append))
+    await asyncio.sleep(0.01)
+    first.cancel()
+    async with asyncio.timeout(0.5):
+        await second
+    assert b"".join(parts) == b"x" * 20_000
+
+
+async def test_small_reply_overtakes_a_large_one():
+    large = bytes(200_000)
+
+    async def answer(payload):
+        return large if payload == "large" else "small"
+
+    uplink = Uplink(SLOW)
+    port = free_port()
+    async with open_listener({1: answer}, HOST, port, uplink=uplink):
+        links = Links()
+        first = asyncio.create_task(links.call((HOST, port), 1, "large"))
+        await asyncio.sleep(0.02)
+        assert await links.call((HOST, port), 1, "small") == "small"
+        assert not first.done()
+        assert await first == large
+        links.close()
