--- a/src/burdockgap/shards/key_rates.py
+++ b/src/burdockgap/shards/key_rates.py
@@ -24,12 +24,20 @@
     :param keys_in_all: number of keys of the service.
     """
 
-    __slots__ = ("_base", "_decay_s", "_faded_at", "_index", "_rates")
+    __slots__ = (
+        "_base",
+        "_began_at",
+        "_decay_s",
+        "_faded_at",
+        "_index",
+        "_rates",
+    )
 
     def __init__(self, now: float, keys_in_all: int) -> None:
         self._rates: dict[int, float] = {}
         self._decay_s = _DECAY_S[0]
         self._faded_at = now
+        self._began_at: float | None = None
         self._base = _BASE_RATE / keys_in_all
         self._index: tuple[list[int], list[float]] | None = None
 
@@ -37,6 +45,8 @@
         """Count some requests, of which some keys are known."""
         if not keys:
             return
+        if self._began_at is None:
+            self._began_at = self._faded_at
         weight = seen / len(keys) / self._decay_s
         for key in keys:
             self._rates[key] = self._rates.get(key, 0.0) + weight
@@ -53,7 +63,9 @@
         self._faded_at = now
         wanted_s = _SAMPLES * servers / max(sum(self._rates.values()), 1.0)
         least_s, most_s = _DECAY_S
-        self._decay_s = min(max(wanted_s, least_s), most_s)
+        # Soon after the first request a long mean would still be low.
+        age_s = 0.0 if self._began_at is None else now - self._began_at
+        self._decay_s = max(min(wanted_s, most_s, age_s), least_s)
         self._rates = {
             key: rate * factor
             for key, rate in self._rates.items()
--- a/tests/shards/test_planner.py
+++ b/tests/shards/test_planner.py
@@ -285,3 +285,11 @@
     before = rates.between(0, 9)
     rates.fade(3.9 + 1.2, servers=40)
     assert rates.between(0, 9) > before * 0.6
+
+
+def test_rates_are_not_low_at_first():
+    rates = KeyRates(0.0, KEYS)
+    for step in range(1, 21):
+        rates.add(10, list(range(10)))
+        rates.fade(step * 0.1, servers=40)
+    assert rates.between(0, 9) > 100 * 0.6
