Report no revision as followed before a configuration is known

The coordinator dropped the earlier holder, and the new owner granted the range without asking it (log: granted at sidecar-tanta-12, no released at sidecar-zagazig-2, 'no configuration is known yet' before). Ruled out: leases (the earlier holder had one all the time), the release call (never made), changes sent as datagrams. Such reports now name revision 0.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults on real daemons, with their promises checked."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,53 @@
+"""Entry point of ``python -m soak``."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+import uvloop
+
+from soak.run import run_seed
+
+_SECONDS = 20.0
+_SIZE = 6
+
+
+def main() -> int:
+    """Run some seeds and return 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seed", type=int, help="first seed; else drawn")
+    parser.add_argument("--seeds", type=int, default=1, help="how many")
+    parser.add_argument(
+        "--seconds", type=float, default=_SECONDS, help="of faults a seed"
+    )
+    parser.add_argument(
+        "--machines", type=int, default=_SIZE, help="daemons at once"
+    )
+    args = parser.parse_args()
+    first = args.seed if args.seed is not None else random.randrange(10**6)
+    failed = 0
+    for seed in range(first, first + args.seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        result = uvloop.run(
+            run_seed(
+                seed, seconds=args.seconds, size=args.machines, folder=folder
+            )
+        )
+        (folder / "faults.log").write_text("\n".join(result.faults) + "\n")
+        print(
+            f"seed {seed}: {len(result.broken)} broken, answers "
+            f"{dict(sorted(result.statuses.items()))}, output in {folder}",
+            flush=True,
+        )
+        for line in result.broken[:20]:
+            print(f"  {line}", flush=True)
+        failed += bool(result.broken)
+    return min(failed, 1)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -117,6 +117,11 @@
         """The target's life, 0 if none is known or it is down."""
         return self.info.born if self.info is not None and self.up else 0
 
+    @property
+    def heard_at(self) -> float:
+        """When it was announced last, on the event loop's clock."""
+        return self._heard_at
+
     def bears_request(self) -> bool:
         """Tell whether the target bears a request now."""
         now = self._loop.time()
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -25,6 +25,9 @@
     :param loop: the event loop.
     :param idle_s: seconds after which an unused connection is given up,
         unless the server names fewer.
+    :param on_unexpected: told of bytes that belong to no request.
+    :param on_closed: called when the server closes the connection
+        without having announced it.
     :ivar reusable: whether another request may be sent.
     :ivar idle_since: when the last response ended, in seconds.
     """
@@ -42,6 +45,7 @@
         "_transport",
         "_unframed",
         "idle_since",
+        "on_closed",
         "on_unexpected",
         "reusable",
     )
@@ -52,10 +56,12 @@
         *,
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
+        on_closed: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop = loop
         self._idle_s = idle_s
         self.on_unexpected = on_unexpected
+        self.on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._fut: asyncio.Future[Response] | None = None
@@ -140,6 +146,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
+        if self.reusable:
+            self.on_closed()
         self.reusable = False
         self._fail(f"the connection was closed by the server: {exc or 'EOF'}")
 
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -22,6 +22,8 @@
     :param connect_timeout_s: longest time for a new connection.
     :param idle_s: seconds after which an unused connection is given up.
     :param on_unexpected: told of bytes that belong to no request.
+    :param on_closed: called when the server closes a connection without
+        having announced it.
     :ivar opened: connections opened so far.
     """
 
@@ -30,6 +32,7 @@
         "_idle",
         "_idle_s",
         "_loop",
+        "_on_closed",
         "_on_unexpected",
         "address",
         "opened",
@@ -42,7 +45,9 @@
         connect_timeout_s: float,
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
+        on_closed: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_closed = on_closed
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
@@ -101,6 +106,7 @@
                         self._loop,
                         idle_s=self._idle_s,
                         on_unexpected=self._on_unexpected,
+                        on_closed=self._on_closed,
                     ),
                     *self.address,
                 )
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -34,6 +34,8 @@
         region=field(source, "region", str),
         service=field(source, "service", str),
         ip=field(source, "ip-address", str),
+        # Other daemons call at a port of our own, not at this one's.
+        peer_host=address(field(listen, "inbound", str))[0],
         peer_port=_first_port(source),
         # Callers on the machine and the server itself send here.
         callers=address(field(listen, "outbound", str)),
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -169,7 +169,8 @@
             name=self._roster.own.name,
             incarnation=self._roster.own.incarnation,
             term=state.term,
-            revision=state.revision,
+            # A daemon without a configuration follows no assignment.
+            revision=state.revision if holder else 0,
             sent_at=self._clock.now(),
             echo=self._echo,
             born=self._born(),
--- a/src/burdockgap/shards/reports.py
+++ b/src/burdockgap/shards/reports.py
@@ -18,7 +18,8 @@
     :param name: the member.
     :param incarnation: its process.
     :param term: the coordinator's term that it follows.
-    :param revision: newest revision of the control state that it knows.
+    :param revision: newest revision of the assignment that its holder
+        of keys follows, 0 without one.
     :param sent_at: when it was sent, on the member's clock, in seconds.
     :param echo: the coordinator's time that the member saw last.
     :param born: its target's life, 0 if the target is down.
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -71,6 +71,7 @@
         "_started_at",
         "_state",
         "_tasks",
+        "_unsure_since",
         "lease",
         "samples",
         "service",
@@ -104,6 +105,7 @@
         self._granter: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._started_at = clock.now()
+        self._unsure_since: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.samples = KeySamples()
 
@@ -241,7 +243,7 @@
             if not item.cleared and item.taker is None:
                 item.taker = self._spawn(self._take_over(item))
         hold_s = self.lease.hold_s()
-        if hold_s <= MARGIN_S or not self._state.up:
+        if hold_s <= MARGIN_S or not self._may_grant():
             return
         now = self._clock.now()
         items: list[Holding] = []
@@ -255,9 +257,27 @@
         if items and (self._granter is None or self._granter.done()):
             self._granter = self._spawn(self._grant_all(items))
 
+    def _may_grant(self) -> bool:
+        """
+        Tell whether the target surely lives the life that owns keys.
+
+        A target that closed a connection may have started anew, perhaps
+        under the same id; its next announcement tells.
+        """
+        if self._unsure_since is not None:
+            if self._state.heard_at <= self._unsure_since:
+                return False
+            self._unsure_since = None
+        return self._state.up
+
+    def _target_closed(self) -> None:
+        self._unsure_since = self._loop.time()
+
     async def _grant_all(self, items: list[Holding]) -> None:
         for item in items:
             hold_s = self.lease.hold_s()
+            if not self._may_grant():
+                return
             if hold_s <= MARGIN_S or self._gives_up(item):
                 continue
             if item not in self._holdings:
@@ -444,6 +464,7 @@
                 info.address,
                 connect_timeout_s=_CALL_TIMEOUT_S,
                 idle_s=_IDLE_S,
+                on_closed=self._target_closed,
             )
         return self._pool
 
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -61,7 +61,7 @@
     )
     async with AsyncExitStack() as stack:
         datagrams = await stack.enter_async_context(
-            open_datagrams(cfg.ip, cfg.peer_port)
+            open_datagrams(cfg.peer_host, cfg.peer_port)
         )
         node = Node(
             cfg=cfg,
@@ -91,7 +91,10 @@
         )
         await stack.enter_async_context(
             open_listener(
-                node.handlers(), cfg.ip, cfg.peer_port, uplink=node.uplink
+                node.handlers(),
+                cfg.peer_host,
+                cfg.peer_port,
+                uplink=node.uplink,
             )
         )
         for server, address in (
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -11,7 +11,8 @@
     :param data_centre: its data centre.
     :param region: the region of its data centre.
     :param service: service of the target beside it.
-    :param ip: the machine's address.
+    :param ip: the machine's address, by which other daemons reach it.
+    :param peer_host: address to listen on for other daemons.
     :param peer_port: port for calls and datagrams of other daemons.
     :param callers: where callers send requests.
     :param readiness: where the platform asks whether it is ready.
@@ -38,6 +39,7 @@
         "ip",
         "link_bytes_per_s",
         "name",
+        "peer_host",
         "peer_port",
         "readiness",
         "region",
@@ -54,6 +56,7 @@
         region: str,
         service: str,
         ip: str,
+        peer_host: str,
         peer_port: int,
         callers: tuple[str, int],
         readiness: tuple[str, int],
@@ -71,6 +74,7 @@
         self.region = region
         self.service = service
         self.ip = ip
+        self.peer_host = peer_host
         self.peer_port = peer_port
         self.callers = callers
         self.readiness = readiness
--- a/standins/sidecar/settings_file.py
+++ b/standins/sidecar/settings_file.py
@@ -11,10 +11,10 @@
 internal-port-range = [7620,7635]
 service = "{service}"
 [listen-addresses]
-inbound = "{host}:8300"
-outbound = "{host}:8304"
-ready = "{host}:8302"
-control = "{host}:8306"
+inbound = "{listen}:8300"
+outbound = "{listen}:8304"
+ready = "{listen}:8302"
+control = "{listen}:8306"
 [limits]
 link-mbps = 1000.0
 [bounds]
@@ -35,8 +35,19 @@
     zone: str = "tanta",
     service: str = "huvo11a",
     store: str = "10.200.1.7:8309",
+    listen: str = "",
 ) -> str:
-    """Return the text of one machine's settings file."""
+    """
+    Return the text of one machine's settings file.
+
+    :param host: the machine's address.
+    :param listen: address to listen on, if it is another one.
+    """
     return _TEXT.format(
-        name=name, host=host, zone=zone, service=service, store=store
+        name=name,
+        host=host,
+        listen=listen or host,
+        zone=zone,
+        service=service,
+        store=store,
     )
--- a/tests/shards/test_shard_holder.py
+++ b/tests/shards/test_shard_holder.py
@@ -212,3 +212,26 @@
         world.state.refused_connection(7)
         async with asyncio.timeout(0.1):
             assert await world.holder.let_go(0, 99, 3) == ""
+
+
+async def test_grant_after_a_closed_connection_awaits_an_announcement():
+    """The server may have started anew under the same address."""
+    port = free_port()
+    world = World(port)
+    task = asyncio.create_task(world.holder.run())
+    async with open_server(Server(world.answer), HOST, port):
+        world.extend()
+        world.own(make_shard())
+        await world.until(lambda: world.grants)
+    world.grants.clear()
+    async with open_server(Server(world.answer), HOST, port):
+        for _ in range(5):
+            world.extend()
+            await asyncio.sleep(0.1)
+        assert world.grants == []
+        info = make_info(address=(HOST, port), born=7, sequence=50)
+        world.state.announced(info)
+        world.extend()
+        await world.until(lambda: world.grants)
+    task.cancel()
+    world.holder.cancel()
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -81,6 +81,7 @@
             region="r1",
             service=self.service,
             ip=HOST,
+            peer_host=HOST,
             peer_port=self.peer_port,
             callers=(HOST, self.callers_port),
             readiness=(HOST, 0),
