Bound silence of the store and not the time of its answers; refuse keys without a configuration

Ruled out: the store's own speed (4000 Mbit/s), leases (lease_s is null in the gate's lines: no holder). Now silence is bounded, a peer is asked a second after the store at a start, and the gate refuses keys without a holder.

--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -223,18 +223,23 @@
             raise _refusal(Reason.DRAINING)
         if not self._state.up or self._state.info is None:
             raise _refusal(Reason.TARGET_DOWN)
-        out_since = self._out_since()
-        if self.holder is not None and call.key is not None:
-            # Keys are served for a while longer, until they have moved.
-            now = self._loop.time()
-            if out_since is not None and now - out_since > _KEYS_LEAVE_S:
-                raise _refusal(Reason.DATA_CENTRE_OUT)
+        if call.key is not None:
+            self._check_open_for_keys()
             return
-        if out_since is not None:
+        if self._out_since() is not None:
             raise _refusal(Reason.DATA_CENTRE_OUT)
         if not self._state.takes_work or self.leaving:
             raise _refusal(Reason.DRAINING)
 
+    def _check_open_for_keys(self) -> None:
+        if self.holder is None:
+            # No configuration is known yet, so no keys are granted.
+            raise _refusal(Reason.ACTIVATING)
+        # Keys are served for a while longer, until they have moved.
+        out_since, now = self._out_since(), self._loop.time()
+        if out_since is not None and now - out_since > _KEYS_LEAVE_S:
+            raise _refusal(Reason.DATA_CENTRE_OUT)
+
     async def _dispatch(self, call: Call, deadline: float) -> Outcome:
         # The wait for the slot may have changed any of the answers.
         self._check_open(call)
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -38,6 +38,7 @@
         "_bodiless",
         "_fut",
         "_headers",
+        "_heard_at",
         "_idle_s",
         "_loop",
         "_parser",
@@ -73,6 +74,7 @@
         self._unframed = False
         self.reusable = True
         self.idle_since = loop.time()
+        self._heard_at = self.idle_since
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -89,6 +91,7 @@
         *,
         accepts: Callable[[Response], bool] | None = None,
         bodiless: bool = False,
+        silence_s: float | None = None,
     ) -> Response:
         """
         Send a request and return its response.
@@ -101,8 +104,9 @@
             earlier one, which is passed over.
         :param bodiless: whether the response has no body, as for
             ``HEAD``.
+        :param silence_s: longest time without any byte of the response.
         :raises ExchangeError: if the connection ends before the whole
-            response.
+            response, or is silent for too long.
         """
         if self._transport is None or not self.reusable:
             raise ExchangeError("the connection is closed", sent=False)
@@ -110,6 +114,9 @@
         self._bodiless = bodiless
         self._fut = self._loop.create_future()
         self._transport.write(data)
+        if silence_s is not None:
+            self._heard_at = self._loop.time()
+            self._watch(self._fut, silence_s)
         try:
             return await self._fut
         except BaseException:
@@ -127,6 +134,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bytes that nobody asked for end the use."""
+        self._heard_at = self._loop.time()
         if self._fut is None or self._fut.done():
             self.on_unexpected("bytes without a request")
             self.close()
@@ -183,6 +191,17 @@
             self.reusable = False
         self._complete()
 
+    def _watch(self, fut: asyncio.Future[Response], silence_s: float) -> None:
+        """Fail an exchange once nothing has come for some seconds."""
+        if fut.done():
+            return
+        left_s = self._heard_at + silence_s - self._loop.time()
+        if left_s > 0:
+            self._loop.call_later(left_s, self._watch, fut, silence_s)
+            return
+        self._fail(f"no answer within {silence_s} s")
+        self.close()
+
     def _complete(self) -> None:
         response = Response(self._status, self._headers, b"".join(self._body))
         self._status = 0
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -63,17 +63,19 @@
         accepts: Callable[[Response], bool] | None = None,
         bodiless: bool = False,
         max_idle_s: float | None = None,
+        silence_s: float | None = None,
     ) -> Response:
         """
         Send a request over a kept or a new connection.
 
         :param max_idle_s: longest time that a kept connection may have
             been unused.
+        :param silence_s: longest time without any byte of the response.
         :raises ExchangeError: if no complete response comes.
         """
         conn = self._take(max_idle_s) or await self._connect()
         response = await conn.exchange(
-            data, accepts=accepts, bodiless=bodiless
+            data, accepts=accepts, bodiless=bodiless, silence_s=silence_s
         )
         if conn.reusable:
             self._idle.append(conn)
--- a/src/burdockgap/routing/document_follower.py
+++ b/src/burdockgap/routing/document_follower.py
@@ -31,15 +31,16 @@
     :param documents: takes what is read.
     :param is_coordinator: whether this member is to look more often.
     :param on_event: logs lost and regained contact.
+    :ivar lost: whether the last call of the store failed.
     """
 
     __slots__ = (
         "_documents",
         "_is_coordinator",
-        "_lost",
         "_on_event",
         "_store",
         "_topic",
+        "lost",
     )
 
     def __init__(
@@ -56,7 +57,7 @@
         self._documents = documents
         self._is_coordinator = is_coordinator
         self._on_event = on_event
-        self._lost = False
+        self.lost = False
 
     async def run(self) -> None:
         """Follow the topic for ever."""
@@ -87,9 +88,9 @@
             self._documents.apply(changes.records, changes.end, "store")
 
     def _contact(self, *, lost: bool, why: str) -> None:
-        if lost == self._lost:
+        if lost == self.lost:
             return
-        self._lost = lost
+        self.lost = lost
         self._on_event(
             "dependency",
             {
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -58,6 +58,11 @@
 
 _PULL_AFTER_S = 0.15
 """Time for the store to tell a change before a peer is asked."""
+_FIRST_PULL_AFTER_S = 1.0
+"""The same for all documents after a start; fetching them twice at once
+takes longer on a slow link."""
+_PULL_TIMEOUT_S = 5.0
+"""All documents on a slow link; a silent peer is found sooner."""
 _SPREAD_S = 0.1
 """Longest pause before the assignment is fetched: what changed is on
 its way, and many would ask the same member at once."""
@@ -464,16 +469,18 @@
         await asyncio.sleep(random.uniform(0, _SPREAD_S))
         if version <= self.view.version:
             return
-        async with asyncio.timeout(_TICK_S * 2):
+        async with asyncio.timeout(_PULL_TIMEOUT_S):
             data = await self.links.call(member.address, TABLE, None)
         self.view.adopt(ControlState.decode(data))
 
     async def _fetch_documents(self, member: Member) -> None:
         if self.documents.config is not None:
             await asyncio.sleep(_PULL_AFTER_S)
+        elif not self.follower.lost:
+            await asyncio.sleep(_FIRST_PULL_AFTER_S)
         if member.documents <= self.documents.end:
             return
-        async with asyncio.timeout(_TICK_S * 4):
+        async with asyncio.timeout(_PULL_TIMEOUT_S):
             values, end = await self.links.call(
                 member.address, DOCUMENTS, None
             )
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -155,3 +155,12 @@
     assert outcome.verdict is Verdict.NOT_RUN
     assert outcome.reason is Reason.OVERLOADED
     assert outcome.load.uplink_s > 1.0
+
+
+async def test_key_is_refused_while_no_holder_of_keys_is_known():
+    """As right after a start, before the first configuration."""
+    world = GateWorld()
+    world.state.announced(make_info())
+    outcome = await world.gate.serve(make_call(key=5))
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason is Reason.ACTIVATING
--- a/tests/http1/test_client_pool.py
+++ b/tests/http1/test_client_pool.py
@@ -189,3 +189,33 @@
     assert data.endswith(b"content-length: 3\r\n\r\nxyz")
     assert b"content-length: 0" in encode_request("POST", "/a", [])
     assert b"content-length" not in encode_request("GET", "/a", [])
+
+
+async def test_answer_that_takes_long_but_comes_on_is_read():
+    """All of the operators' documents over a slow link."""
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n")
+        for _ in range(8):
+            await asyncio.sleep(0.05)
+            writer.write(b"x")
+
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address)
+        response = await pool.exchange(REQUEST, silence_s=0.2)
+        assert response.body == b"x" * 8
+        pool.close()
+
+
+async def test_answer_that_stops_coming_is_given_up():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nx")
+        await asyncio.sleep(5)
+
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address)
+        with pytest.raises(ExchangeError, match=r"no answer within 0\.2 s"):
+            await pool.exchange(REQUEST, silence_s=0.2)
+        pool.close()
