Tell a claim to all members as a change

Ruled out: lost datagrams of reports, the store. Changes now name the revision that they begin at, so that a claim, which changes no range, is one small datagram.

--- a/src/burdockgap/shards/control_changes.py
+++ b/src/burdockgap/shards/control_changes.py
@@ -18,29 +18,47 @@
 
 class ControlChanges:
     """
-    The step from one revision to the next of the same term.
+    The step from one revision of the control state to the next.
 
-    :param term: the term.
-    :param revision: the revision that the step leads to.
+    :param base: term and revision that the step begins at.
+    :param term: the term that it leads to.
+    :param revision: the revision that it leads to.
+    :param coordinator: name of the coordinator after it.
+    :param incarnation: the coordinator's process.
     :param voters: names of the voters after it.
     :param next_fence: above every fencing token given so far.
     :param shards: by keyed service, the ranges that are new or have
         changed.
     """
 
-    __slots__ = ("next_fence", "revision", "shards", "term", "voters")
+    __slots__ = (
+        "base",
+        "coordinator",
+        "incarnation",
+        "next_fence",
+        "revision",
+        "shards",
+        "term",
+        "voters",
+    )
 
     def __init__(
         self,
         *,
+        base: tuple[int, int],
         term: int,
         revision: int,
+        coordinator: str,
+        incarnation: int,
         voters: tuple[str, ...],
         next_fence: int,
         shards: dict[str, list[Shard]],
     ) -> None:
+        self.base = base
         self.term = term
         self.revision = revision
+        self.coordinator = coordinator
+        self.incarnation = incarnation
         self.voters = voters
         self.next_fence = next_fence
         self.shards = shards
@@ -51,8 +69,11 @@
     ) -> ControlChanges:
         """Return what changed from one revision to the next."""
         return cls(
+            base=(before.term, before.revision),
             term=after.term,
             revision=after.revision,
+            coordinator=after.coordinator,
+            incarnation=after.incarnation,
             voters=after.voters,
             next_fence=after.next_fence,
             shards={
@@ -67,9 +88,12 @@
 
         :return: ``None`` if they do not follow on the given state.
         """
-        if (state.term, state.revision + 1) != (self.term, self.revision):
+        if (state.term, state.revision) != self.base:
             return None
         after = state.successor()
+        after.term, after.revision = self.term, self.revision
+        after.coordinator = self.coordinator
+        after.incarnation = self.incarnation
         after.voters = self.voters
         after.next_fence = self.next_fence
         for service, changed in self.shards.items():
@@ -83,8 +107,11 @@
         """Return the bytes for a datagram."""
         data: bytes = msgpack.packb(
             [
+                list(self.base),
                 self.term,
                 self.revision,
+                self.coordinator,
+                self.incarnation,
                 list(self.voters),
                 self.next_fence,
                 {
@@ -103,10 +130,22 @@
         :raises ValueError: if they cannot be read.
         """
         try:
-            term, revision, voters, next_fence, shards = msgpack.unpackb(data)
+            (
+                (base_term, base_revision),
+                term,
+                revision,
+                coordinator,
+                incarnation,
+                voters,
+                next_fence,
+                shards,
+            ) = msgpack.unpackb(data)
             return cls(
+                base=(base_term, base_revision),
                 term=term,
                 revision=revision,
+                coordinator=coordinator,
+                incarnation=incarnation,
                 voters=tuple(voters),
                 next_fence=next_fence,
                 shards={
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -128,6 +128,8 @@
             self._on_event("claim_failed", {"why": str(exc)})
             return False
         self._begin(claimed, is_first=known is None)
+        if known is not None:
+            self._tell_changes(known, claimed)
         return True
 
     async def run(self) -> None:
--- a/tests/shards/test_control_changes.py
+++ b/tests/shards/test_control_changes.py
@@ -13,6 +13,7 @@
 from burdockgap.shards.control_state import ControlState
 from burdockgap.shards.shard import KEYS, Shard, merged
 from tests.shards.builders import SERVICE
+from tests.shards.fakes import FakeStore
 from tests.shards.test_coordinator import NAMES, World
 
 
@@ -62,23 +63,37 @@
 @pytest.mark.parametrize(
     ("term", "revision"),
     [
-        pytest.param(1, 1, id="known-already"),
-        pytest.param(1, 3, id="one-is-missing"),
-        pytest.param(2, 2, id="another-term"),
+        pytest.param(1, 2, id="known-already"),
+        pytest.param(1, 0, id="one-is-missing"),
+        pytest.param(2, 1, id="another-term"),
     ],
 )
 def test_changes_that_do_not_follow_are_not_applied(term, revision):
     before = make_state([100])
-    after = make_state([200])
-    after.term, after.revision = term, revision
-    assert ControlChanges.between(before, after).applied(before) is None
+    known = make_state([100])
+    known.term, known.revision = term, revision
+    after = make_state([200], revision=2)
+    assert ControlChanges.between(before, after).applied(known) is None
+
+
+def test_changes_of_a_claim_lead_to_the_next_term():
+    before = make_state([100])
+    after = before.successor()
+    after.term, after.coordinator, after.incarnation = 4, "c", 99
+    changes = ControlChanges.decode(
+        ControlChanges.between(before, after).encode()
+    )
+    assert values(changes.applied(before)) == values(after)
 
 
 def test_changes_that_leave_a_gap_are_not_applied():
     before = make_state([100])
     changes = ControlChanges(
+        base=(1, 1),
         term=1,
         revision=2,
+        coordinator="a",
+        incarnation=1,
         voters=(),
         next_fence=9,
         shards={SERVICE: [Shard(50, 60, owner="b", born=1, fence=8)]},
@@ -111,3 +126,24 @@
         state = ControlChanges.decode(data).applied(state)
     assert values(state) == values(world.view.state)
     assert len(sent) == 2 * (world.view.state.revision - before.revision)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_claim_is_told_to_all():
+    """Else each would fetch the whole state from the claimant."""
+    store = FakeStore()
+    old, new = World(store), World(store, own="b")
+    await old.coordinator.claim()
+    await old.steps(1.0, *NAMES)
+    before = old.view.state
+    await new.coordinator.claim()
+    assert await new.coordinator.claim()
+    sent = [
+        values[0]
+        for _address, kind, values in new.datagrams.sent
+        if kind == CHANGES
+    ]
+    state = ControlChanges.decode(sent[0]).applied(before)
+    assert (state.term, state.coordinator) == (2, "b")
+    assert len(sent) == 2
