--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -60,6 +60,8 @@
     __slots__ = (
         "_answered_at",
         "_claim",
+        "_claim_after",
+        "_claim_at",
         "_claim_not_before",
         "_clock",
         "_datagrams",
@@ -112,6 +114,8 @@
         self._started_at = clock.now()
         self._answered_at = clock.now()
         self._term = 0
+        self._claim_at: float | None = None
+        self._claim_after = 0
         self._claim_not_before = 0.0
         self._echo = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -133,9 +137,12 @@
         await self._read_first()
         while True:
             self._report()
+            pause_s = REPORT_S
             if self._coordinator_is_lost():
-                await self._try_claim()
-            await asyncio.sleep(REPORT_S)
+                pause_s = min(await self._try_claim(), REPORT_S)
+            else:
+                self._claim_at = None
+            await asyncio.sleep(pause_s)
 
     async def _read_first(self) -> None:
         """
@@ -220,25 +227,36 @@
                 return self._clock.now() >= self._claim_not_before
         return self._clock.now() - self._answered_at > _SILENT_S
 
-    async def _try_claim(self) -> None:
-        """Claim the coordinator's place, in order of names."""
+    async def _try_claim(self) -> float:
+        """
+        Claim the coordinator's place once it is this member's turn.
+
+        :return: time until the next look, in seconds.
+        """
+        now, term = self._clock.now(), self._view.state.term
+        if self._claim_at is None or self._claim_after != term:
+            self._claim_after = term
+            self._claim_at = now + self._turn_s()
+        if now < self._claim_at:
+            return self._claim_at - now
+        self._claim_at = None
+        if not await self._claim():
+            pause_s = _CLAIM_PAUSE_S * random.uniform(1, 2)
+            self._claim_not_before = self._clock.now() + pause_s
+        return REPORT_S
+
+    def _turn_s(self) -> float:
+        """Return the time to leave to others, in order of names."""
         state = self._view.state
+        own = self._roster.own.name
+        if own == state.coordinator:
+            return 0.0
         live = sorted(
             member.name
             for member in self._roster.live(_SILENT_S * 2)
             if member.name != state.coordinator and not member.leaving
         )
-        own = self._roster.own.name
-        if own != state.coordinator:
-            rank = live.index(own) if own in live else len(live)
-            if state.term == 0:
-                rank += 2
-            version = self._view.version
-            answered_at = self._answered_at
-            await asyncio.sleep(rank * _RANK_PAUSE_S)
-            moved = self._view.version[0] != version[0]
-            if moved or self._answered_at > answered_at:
-                return
-        if not await self._claim():
-            pause_s = _CLAIM_PAUSE_S * random.uniform(1, 2)
-            self._claim_not_before = self._clock.now() + pause_s
+        rank = live.index(own) if own in live else len(live)
+        if state.term == 0:
+            rank += 2
+        return rank * _RANK_PAUSE_S
