--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from burdockgap.forward.call import Call
+from burdockgap.forward.chooser import Chooser
 from burdockgap.forward.outcome import Outcome
 from burdockgap.forward.retry_share import RetryShare
 from burdockgap.hop.kinds import FORWARD, SETTLE
@@ -30,15 +31,6 @@
 _DEFAULT_WAIT_S = 30.0
 _LATE_REPLY_S = 0.05
 """How much later than its deadline a target's daemon may reply."""
-_CHOICES = 3
-"""Targets compared for one request; more would all pick the same
-one."""
-_FAR_S = 0.008
-"""What another data centre costs a small answer: the way and its
-price."""
-_FAR_LARGE_S = 0.25
-"""The same for a large answer, whose bytes are dear between data
-centres."""
 _FINAL_FOR_KEYS = frozenset({Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT})
 """A key has one owner, so its full queue cannot be passed by."""
 _MOST_TRIES = 4
@@ -97,6 +89,7 @@
         "_budget_ratio",
         "_budget_window_s",
         "_budgets",
+        "_chooser",
         "_documents",
         "_gate",
         "_links",
@@ -128,6 +121,7 @@
         self._roster = roster
         self._documents = documents
         self._view = view
+        self._chooser = Chooser(roster=roster, documents=documents, view=view)
         self._gate = gate
         self._links = links
         self._budget_ratio = budget_ratio * _RATIO_SHARE
@@ -232,9 +226,15 @@
         """Return the next target, after a wait if there is none yet."""
         while len(progress.attempts) < _MOST_TRIES:
             if call.key is None:
-                member = self._best(call, route, progress)
+                member = self._chooser.best(
+                    call.service, route, progress.tried
+                )
             else:
-                member = await self._owner(call, progress)
+                if progress.attempts:
+                    # The assignment that the last owner knew is on its
+                    # way.
+                    await asyncio.sleep(_PAUSE_S)
+                member = self._chooser.owner(call.service, call.key)
             tried_all = call.key is None and bool(progress.attempts)
             if member is not None or tried_all:
                 return member
@@ -243,46 +243,6 @@
             await asyncio.sleep(_PAUSE_S)
         return None
 
-    def _best(
-        self, call: Call, route: Route, progress: _Progress
-    ) -> Member | None:
-        servers = [
-            member
-            for member in self._roster.servers(call.service)
-            if member.name not in progress.tried
-            and member.data_centre not in self._documents.data_centres_out
-            and (not route.regions or member.region in route.regions)
-        ]
-        if not servers:
-            return None
-        if route.large:
-            own = self._roster.own.data_centre
-            near = [item for item in servers if item.data_centre == own]
-            far = [item for item in servers if item.data_centre != own]
-            servers = [*_some(near), *_some(far)]
-        else:
-            servers = _some(servers)
-        return min(servers, key=lambda member: self._cost(member, route))
-
-    async def _owner(self, call: Call, progress: _Progress) -> Member | None:
-        """Return the key's owner, if it is known and alive."""
-        assert call.key is not None
-        if progress.attempts:
-            # The assignment that the last owner knew is on its way.
-            await asyncio.sleep(_PAUSE_S)
-        shard = self._view.state.find(call.service, call.key)
-        if shard is None or not self._roster.is_alive(shard.owner):
-            return None
-        return self._roster.member(shard.owner)
-
-    def _cost(self, member: Member, route: Route) -> float:
-        cost_s = self._roster.expected_s(member)
-        if route.large:
-            cost_s += self._roster.load(member).uplink_s
-        if member.data_centre != self._roster.own.data_centre:
-            cost_s += _FAR_LARGE_S if route.large else _FAR_S
-        return cost_s
-
     async def _attempt(
         self, member: Member, call: Call, progress: _Progress
     ) -> Outcome:
@@ -454,7 +414,3 @@
                 "ms": round(took_s * 1000, 1),
             },
         )
-
-
-def _some(members: list[Member]) -> list[Member]:
-    return random.sample(members, min(len(members), _CHOICES))
--- /dev/null
+++ b/src/burdockgap/shards/key_calls.py
@@ -0,0 +1,113 @@
+"""Grants and releases at the target beside this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from burdockgap.http1.client_pool import ClientPool
+from burdockgap.http1.exchange_error import ExchangeError
+
+if TYPE_CHECKING:
+    from burdockgap.forward.target_protocol import TargetProtocol
+    from burdockgap.forward.target_state import TargetState
+    from burdockgap.shards.shard import Shard
+
+CALL_TIMEOUT_S = 0.4
+_RELEASE_TIMEOUT_S = 2.0
+_IDLE_S = 8.0
+
+
+class KeyCalls:
+    """
+    Calls that give keys to a target and take them back.
+
+    :param state: what is known of the target.
+    :param protocol: what the target speaks.
+    """
+
+    __slots__ = ("_loop", "_pool", "_protocol", "_state", "_unsure_since")
+
+    def __init__(
+        self, *, state: TargetState, protocol: TargetProtocol
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._state = state
+        self._protocol = protocol
+        self._pool: ClientPool | None = None
+        self._unsure_since: float | None = None
+
+    def may_grant(self) -> bool:
+        """
+        Tell whether the target surely lives the life that owns keys.
+
+        A target that closed a connection may have started anew, perhaps
+        under the same id; its next announcement tells.
+        """
+        if self._unsure_since is not None:
+            if self._state.heard_at <= self._unsure_since:
+                return False
+            self._unsure_since = None
+        return self._state.up
+
+    async def grant(self, shard: Shard, hold_s: float, handover: str) -> int:
+        """
+        Grant a range and return the status of the answer.
+
+        :param hold_s: for how long from the call's arrival, in seconds.
+        :param handover: of the last holder, "" if there is none.
+        :raises ExchangeError: if no answer came.
+        :raises TimeoutError: if it took too long.
+        """
+        data = self._protocol.encode_grant(
+            first=shard.first,
+            last=shard.last,
+            fence=shard.fence,
+            hold_s=hold_s,
+            handover=handover,
+        )
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return (await self._target().exchange(data)).status
+        except ExchangeError as exc:
+            if exc.refused:
+                self._state.refused_connection(shard.born)
+            raise
+
+    async def release(self, first: int, last: int, fence: int) -> str | None:
+        """
+        Take a range back once the work on its keys has ended.
+
+        :return: the target's handover, "" if it gave none or runs no
+            more, ``None`` if it did not answer.
+        """
+        data = self._protocol.encode_release(
+            first=first, last=last, fence=fence
+        )
+        try:
+            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
+                response = await self._target().exchange(data)
+        except TimeoutError:
+            return None
+        except ExchangeError as exc:
+            if exc.refused:
+                self._state.refused_connection(self._state.born)
+                return ""
+            return None
+        return self._protocol.handover(response)
+
+    def _target(self) -> ClientPool:
+        info = self._state.info
+        if info is None:
+            raise ExchangeError("no target is known", sent=False)
+        if self._pool is None or self._pool.address != info.address:
+            self._pool = ClientPool(
+                info.address,
+                connect_timeout_s=CALL_TIMEOUT_S,
+                idle_s=_IDLE_S,
+                on_closed=self._closed,
+            )
+        return self._pool
+
+    def _closed(self) -> None:
+        self._unsure_since = self._loop.time()
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from burdockgap.hop.link_error import LinkError
-from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.shards.holding import Holding
+from burdockgap.shards.key_calls import CALL_TIMEOUT_S, KeyCalls
 from burdockgap.shards.key_samples import KeySamples
 from burdockgap.shards.lease import CLOCK_RATE, LEASE_S, MARGIN_S, Lease
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -28,10 +28,7 @@
 _RENEW_BELOW_S = 0.7
 """Left of a grant when it is renewed; a lost renewal is repeated
 twice."""
-_CALL_TIMEOUT_S = 0.4
-_RELEASE_TIMEOUT_S = 2.0
 _ASK_AGAIN_S = 0.15
-_IDLE_S = 8.0
 _GRANT_POLL_S = 0.01
 _MOST_REVOKED = 256
 _OK = 200
@@ -56,6 +53,7 @@
     """
 
     __slots__ = (
+        "_calls",
         "_changed",
         "_clock",
         "_granter",
@@ -64,14 +62,11 @@
         "_lost",
         "_name",
         "_on_event",
-        "_pool",
-        "_protocol",
         "_release",
         "_revoked",
         "_started_at",
         "_state",
         "_tasks",
-        "_unsure_since",
         "lease",
         "samples",
         "service",
@@ -95,17 +90,15 @@
         self._clock = clock
         self.lease = lease
         self._state = state
-        self._protocol = protocol
+        self._calls = KeyCalls(state=state, protocol=protocol)
         self._release = release
         self._on_event = on_event
         self._holdings: list[Holding] = []
         self._lost: list[Holding] = []
         self._revoked: list[tuple[int, int, int]] = []
-        self._pool: ClientPool | None = None
         self._granter: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._started_at = clock.now()
-        self._unsure_since: float | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.samples = KeySamples()
 
@@ -212,7 +205,7 @@
         if self._state.ended:
             return ""
         unsure_until = self._unanswered_until(first, last)
-        handover = await self._call_release(first, last, fence)
+        handover = await self._calls.release(first, last, fence)
         if handover is None:
             unsure_until = max(unsure_until, self._held_until(first, last))
             handover = ""
@@ -243,7 +236,7 @@
             if not item.cleared and item.taker is None:
                 item.taker = self._spawn(self._take_over(item))
         hold_s = self.lease.hold_s()
-        if hold_s <= MARGIN_S or not self._may_grant():
+        if hold_s <= MARGIN_S or not self._calls.may_grant():
             return
         now = self._clock.now()
         items: list[Holding] = []
@@ -257,26 +250,10 @@
         if items and (self._granter is None or self._granter.done()):
             self._granter = self._spawn(self._grant_all(items))
 
-    def _may_grant(self) -> bool:
-        """
-        Tell whether the target surely lives the life that owns keys.
-
-        A target that closed a connection may have started anew, perhaps
-        under the same id; its next announcement tells.
-        """
-        if self._unsure_since is not None:
-            if self._state.heard_at <= self._unsure_since:
-                return False
-            self._unsure_since = None
-        return self._state.up
-
-    def _target_closed(self) -> None:
-        self._unsure_since = self._loop.time()
-
     async def _grant_all(self, items: list[Holding]) -> None:
         for item in items:
             hold_s = self.lease.hold_s()
-            if not self._may_grant():
+            if not self._calls.may_grant():
                 return
             if hold_s <= MARGIN_S or self._gives_up(item):
                 continue
@@ -289,23 +266,14 @@
         """Send a grant and tell whether the target answered it."""
         shard = item.shard
         item.granting = True
-        data = self._protocol.encode_grant(
-            first=shard.first,
-            last=shard.last,
-            fence=shard.fence,
-            hold_s=hold_s,
-            handover="" if item.granted else item.handover,
-        )
+        handover = "" if item.granted else item.handover
         sent_at = self._clock.now()
         answered_until = item.unanswered_until
         # Until it is answered, the target may take it at any moment.
-        item.unanswered_until = sent_at + _CALL_TIMEOUT_S + hold_s * CLOCK_RATE
+        item.unanswered_until = sent_at + CALL_TIMEOUT_S + hold_s * CLOCK_RATE
         try:
-            async with asyncio.timeout(_CALL_TIMEOUT_S):
-                response = await self._target().exchange(data)
+            status = await self._calls.grant(shard, hold_s, handover)
         except (ExchangeError, TimeoutError) as exc:
-            if isinstance(exc, ExchangeError) and exc.refused:
-                self._state.refused_connection(shard.born)
             self._event(
                 "grant_unanswered",
                 shard.first,
@@ -317,7 +285,7 @@
         finally:
             item.granting = False
         item.unanswered_until = answered_until
-        if response.status == _OK:
+        if status == _OK:
             is_first = not item.granted
             item.granted = True
             item.hold_until = max(item.hold_until, sent_at + hold_s)
@@ -328,13 +296,13 @@
                 self._event("granted", shard.first, shard.last, shard.fence)
             self._wake()
             return True
-        item.rejected = response.status == _CONFLICT
+        item.rejected = status == _CONFLICT
         self._event(
             "grant_refused",
             shard.first,
             shard.last,
             shard.fence,
-            status=response.status,
+            status=status,
         )
         return True
 
@@ -367,24 +335,6 @@
             )
             return None
 
-    async def _call_release(
-        self, first: int, last: int, fence: int
-    ) -> str | None:
-        data = self._protocol.encode_release(
-            first=first, last=last, fence=fence
-        )
-        try:
-            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                response = await self._target().exchange(data)
-        except TimeoutError:
-            return None
-        except ExchangeError as exc:
-            if exc.refused:
-                self._state.refused_connection(self._state.born)
-                return ""
-            return None
-        return self._protocol.handover(response)
-
     def _overlapping(self, first: int, last: int) -> list[Holding]:
         return [
             item
@@ -455,19 +405,6 @@
             for first, last, token in self._revoked
         )
 
-    def _target(self) -> ClientPool:
-        info = self._state.info
-        if info is None:
-            raise ExchangeError("no target is known", sent=False)
-        if self._pool is None or self._pool.address != info.address:
-            self._pool = ClientPool(
-                info.address,
-                connect_timeout_s=_CALL_TIMEOUT_S,
-                idle_s=_IDLE_S,
-                on_closed=self._target_closed,
-            )
-        return self._pool
-
     def _wake(self) -> None:
         """Let all that wait for a change look again."""
         changed, self._changed = self._changed, asyncio.Event()
--- /dev/null
+++ b/src/burdockgap/sidecar/gauges.py
@@ -0,0 +1,44 @@
+"""Gauges of a daemon's parts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from burdockgap.sidecar.node import Node
+
+
+def add_gauges(node: Node) -> None:
+    """Declare what is read when the metrics are asked for."""
+    gauge = node.metrics.gauge
+    gauge(
+        "log_lines_dropped",
+        "Log lines dropped as too many.",
+        lambda: node.lines.dropped,
+    )
+    gauge("store_calls", "Calls of the store.", lambda: node.store.calls)
+    gauge(
+        "members",
+        "Live members, this one included.",
+        lambda: len(node.roster.live()),
+    )
+    gauge(
+        "coordinator",
+        "1 if this member acts as coordinator.",
+        lambda: int(node.coordinator.is_active),
+    )
+    gauge(
+        "config_version",
+        "Version of the configuration in force, 0 if none.",
+        lambda: node.documents.config.version if node.documents.config else 0,
+    )
+    gauge(
+        "keys_held",
+        "Keys that the target holds now.",
+        lambda: node.holder.held if node.holder else 0,
+    )
+    gauge(
+        "in_flight",
+        "Requests at the target.",
+        lambda: node.gate.in_flight,
+    )
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import secrets
 from typing import TYPE_CHECKING, Any
 
@@ -12,20 +11,14 @@
 from burdockgap.fleet.datagrams import CHANGES, SUSPECTS
 from burdockgap.fleet.member import Member
 from burdockgap.fleet.roster import Roster
-from burdockgap.forward.call import Call
 from burdockgap.forward.crash_watch import CrashWatch
 from burdockgap.forward.forwarder import Forwarder
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
 from burdockgap.hop.kinds import (
-    DOCUMENTS,
-    FORWARD,
     RELEASE,
-    SETTLE,
-    TABLE,
 )
 from burdockgap.hop.link import Links
-from burdockgap.hop.link_error import LinkError
 from burdockgap.http1.response import Response
 from burdockgap.platform.documents import PlatformDocuments
 from burdockgap.platform.names import OPERATOR_TOPIC
@@ -34,7 +27,6 @@
 from burdockgap.routing.document_follower import DocumentFollower
 from burdockgap.routing.documents import Documents
 from burdockgap.shards.control_changes import ControlChanges
-from burdockgap.shards.control_state import ControlState
 from burdockgap.shards.control_store import ControlStore
 from burdockgap.shards.control_view import ControlView
 from burdockgap.shards.coordinator import Coordinator
@@ -42,6 +34,8 @@
 from burdockgap.shards.reporter import Reporter
 from burdockgap.shards.shard_holder import ShardHolder
 from burdockgap.sidecar.discovery import Discovery
+from burdockgap.sidecar.gauges import add_gauges
+from burdockgap.sidecar.pulls import Pulls
 from burdockgap.uplink import Uplink
 
 if TYPE_CHECKING:
@@ -56,16 +50,6 @@
     from burdockgap.sidecar.metrics import SidecarMetrics
     from burdockgap.sidecar.sidecar_settings import SidecarSettings
 
-_PULL_AFTER_S = 0.15
-"""Time for the store to tell a change before a peer is asked."""
-_FIRST_PULL_AFTER_S = 1.0
-"""The same for all documents after a start; fetching them twice at once
-takes longer on a slow link."""
-_PULL_TIMEOUT_S = 5.0
-"""All documents on a slow link; a silent peer is found sooner."""
-_SPREAD_S = 0.1
-"""Longest pause before the assignment is fetched: what changed is on
-its way, and many would ask the same member at once."""
 _TICK_S = 0.25
 _DRAIN_MARGIN_S = 0.2
 """Time that a request may need from the decision to its arrival."""
@@ -86,7 +70,6 @@
     __slots__ = (
         "_beacons",
         "_crashes",
-        "_pulling",
         "callers",
         "cfg",
         "clock",
@@ -103,6 +86,7 @@
         "links",
         "metrics",
         "protocol",
+        "pulls",
         "reporter",
         "roster",
         "store",
@@ -130,7 +114,6 @@
         self.leaving = False
         self.holder: ShardHolder | None = None
         self.callers: Server | None = None
-        self._pulling: set[str] = set()
         own = Member(
             name=cfg.name,
             incarnation=secrets.randbits(62),
@@ -145,7 +128,15 @@
         self._add_control(datagrams)
         datagrams.handlers[SUSPECTS] = self._take_suspects
         datagrams.handlers[CHANGES] = self._take_changes
-        self._add_gauges()
+        self.pulls = Pulls(
+            links=self.links,
+            view=self.view,
+            documents=self.documents,
+            store_lost=lambda: self.follower.lost,
+            spawn=self.reporter.spawn,
+            on_event=lines.write,
+        )
+        add_gauges(self)
 
     def _add_beliefs(self) -> None:
         self.documents = Documents(
@@ -225,7 +216,7 @@
             load=lambda: self.gate.load,
             is_active=lambda: self.coordinator.is_active,
             claim=self.coordinator.claim,
-            pull=self._pull_table,
+            pull=lambda member, version: self.pulls.table(member, version),
             on_event=self.lines.write,
         )
         self.follower = DocumentFollower(
@@ -257,16 +248,6 @@
             return Response(400)
         return await self.forwarder.serve(wanted)
 
-    def handlers(self) -> dict[int, Any]:
-        """Return what answers other daemons' calls."""
-        return {
-            FORWARD: self._answer_forward,
-            TABLE: self._answer_table,
-            RELEASE: self._answer_release,
-            DOCUMENTS: self._answer_documents,
-            SETTLE: self._answer_settle,
-        }
-
     def announced(self, info: TargetInfo) -> None:
         """Take a heartbeat of the server beside this daemon."""
         if info.service != self.cfg.service:
@@ -339,42 +320,6 @@
         self.metrics.outcomes.labels(outcome.verdict.value, reason).inc()
         self.metrics.target_time.observe(seconds)
 
-    def _add_gauges(self) -> None:
-        gauge = self.metrics.gauge
-        gauge(
-            "log_lines_dropped",
-            "Log lines dropped as too many.",
-            lambda: self.lines.dropped,
-        )
-        gauge("store_calls", "Calls of the store.", lambda: self.store.calls)
-        gauge(
-            "members",
-            "Live members, this one included.",
-            lambda: len(self.roster.live()),
-        )
-        gauge(
-            "coordinator",
-            "1 if this member acts as coordinator.",
-            lambda: int(self.coordinator.is_active),
-        )
-        gauge(
-            "config_version",
-            "Version of the configuration in force, 0 if none.",
-            lambda: (
-                self.documents.config.version if self.documents.config else 0
-            ),
-        )
-        gauge(
-            "keys_held",
-            "Keys that the target holds now.",
-            lambda: self.holder.held if self.holder else 0,
-        )
-        gauge(
-            "in_flight",
-            "Requests at the target.",
-            lambda: self.gate.in_flight,
-        )
-
     def _cold_rate(self) -> float | None:
         config = self.documents.config
         if config is None:
@@ -437,76 +382,8 @@
             self.holder.adopt(self.view.state)
 
     def _heard(self, member: Member) -> None:
-        self._pull_table(member, (member.term, member.revision))
-        if member.documents > self.documents.end:
-            self._start_pull("documents", self._fetch_documents(member))
-
-    def _pull_table(self, member: Member, version: tuple[int, int]) -> None:
-        if version > self.view.version:
-            self._start_pull("table", self._fetch_table(member, version))
-
-    def _start_pull(self, what: str, pull: Any) -> None:
-        if what in self._pulling:
-            pull.close()
-            return
-        self._pulling.add(what)
-
-        async def run() -> None:
-            try:
-                await pull
-            except (LinkError, TimeoutError, ValueError) as exc:
-                self.lines.write(
-                    "pull_failed", {"what": what, "why": str(exc)}
-                )
-            finally:
-                self._pulling.discard(what)
-
-        self.reporter.spawn(run())
-
-    async def _fetch_table(
-        self, member: Member, version: tuple[int, int]
-    ) -> None:
-        await asyncio.sleep(random.uniform(0, _SPREAD_S))
-        if version <= self.view.version:
-            return
-        async with asyncio.timeout(_PULL_TIMEOUT_S):
-            data = await self.links.call(member.address, TABLE, None)
-        self.view.adopt(ControlState.decode(data))
-
-    async def _fetch_documents(self, member: Member) -> None:
-        if self.documents.config is not None:
-            await asyncio.sleep(_PULL_AFTER_S)
-        elif not self.follower.lost:
-            await asyncio.sleep(_FIRST_PULL_AFTER_S)
-        if member.documents <= self.documents.end:
-            return
-        async with asyncio.timeout(_PULL_TIMEOUT_S):
-            values, end = await self.links.call(
-                member.address, DOCUMENTS, None
-            )
-        self.documents.replace(values, end, member.name)
-
-    async def _answer_forward(self, payload: Any) -> Any:
-        call = Call.decode(payload)
-        return (await self.gate.serve(call)).encode()
-
-    async def _answer_settle(self, payload: Any) -> Any:
-        incarnation, request_id = payload
-        if incarnation != self.roster.own.incarnation:
-            return None
-        return (await self.gate.settle(request_id)).encode()
-
-    async def _answer_table(self, _payload: Any) -> bytes:
-        return self.view.state.encode()
-
-    async def _answer_documents(self, _payload: Any) -> Any:
-        return [self.documents.raw, self.documents.end]
-
-    async def _answer_release(self, payload: Any) -> Any:
-        service, first, last, fence = payload
-        if self.holder is None or service != self.cfg.service:
-            return None
-        return await self.holder.let_go(first, last, fence)
+        self.pulls.table(member, (member.term, member.revision))
+        self.pulls.all_documents(member)
 
     async def _ask_release(
         self, name: str, shard: Shard, fence: int
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -19,6 +19,7 @@
 from burdockgap.platform.store_client import StoreClient
 from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
+from burdockgap.sidecar.peer_answers import PeerAnswers
 
 if TYPE_CHECKING:
     from burdockgap.http1.request import Request
@@ -91,7 +92,7 @@
         )
         await stack.enter_async_context(
             open_listener(
-                node.handlers(),
+                PeerAnswers(node).handlers(),
                 cfg.peer_host,
                 cfg.peer_port,
                 uplink=node.uplink,
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -17,6 +17,7 @@
 from burdockgap.platform.store_client import StoreClient
 from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
+from burdockgap.sidecar.peer_answers import PeerAnswers
 from burdockgap.sidecar.sidecar_settings import SidecarSettings
 from standins.sidecar.app_server import AppServer
 from standins.sidecar.documents import make_site_config
@@ -109,7 +110,9 @@
             metrics=metrics,
         )
         await self._stack.enter_async_context(
-            open_listener(self.node.handlers(), HOST, self.peer_port)
+            open_listener(
+                PeerAnswers(self.node).handlers(), HOST, self.peer_port
+            )
         )
         self.node.callers = Server(self.node.answer_caller)
         await self._stack.enter_async_context(
