--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -56,6 +56,12 @@
         self._loop = asyncio.get_running_loop()
         self.opened = 0
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a kept connection is open."""
+        now = self._loop.time()
+        return any(conn.fresh(now) for conn in self._idle)
+
     async def exchange(
         self,
         data: bytes,
--- a/src/burdockgap/shards/key_calls.py
+++ b/src/burdockgap/shards/key_calls.py
@@ -16,6 +16,10 @@
 CALL_TIMEOUT_S = 0.4
 _RELEASE_TIMEOUT_S = 2.0
 _IDLE_S = 8.0
+_FRESH_S = 1.3
+"""Age of an announcement after which another life may have begun;
+targets announce themselves every 0.9 s, and are away longer than that
+when they start anew."""
 
 
 class KeyCalls:
@@ -41,14 +45,20 @@
         """
         Tell whether the target surely lives the life that owns keys.
 
-        A target that closed a connection may have started anew, perhaps
-        under the same id; its next announcement tells.
+        A kept connection proves it. One that closed it, or was not
+        heard lately, may have started anew, perhaps under the same id;
+        its next announcement tells.
         """
+        if not self._state.up:
+            return False
+        heard_at = self._state.heard_at
         if self._unsure_since is not None:
-            if self._state.heard_at <= self._unsure_since:
+            if heard_at <= self._unsure_since:
                 return False
             self._unsure_since = None
-        return self._state.up
+        if self._pool is not None and self._pool.has_idle:
+            return True
+        return self._loop.time() - heard_at < _FRESH_S
 
     async def grant(self, shard: Shard, hold_s: float, handover: str) -> int:
         """
--- a/tests/shards/test_shard_holder.py
+++ b/tests/shards/test_shard_holder.py
@@ -235,3 +235,19 @@
         await world.until(lambda: world.grants)
     task.cancel()
     world.holder.cancel()
+
+
+async def test_first_grant_awaits_a_recent_announcement():
+    """The server may have started anew since the last one."""
+    async with open_world() as world:
+        world.state._heard_at -= 2.0
+        world.own(make_shard())
+        for _ in range(4):
+            world.extend()
+            await asyncio.sleep(0.1)
+        assert world.grants == []
+        port = world.state.info.address[1]
+        info = make_info(address=(HOST, port), born=7, sequence=50)
+        world.state.announced(info)
+        world.extend()
+        await world.until(lambda: world.grants)
