--- a/src/burdockgap/fleet/datagrams.py
+++ b/src/burdockgap/fleet/datagrams.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgpack
+from loguru import logger
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -42,7 +43,11 @@
         try:
             kind, *values = msgpack.unpackb(data)
             self.handlers[kind](values)
-        except (TypeError, ValueError, KeyError):
+        except Exception as exc:
+            # Any process may send to this port; what a handler raises
+            # for values of an unexpected type must not spread.
+            if not self.bad:
+                logger.warning("ignored a malformed datagram: {!r}", exc)
             self.bad += 1
 
     def send(self, address: tuple[str, int], kind: int, *values: Any) -> None:
--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -77,7 +77,8 @@
         try:
             await waiter.fut
         except asyncio.CancelledError:
-            if waiter.fut.done() and not waiter.fut.cancelled():
+            fut = waiter.fut
+            if fut.done() and not fut.cancelled() and fut.exception() is None:
                 self.release()
             raise
         finally:
--- a/src/burdockgap/gate/quarantine.py
+++ b/src/burdockgap/gate/quarantine.py
@@ -143,10 +143,11 @@
         answered_at = self._answered_at.get(fingerprint, -math.inf)
         if at < answered_at + _EXEMPT_AFTER_RESPONSE_S:
             return
-        known = self._crashes.setdefault(fingerprint, set())
+        known = self._crashes.get(fingerprint, set())
         if known.issuperset(crashes):
             # A repeated report must not prolong the quarantine.
             return
+        self._crashes[fingerprint] = known
         known.update(crashes)
         while len(known) > _MAX_CRASHES_PER_SUSPECT:
             known.remove(min(known))
--- a/tests/forward/test_slots.py
+++ b/tests/forward/test_slots.py
@@ -84,3 +84,14 @@
     await task
     assert order == ["next"]
     assert slots.in_flight == 2
+
+
+async def test_refusal_and_cancellation_in_one_turn_free_no_slot():
+    slots = Slots(size=1, queue_size=1)
+    await slots.acquire(priority=1, wait_s=1.0)
+    task = asyncio.create_task(slots.acquire(priority=1, wait_s=1.0))
+    await asyncio.sleep(0)
+    slots.refuse_waiting(Reason.DRAINING)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert slots.in_flight == 1
--- a/tests/gate/test_quarantine.py
+++ b/tests/gate/test_quarantine.py
@@ -3,6 +3,7 @@
 import pytest
 
 from burdockgap.gate.fingerprint import fingerprint_of
+from burdockgap.gate.messages.suspect import Suspect
 from burdockgap.gate.messages.suspects import Suspects
 from burdockgap.gate.quarantine import Quarantine
 from burdockgap.verdict import Refusal, Verdict
@@ -111,3 +112,11 @@
     for boot in range(20):
         quarantine.crashed(f"boot-{boot}", range(boot, boot + 40))
     assert len(pack(quarantine.export())) < 1400
+
+
+def test_suspect_without_crashes_is_ignored(quarantine):
+    suspect = Suspect(fingerprint=CRASHING, crashes=[], age_s=0.0)
+    quarantine.merge(Suspects(service="records", entries=[suspect]))
+    quarantine.answered(CRASHING)
+    assert not quarantine.blocks(CRASHING)
+    assert not quarantine.export().entries
