--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -143,6 +143,12 @@
         self.in_flight = 0
         self.closed = False
 
+    def is_idempotent(self, host: str, path: str) -> bool:
+        """Return whether requests to a host and path may run twice."""
+        config = self._documents.config
+        route = config.find(host, path) if config is not None else None
+        return route is not None and route.idempotent
+
     async def serve(self, req: CallerRequest) -> Response:
         """Forward a caller's request and return the response."""
         config = self._documents.config
@@ -321,7 +327,7 @@
         self, member: Member, call: Call, reply_deadline: float
     ) -> Outcome:
         """Ask for the outcome of a call whose connection was lost."""
-        payload = [member.incarnation, call.request_id]
+        payload = [member.incarnation, call.request_id, call.attempt]
         while self._loop.time() < reply_deadline:
             try:
                 async with asyncio.timeout_at(reply_deadline):
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -12,6 +12,7 @@
 from burdockgap.hop.listener import CALLER_CONNECTION_LOST
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.http1.response_limits import ResponseLimits
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     from burdockgap.forward.crash_watch import CrashWatch
     from burdockgap.forward.target_protocol import TargetProtocol
     from burdockgap.forward.target_state import TargetState
+    from burdockgap.http1.byte_budget import ByteBudget
     from burdockgap.shards.shard_holder import ShardHolder
     from burdockgap.uplink import Uplink
 
@@ -28,6 +30,7 @@
 _IDLE_TIMEOUT_S = 8.0
 """Below the 10 s after which targets close idle connections."""
 _NON_IDEMPOTENT_IDLE_S = 4.0
+_MAX_BODY_BYTES = 64 * 1024 * 1024
 _QUEUE_PER_SLOT = 0.5
 _RETRY_AFTER_S = 0.1
 _SIZE_WEIGHT = 0.1
@@ -49,6 +52,7 @@
         of service, on the event loop's clock; ``None`` if they did not.
     :param uplink: the machine's outbound link.
     :param crashes: detects requests that crash targets.
+    :param buffers: bounds the incomplete responses.
     :param on_event: logs a decision.
     :param on_outcome: counts an outcome and its duration in seconds.
     :ivar holder: keys that the target holds; ``None`` until known.
@@ -58,6 +62,7 @@
     """
 
     __slots__ = (
+        "_buffers",
         "_crashes",
         "_mean_large_bytes",
         "_large_in_flight",
@@ -87,10 +92,12 @@
         out_since: Callable[[], float | None],
         uplink: Uplink,
         crashes: CrashWatch,
+        buffers: ByteBudget,
         on_event: Callable[[str, dict[str, object]], None],
         on_outcome: Callable[[Outcome, float], None],
     ) -> None:
         self._uplink = uplink
+        self._buffers = buffers
         self._mean_large_bytes = 0.0
         self._large_in_flight = 0
         self._crashes = crashes
@@ -150,6 +157,9 @@
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
                 idle_s=_IDLE_TIMEOUT_S,
                 on_unexpected=self._on_unexpected_bytes,
+                limits=ResponseLimits(
+                    body_bytes=_MAX_BODY_BYTES, budget=self._buffers
+                ),
             )
         if not self._state.up:
             self._pool.close()
@@ -170,17 +180,21 @@
         self._log(call, outcome, began)
         return outcome
 
-    async def settle(self, request_id: str) -> Outcome:
+    async def settle(self, request_id: str, attempt: int) -> Outcome:
         """
         Return the outcome of a call whose connection was lost.
 
         If the call has not arrived yet, it is not run when it arrives.
         """
-        return await asyncio.shield(
-            self._dedup_cache.run(request_id, _not_run)
-        )
+        run = self._dedup_cache.find(request_id)
+        self._dedup_cache.settle(request_id, attempt)
+        if run is None:
+            return _lost_before_run()
+        return await asyncio.shield(run)
 
     async def _attempt_once(self, call: Call, deadline: float) -> Outcome:
+        if self._dedup_cache.is_settled(call.request_id, call.attempt):
+            return _lost_before_run()
         run = self._dedup_cache.run(
             call.request_id, lambda: self._attempt(call, deadline)
         )
@@ -374,7 +388,7 @@
         )
 
 
-async def _not_run() -> Outcome:
+def _lost_before_run() -> Outcome:
     return Outcome(Verdict.NOT_RUN, reason=Reason.CONNECTION_LOST)
 
 
--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from burdockgap.http1.byte_budget import ByteBudget
     from burdockgap.uplink import Uplink
 
     Handler = Callable[[Any], Awaitable[Any]]
@@ -41,6 +42,7 @@
         one adds itself.
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
+    :param budget: bounds the incomplete frames of all connections.
     """
 
     __slots__ = (
@@ -58,23 +60,35 @@
         handlers: dict[int, Handler],
         others: set[_PeerSession],
         uplink: Uplink | None,
+        budget: ByteBudget | None,
     ) -> None:
         self._uplink = uplink
         self._handlers = handlers
         self._others = others
         self._loop = asyncio.get_running_loop()
-        self._buffer = FrameBuffer()
+        self._buffer = FrameBuffer(budget)
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._transport: asyncio.Transport | None = None
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call or a part of a reply is in progress."""
+        return bool(
+            self._tasks
+            or (
+                self._transport is not None
+                and self._transport.get_write_buffer_size()
+            )
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports do not derive from asyncio.Transport.
         self._transport = cast("asyncio.Transport", transport)
-
         self._others.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         self._others.discard(self)
+        self._buffer.close()
         for task in list(self._tasks.values()):
             task.cancel(CALLER_CONNECTION_LOST)
 
@@ -126,7 +140,7 @@
                 uplink.count(len(frame))
             transport.write(frame)
             return
-        await uplink.send(
+        await uplink.send_in_parts(
             frame,
             lambda part: transport.write(encode_frame(PART, call_id, part)),
         )
@@ -143,10 +157,14 @@
     port: int,
     *,
     uplink: Uplink | None = None,
-) -> AsyncIterator[None]:
+    budget: ByteBudget | None = None,
+) -> AsyncIterator[Callable[[], bool]]:
     """
     Serve calls of peers at an address until the context exits.
 
+    The context's value is a function that returns whether a call or a
+    part of a reply is in progress.
+
     On exit, all connections are aborted, which cancels their calls.
 
     :param handlers: coroutine functions by kind of call; each takes the
@@ -155,17 +173,19 @@
     :param port: port to listen at.
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
+    :param budget: bounds the incomplete frames of all connections,
+        ``None`` for no bound.
     """
     loop = asyncio.get_running_loop()
     connections: set[_PeerSession] = set()
     listener = await loop.create_server(
-        lambda: _PeerSession(handlers, connections, uplink),
+        lambda: _PeerSession(handlers, connections, uplink, budget),
         host,
         port,
         reuse_address=True,
     )
     try:
-        yield
+        yield lambda: any(conn.busy for conn in connections)
     finally:
         listener.close()
         for conn in list(connections):
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -10,6 +10,7 @@
     CANCEL,
     PART,
     PING,
+    PONG,
     REPLY,
     FrameBuffer,
     FrameError,
@@ -18,6 +19,7 @@
 from burdockgap.hop.peer_call_error import PeerCallError
 
 if TYPE_CHECKING:
+    from burdockgap.http1.byte_budget import ByteBudget
     from burdockgap.uplink import Uplink
 
 _CONNECT_TIMEOUT_S = 0.5
@@ -40,10 +42,13 @@
     :param loop: the event loop.
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
+    :param budget: bounds the incomplete frames of all connections,
+        ``None`` for no bound.
     :ivar lost: whether the connection is closed or has failed.
     """
 
     __slots__ = (
+        "_budget",
         "_buffer",
         "_calls",
         "_checker",
@@ -57,12 +62,16 @@
     )
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, uplink: Uplink | None = None
+        self,
+        loop: asyncio.AbstractEventLoop,
+        uplink: Uplink | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._loop = loop
         self._uplink = uplink
+        self._budget = budget
         self._parts: dict[int, FrameBuffer] = {}
-        self._buffer = FrameBuffer()
+        self._buffer = FrameBuffer(budget)
         self._calls: dict[int, asyncio.Future[Any]] = {}
         self._next_id = 0
         self._transport: asyncio.Transport | None = None
@@ -85,21 +94,36 @@
         try:
             for frame in self._buffer.feed(data):
                 self._handle_frame(frame)
-        except (FrameError, IndexError) as exc:
+        except (FrameError, IndexError, TypeError) as exc:
             self._abort(f"the peer sent an invalid frame: {exc}")
 
     def _handle_frame(self, frame: list[Any]) -> None:
-        call_id = frame[1] if len(frame) > 1 else 0
+        if frame[0] == PONG:
+            return
+        call_id, payload = frame[1], frame[2]
         if call_id not in self._calls:
             return
         if frame[0] == PART:
-            buffer = self._parts.setdefault(call_id, FrameBuffer())
-            for reply_frame in buffer.feed(frame[2]):
-                self._handle_frame(reply_frame)
+            self._add_part(call_id, payload)
         elif frame[0] == REPLY:
             fut = self._calls.pop(call_id)
             if not fut.done():
-                fut.set_result(frame[2])
+                fut.set_result(payload)
+
+    def _add_part(self, call_id: int, part: bytes) -> None:
+        buffer = self._parts.get(call_id)
+        if buffer is None:
+            buffer = self._parts[call_id] = FrameBuffer(self._budget)
+        try:
+            for reply_frame in buffer.feed(part):
+                self._handle_frame(reply_frame)
+        except FrameError as exc:
+            # The other calls of the connection can still be completed.
+            fut = self._calls.pop(call_id, None)
+            if fut is not None and not fut.done():
+                fut.set_exception(
+                    PeerCallError(f"the reply is invalid: {exc}", sent=True)
+                )
 
     async def call(self, kind: int, payload: Any) -> Any:
         """
@@ -133,7 +157,9 @@
             raise
         finally:
             self._calls.pop(call_id, None)
-            self._parts.pop(call_id, None)
+            parts = self._parts.pop(call_id, None)
+            if parts is not None:
+                parts.close()
 
     def close(self) -> None:
         """Abort the connection and fail all pending calls."""
@@ -159,6 +185,7 @@
 
     def _abort(self, detail: str) -> None:
         self.lost = True
+        self._buffer.close()
         if self._transport is not None:
             self._transport.abort()
         calls, self._calls = self._calls, {}
@@ -173,11 +200,24 @@
 
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
+    :param budget: bounds the incomplete frames of all connections,
+        ``None`` for no bound.
     """
 
-    __slots__ = ("_connections", "_connect_locks", "_loop", "_uplink")
+    __slots__ = (
+        "_budget",
+        "_connect_locks",
+        "_connections",
+        "_loop",
+        "_uplink",
+    )
 
-    def __init__(self, uplink: Uplink | None = None) -> None:
+    def __init__(
+        self,
+        uplink: Uplink | None = None,
+        budget: ByteBudget | None = None,
+    ) -> None:
+        self._budget = budget
         self._loop = asyncio.get_running_loop()
         self._uplink = uplink
         self._connections: dict[tuple[str, int], PeerConnection] = {}
@@ -213,7 +253,9 @@
             try:
                 async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                     _, conn = await self._loop.create_connection(
-                        lambda: PeerConnection(self._loop, self._uplink),
+                        lambda: PeerConnection(
+                            self._loop, self._uplink, self._budget
+                        ),
                         *address,
                     )
             except (OSError, TimeoutError) as exc:
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -9,6 +9,7 @@
 
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response import Response
+from burdockgap.http1.response_limits import ResponseLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +32,8 @@
         response that no pending request asked for.
     :param on_closed: called when the server closes the connection
         without having announced it.
+    :param limits: limits of a response, defaults of
+        :class:`ResponseLimits` if ``None``.
     :ivar reusable: whether another request may be sent.
     :ivar idle_since: when the last exchange ended, in seconds of the
         event loop's clock.
@@ -39,13 +42,16 @@
     __slots__ = (
         "_accepts",
         "_body",
+        "_body_bytes",
         "_bodiless",
         "_fut",
         "_headers",
         "_heard_at",
         "_idle_s",
+        "_limits",
         "_loop",
         "_parser",
+        "_received_bytes",
         "_status",
         "_transport",
         "_unframed",
@@ -62,6 +68,7 @@
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
         on_closed: Callable[[], None] = lambda: None,
+        limits: ResponseLimits | None = None,
     ) -> None:
         self._loop = loop
         self._idle_s = idle_s
@@ -73,6 +80,9 @@
         self._accepts: Callable[[Response], bool] | None = None
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._received_bytes = 0
+        self._limits = limits or ResponseLimits()
         self._status = 0
         self._bodiless = False
         self._unframed = False
@@ -111,12 +121,14 @@
         :param read_timeout_s: seconds without a received byte after
             which the exchange fails, ``None`` for no limit.
         :raises ExchangeError: if the connection ends before the
-            response is complete, or the read timeout expires.
+            response is complete, the read timeout expires, or the
+            response exceeds its limits.
         """
         if self._transport is None or not self.reusable:
             raise ExchangeError("connection is closed", sent=False)
         self._accepts = accepts
         self._bodiless = bodiless
+        self._received_bytes = 0
         self._fut = self._loop.create_future()
         self._transport.write(data)
         if read_timeout_s is not None:
@@ -129,6 +141,7 @@
             raise
         finally:
             self._fut = None
+            self._discard_body()
             self.idle_since = self._loop.time()
 
     def close(self) -> None:
@@ -146,6 +159,8 @@
             return
         try:
             self._parser.feed_data(data)
+            self._received_bytes += len(data)
+            self._check_overhead()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self.reusable = False
             self._fail_exchange(f"response is not valid HTTP/1.1: {exc}")
@@ -154,7 +169,7 @@
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the close."""
         if self._unframed and self._status:
-            self._complete()
+            self._complete(ends_at_close=True)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -168,13 +183,19 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
-        self._headers, self._body, self._status = [], [], 0
+        self._headers, self._status = [], 0
+        self._discard_body()
+        if self._fut is None or self._fut.done():
+            # The rest of it may only arrive after the next request.
+            self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
         self._headers.append(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
         )
+        if len(self._headers) > self._limits.headers:
+            self._exceed(f"has more than {self._limits.headers} headers")
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited."""
@@ -190,6 +211,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
+        limits, size = self._limits, self._body_bytes + len(body)
+        if size > limits.body_bytes:
+            self._exceed(f"body exceeds {limits.body_bytes} bytes")
+        if not limits.budget.take(len(body)):
+            self._exceed(
+                "does not fit into the memory limit for incomplete "
+                f"messages, {limits.budget.max_bytes} bytes"
+            )
+        self._body_bytes = size
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -216,8 +246,29 @@
         self._fail_exchange(f"received nothing for {read_timeout_s} s")
         self.close()
 
-    def _complete(self) -> None:
+    def _check_overhead(self) -> None:
+        if self._fut is None or self._fut.done():
+            return
+        overhead = self._received_bytes - self._body_bytes
+        if overhead > self._limits.max_overhead(self._body_bytes):
+            self._fail_exchange(
+                f"response has {overhead} bytes besides its body; "
+                f"the limit is {self._limits.header_bytes} bytes"
+            )
+            self.close()
+
+    def _exceed(self, detail: str) -> None:
+        """Fail the exchange and make the parser stop."""
+        self._fail_exchange(f"response {detail}")
+        raise httptools.HttpParserError(detail)
+
+    def _discard_body(self) -> None:
+        self._limits.budget.give_back(self._body_bytes)
+        self._body, self._body_bytes = [], 0
+
+    def _complete(self, *, ends_at_close: bool = False) -> None:
         response = Response(self._status, self._headers, b"".join(self._body))
+        response.ends_at_close = ends_at_close
         self._status = 0
         if self._fut is None or self._fut.done():
             self.on_unexpected("a second response")
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from burdockgap.http1.response import Response
+    from burdockgap.http1.response_limits import ResponseLimits
 
 
 class ClientPool:
@@ -25,6 +26,9 @@
         response that no pending request asked for.
     :param on_closed: called when the server closes a connection without
         having announced it.
+    :param limits: limits of a response, defaults of
+        :class:`~burdockgap.http1.response_limits.ResponseLimits` if
+        ``None``.
     :ivar opened: connection attempts so far.
     """
 
@@ -32,6 +36,7 @@
         "_connect_timeout_s",
         "_idle",
         "_idle_s",
+        "_limits",
         "_loop",
         "_on_closed",
         "_on_unexpected",
@@ -47,7 +52,9 @@
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
         on_closed: Callable[[], None] = lambda: None,
+        limits: ResponseLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._on_closed = on_closed
         self.address = address
         self._connect_timeout_s = connect_timeout_s
@@ -126,6 +133,7 @@
                         idle_s=self._idle_s,
                         on_unexpected=self._on_unexpected,
                         on_closed=self._on_closed,
+                        limits=self._limits,
                     ),
                     *self.address,
                 )
--- /dev/null
+++ b/src/burdockgap/http1/request_reader.py
@@ -0,0 +1,200 @@
+"""Parsing of a caller's bytes into requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httptools
+
+from burdockgap.http1.request import Request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from burdockgap.http1.server import Server
+
+_MAX_HEADERS = 512
+_MAX_OVERHEAD_FACTOR = 8
+"""A chunk of one byte takes six bytes."""
+
+
+class RequestReader:
+    """
+    Parses requests within the server's limits.
+
+    After a refused request or one after which the caller closes the
+    connection, all bytes are ignored.
+
+    :param server: holds the limits and the budget for bodies.
+    :param on_request: called with each complete request and whether the
+        caller keeps the connection open. Its body stays counted in the
+        budget.
+    :param on_continue: called when a caller waits for ``100 Continue``.
+    :param on_refused: called when a request is refused.
+    :ivar refused: status with which to answer a request that was not
+        read, ``None`` if all were.
+    """
+
+    __slots__ = (
+        "_body",
+        "_body_bytes",
+        "_finished",
+        "_header_bytes",
+        "_headers",
+        "_heard_at",
+        "_in_head",
+        "_is_new",
+        "_on_continue",
+        "_on_refused",
+        "_on_request",
+        "_parser",
+        "_received_bytes",
+        "_server",
+        "_started_at",
+        "_target",
+        "refused",
+    )
+
+    def __init__(
+        self,
+        server: Server,
+        *,
+        on_request: Callable[[Request, bool], None],
+        on_continue: Callable[[], None],
+        on_refused: Callable[[], None],
+    ) -> None:
+        self._server = server
+        self._on_request = on_request
+        self._on_continue = on_continue
+        self._on_refused = on_refused
+        self._parser = httptools.HttpRequestParser(self)
+        self._finished = False
+        self._started_at: float | None = None
+        self._heard_at = 0.0
+        self._in_head = False
+        self._is_new = False
+        self._received_bytes = 0
+        self._header_bytes = 0
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self.refused: int | None = None
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request has been received."""
+        return self._started_at is not None
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes."""
+        if self._finished:
+            return
+        self._heard_at = self._server.now()
+        self._is_new = False
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.refuse(400)
+        if self.is_reading and not self._is_new:
+            # The parser collects an incomplete header or trailer, which
+            # the callbacks do not count.
+            self._received_bytes += len(data)
+            overhead = self._received_bytes - self._body_bytes
+            if overhead > (
+                self._server.limits.header_bytes
+                + _MAX_OVERHEAD_FACTOR * self._body_bytes
+            ):
+                self.refuse(431)
+
+    def is_late(self, now: float) -> bool:
+        """
+        Return whether a request takes longer than the limits allow.
+
+        :param now: time of the event loop's clock, in seconds.
+        """
+        if self._started_at is None or self._finished:
+            return False
+        limits = self._server.limits
+        if self._in_head:
+            return now - self._started_at > limits.header_timeout_s
+        return now - self._heard_at > limits.idle_timeout_s
+
+    def refuse(self, status: int) -> None:
+        """Refuse the request that is being read and stop reading."""
+        if self._finished:
+            return
+        self.refused = status
+        self.close()
+        self._on_refused()
+
+    def close(self) -> None:
+        """Stop reading and discard a request that is incomplete."""
+        self._finished = True
+        self._started_at = None
+        self._server.budget.give_back(self._body_bytes)
+        self._body, self._body_bytes = [], 0
+
+    def on_message_begin(self) -> None:
+        """Reset the state for a new request."""
+        self._started_at = self._server.now()
+        self._in_head = self._is_new = True
+        self._received_bytes = self._header_bytes = 0
+        self._target, self._headers = b"", []
+
+    def on_url(self, url: bytes) -> None:
+        """Store a part of the request target."""
+        self._target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store one header or trailer."""
+        self._count_header_bytes(len(name) + len(value))
+        self._headers.append(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+        )
+        if len(self._headers) > _MAX_HEADERS:
+            self._abort(431, f"request has more than {_MAX_HEADERS} headers")
+
+    def on_headers_complete(self) -> None:
+        """Tell a caller that expects it to send the body."""
+        self._in_head = False
+        if any(name == "expect" for name, _ in self._headers):
+            self._on_continue()
+
+    def on_body(self, body: bytes) -> None:
+        """Store a part of the body; refuse it above the limits."""
+        if self._body_bytes + len(body) > self._server.limits.body_bytes:
+            self._abort(413, "request body exceeds the size limit")
+        if not self._server.budget.take(len(body)):
+            self._abort(503, "buffered bodies exceed the memory limit")
+        self._body.append(body)
+        self._body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """Hand on the complete request."""
+        if self._finished:
+            return
+        assert self._started_at is not None
+        req = Request(
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._target.decode("latin-1"),
+            headers=self._headers,
+            body=b"".join(self._body),
+            arrived_at=self._started_at,
+        )
+        keep_alive = self._parser.should_keep_alive()
+        self._finished = not keep_alive
+        self._started_at = None
+        self._body, self._body_bytes = [], 0
+        self._on_request(req, keep_alive)
+
+    def _count_header_bytes(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._server.limits.header_bytes:
+            self._abort(431, "request target and headers are too large")
+
+    def _abort(self, status: int, detail: str) -> None:
+        """Refuse the request and make the parser stop."""
+        self.refuse(status)
+        raise httptools.HttpParserError(detail)
--- a/src/burdockgap/http1/response.py
+++ b/src/burdockgap/http1/response.py
@@ -13,9 +13,11 @@
     :param headers: pairs of name and value; the names of a parsed
         response are in lower case.
     :param body: the complete body.
+    :ivar ends_at_close: whether only the end of the connection showed
+        the end of the body, so that a part may be missing.
     """
 
-    __slots__ = ("body", "headers", "status")
+    __slots__ = ("body", "ends_at_close", "headers", "status")
 
     def __init__(
         self,
@@ -26,6 +28,7 @@
         self.status = status
         self.headers = headers or []
         self.body = body
+        self.ends_at_close = False
 
     @property
     def is_success(self) -> bool:
--- a/src/burdockgap/http1/server.py
+++ b/src/burdockgap/http1/server.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from burdockgap.http1.byte_budget import ByteBudget
 from burdockgap.http1.limits import ConnectionLimits
 from burdockgap.http1.response import Response
 from burdockgap.http1.server_connection import ServerConnection
@@ -20,8 +21,7 @@
 
 _SWEEP_INTERVAL_S = 0.5
 _BACKLOG = 512
-_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
-"""Limit on the incomplete bodies of all connections together."""
+_DEFAULT_BUDGET_BYTES = 64 * 1024 * 1024
 
 
 class Server:
@@ -35,20 +35,24 @@
         :class:`ConnectionLimits` if ``None``.
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
+    :param budget: bounds the bodies of unanswered requests of all
+        connections together, 64 MiB if ``None``.
+    :param may_overlap: returns whether a request may run beside others
+        that its connection sent before and after it.
     :ivar limits: limits in force, replaced when they change.
     :ivar leaving: whether to close each connection after its current
         response.
     :ivar connections: the open connections.
-    :ivar buffered_bytes: bytes received of incomplete bodies.
     """
 
     __slots__ = (
         "_handler",
-        "buffered_bytes",
+        "budget",
         "connections",
         "leaving",
         "limits",
         "loop",
+        "may_overlap",
         "on_malformed",
         "uplink",
     )
@@ -60,6 +64,8 @@
         on_malformed: Callable[[int], None] = lambda _status: None,
         limits: ConnectionLimits | None = None,
         uplink: Uplink | None = None,
+        budget: ByteBudget | None = None,
+        may_overlap: Callable[[Request], bool] = lambda _req: False,
     ) -> None:
         self.uplink = uplink
         self._handler = handler
@@ -68,16 +74,17 @@
         self.loop = asyncio.get_running_loop()
         self.connections: set[ServerConnection] = set()
         self.leaving = False
-        self.buffered_bytes = 0
+        self.budget = budget or ByteBudget(_DEFAULT_BUDGET_BYTES)
+        self.may_overlap = may_overlap
 
     @property
-    def buffers_full(self) -> bool:
-        """Whether incomplete bodies exceed their memory limit."""
-        return self.buffered_bytes > _MAX_BUFFERED_BYTES
+    def buffered_bytes(self) -> int:
+        """Bytes of bodies of requests that have not been answered."""
+        return self.budget.used
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that are being handled."""
+        """Number of connections with an unanswered request or bytes."""
         return sum(conn.busy for conn in self.connections)
 
     def now(self) -> float:
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -3,70 +3,80 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING, cast
 
-import httptools
-
 from burdockgap.http1.encode import encode_response
-from burdockgap.http1.request import Request
+from burdockgap.http1.pipeline import Pipeline
+from burdockgap.http1.request_reader import RequestReader
 from burdockgap.http1.response import Response
 
 if TYPE_CHECKING:
+    from burdockgap.http1.request import Request
     from burdockgap.http1.server import Server
 
-_MAX_QUEUED_REQUESTS = 16
-"""Queued requests above which reading from the connection is
-paused."""
+_LINGER_S = 1.0
+"""How long the caller has to close a connection that was closed for
+writing. Closing it while bytes arrive would reset it, and the caller
+might lose the last response."""
 
 
 class ServerConnection(asyncio.Protocol):
     """
-    Reads requests and answers them in order in one task.
+    Reads requests and sends the responses in order in one task.
 
-    The task is cancelled when the caller closes the connection, so that
-    no work is done for a caller that no longer waits.
+    The task and all requests in progress are cancelled when the caller
+    closes the connection, so that no work is done for a caller that no
+    longer waits.
 
     :param server: the server that accepted the connection.
-    :ivar busy: whether a request is being handled.
     :ivar peer: the caller's IP address, "" if unknown.
     """
 
     __slots__ = (
-        "_body",
-        "_header_bytes",
-        "_headers",
+        "_closed_at",
         "_idle_since",
-        "_parser",
-        "_refused",
-        "_requests",
+        "_pipeline",
+        "_reader",
         "_server",
-        "_started_at",
-        "_target",
         "_task",
         "_transport",
+        "_unsent",
         "_waiter",
-        "busy",
+        "_writable",
         "peer",
     )
 
     def __init__(self, server: Server) -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
-        self._requests: deque[tuple[Request, bool]] = deque()
+        self._pipeline = Pipeline(server)
+        self._reader = RequestReader(
+            server,
+            on_request=self._add_request,
+            on_continue=self._send_continue,
+            on_refused=self._wake,
+        )
         self._waiter: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
-        self._refused: int | None = None
-        self._target = b""
-        self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._header_bytes = 0
-        self._started_at: float | None = None
         self._idle_since = 0.0
-        self.busy = False
+        self._closed_at: float | None = None
+        self._unsent = (0, 0.0)
         self.peer = ""
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request or a part of a response is in progress."""
+        return bool(
+            self._pipeline or self._closed_at is not None or self._unsent_bytes
+        )
+
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the connection's task."""
         # uvloop's transports do not derive from asyncio.Transport.
@@ -78,8 +88,10 @@
         self._task = self._server.loop.create_task(self._serve())
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
-        """Cancel the task, and with it the request in progress."""
+        """Cancel the task, and with it the requests in progress."""
         self._server.connections.discard(self)
+        self._reader.close()
+        self._pipeline.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -88,139 +100,119 @@
         return False
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser."""
-        if self._refused is not None:
-            return
-        if self._started_at is None:
-            self._started_at = self._server.now()
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
-            if self._refused is None:
-                self._refuse(400)
-
-    def on_url(self, url: bytes) -> None:
-        """Store a part of the request target."""
-        self._target += url
-        self._count_header_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
-        self._count_header_bytes(len(name) + len(value))
-        self._headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-        )
+        """Feed the reader."""
+        self._reader.feed(data)
 
-    def on_headers_complete(self) -> None:
-        """Send 100 Continue to a caller that expects it."""
-        if any(name == "expect" for name, _ in self._headers):
-            assert self._transport is not None
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body; refuse it above the limits."""
-        self._body.append(body)
-        self._server.buffered_bytes += len(body)
-        size = sum(map(len, self._body)) if len(self._body) > 1 else len(body)
-        if size > self._server.limits.body_bytes:
-            self._refuse(413)
-        elif self._server.buffers_full:
-            self._refuse(503)
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request for the connection's task."""
-        if self._refused is not None:
-            return
-        body = b"".join(self._body)
-        self._server.buffered_bytes -= len(body)
-        req = Request(
-            method=self._parser.get_method().decode("latin-1"),
-            target=self._target.decode("latin-1"),
-            headers=self._headers,
-            body=body,
-            arrived_at=self._started_at or self._server.now(),
-        )
-        self._requests.append((req, self._parser.should_keep_alive()))
-        self._target, self._headers, self._body = b"", [], []
-        self._header_bytes, self._started_at = 0, None
-        if (
-            len(self._requests) > _MAX_QUEUED_REQUESTS
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
-        self._wake()
+    def pause_writing(self) -> None:
+        """Send no further response until the caller has read."""
+        self._writable = self._server.loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Continue to send responses."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
 
     def close_if_overdue(self, now: float) -> bool:
         """
-        Close the connection if it is idle or a request is late.
-
-        A late request is refused with 408 only while none of its
-        headers has been received.
+        Close the connection if it is idle or the caller is too slow.
 
         :param now: time of the event loop's clock, in seconds.
         :return: whether the connection is closed or a request is late.
         """
-        limits = self._server.limits
-        if self._started_at is not None:
-            late = now - self._started_at > limits.header_timeout_s
-            if late and not self._headers:
-                self._refuse(408)
-            return late
-        idle = not self.busy and not self._requests
-        if idle and now - self._idle_since > limits.idle_timeout_s:
-            self.close()
+        if self._is_stalled(now):
+            self.abort()
             return True
-        return False
+        if self._reader.is_late(now):
+            # True also for a late body: the request has not run.
+            self._reader.refuse(408)
+            return True
+        if self._closed_at is not None:
+            overdue = now - self._closed_at > _LINGER_S
+            overdue = overdue and not self._unsent_bytes
+        else:
+            idle_s = now - self._idle_since
+            overdue = idle_s > self._server.limits.idle_timeout_s
+            overdue = overdue and not (self.busy or self._reader.is_reading)
+        if overdue:
+            self.close()
+        return overdue
 
     def close(self) -> None:
         """Close the connection after sending what has been written."""
         if self._transport is not None:
             self._transport.close()
 
-    def _count_header_bytes(self, size: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > self._server.limits.header_bytes:
-            self._refuse(431)
-            raise httptools.HttpParserError(
-                "request target and headers exceed the size limit"
-            )
-
-    def _refuse(self, status: int) -> None:
-        """Send an error after the queued requests, then close."""
-        self._server.buffered_bytes -= sum(map(len, self._body))
-        self._body = []
-        self._refused = status
+    def abort(self) -> None:
+        """Close the connection without sending anything."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _is_stalled(self, now: float) -> bool:
+        """Return whether the caller has read nothing for too long."""
+        unsent, since = self._unsent
+        size = self._unsent_bytes
+        if size == 0 or size != unsent:
+            self._unsent = (size, now)
+            return False
+        return now - since > self._server.limits.idle_timeout_s
+
+    def _add_request(self, req: Request, keep_alive: bool) -> None:
+        self._pipeline.add(req, keep_alive=keep_alive)
+        if self._pipeline.is_full and self._transport is not None:
+            self._transport.pause_reading()
         self._wake()
 
+    def _send_continue(self) -> None:
+        assert self._transport is not None
+        self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
     async def _serve(self) -> None:
         while True:
-            while not self._requests:
-                if self._refused is not None:
-                    self._server.on_malformed(self._refused)
-                    await self._write(Response(self._refused), close=True)
+            while not self._pipeline:
+                if self._reader.refused is not None:
+                    self._server.on_malformed(self._reader.refused)
+                    await self._write(
+                        Response(self._reader.refused), close=True
+                    )
+                    self._close_for_writing()
                     return
                 self._waiter = self._server.loop.create_future()
                 await self._waiter
-            req, keep_alive = self._requests.popleft()
-            self.busy = True
-            response = await self._server.answer(req)
-            close = not keep_alive or self._server.leaving
+            first = self._pipeline.first
+            response = await self._pipeline.answer_first()
+            if self._writable is not None:
+                await self._writable
+            # A stopping server still answers what it has started.
+            close = not first.keep_alive or (
+                self._server.leaving and not self._pipeline.next_is_started
+            )
             await self._write(
-                response, close=close, bodiless=req.method == "HEAD"
+                response, close=close, bodiless=first.req.method == "HEAD"
             )
-            self.busy = False
-            self._idle_since = self._server.now()
             if close:
+                # What is behind counts as not read; the caller sends it
+                # again.
+                self._close_for_writing()
                 return
-            if self._transport is not None and not self._requests:
+            self._pipeline.remove_first()
+            self._idle_since = self._server.now()
+            if self._transport is not None and not self._pipeline.is_full:
                 self._transport.resume_reading()
 
+    def _close_for_writing(self) -> None:
+        """Announce the end of the responses; discard what arrives."""
+        self._closed_at = self._server.now()
+        self._reader.close()
+        self._pipeline.cancel()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._transport.write_eof()
+
     async def _write(
         self, response: Response, *, close: bool, bodiless: bool = False
     ) -> None:
@@ -233,11 +225,7 @@
             bodiless=bodiless,
         )
         uplink = self._server.uplink
-        if uplink is not None and len(data) > uplink.part_bytes:
-            await uplink.send(data, self._transport.write)
-        else:
-            if uplink is not None:
-                uplink.count(len(data))
+        if uplink is None:
             self._transport.write(data)
-        if close:
-            self._transport.close()
+        else:
+            await uplink.send(data, self._transport.write)
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -13,6 +13,10 @@
     from pathlib import Path
 
 _BYTES_PER_MBIT = 125_000
+_BYTES_PER_MB = 1_000_000
+_BUFFER_SHARE = 0.25
+"""Share of the memory for incomplete messages. A message is copied when
+it is complete and again when it is sent on."""
 SETTINGS_VARIABLE = "BURDOCKGAP_NODE_FILE"
 
 
@@ -58,6 +62,11 @@
         * _BYTES_PER_MBIT,
         drain_s=decode_time(require_field(bounds, "drain", str)),
         grace_s=decode_time(require_field(bounds, "grace-period", str)),
+        buffer_bytes=int(
+            require_field(limits, "memory-mb", number_types)
+            * _BYTES_PER_MB
+            * _BUFFER_SHARE
+        ),
     )
 
 
--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -11,6 +11,7 @@
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.encode import encode_request
 from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.http1.response_limits import ResponseLimits
 from burdockgap.metadata.keyed_store import Changes, TopicSnapshot
 from burdockgap.metadata.store_error import (
     OffsetOutOfRange,
@@ -28,6 +29,9 @@
 limits the time without received bytes, not the whole response: all
 documents together may take seconds on a slow link."""
 _IDLE_S = 15.0
+_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+_MAX_TOPIC_BYTES = 32 * 1024 * 1024
+"""Limit on all values of a topic, which arrive in pages."""
 _OK_STATUS = 200
 _HISTORY_LOST_STATUS = 410
 _CONFLICT_STATUSES = (409, 412)
@@ -48,16 +52,27 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self._host = f"{address[0]}:{address[1]}"
         self._pool = ClientPool(
-            address, connect_timeout_s=_CONNECT_TIMEOUT_S, idle_s=_IDLE_S
+            address,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+            idle_s=_IDLE_S,
+            limits=ResponseLimits(body_bytes=_MAX_RESPONSE_BYTES),
         )
         self.calls = 0
 
     async def newest(self, topic: str) -> TopicSnapshot:
         """Read the newest value of each key, page by page."""
         values: dict[str, bytes] = {}
+        received_bytes = 0
         query = {"topic": topic, "part": "0"}
         while True:
-            body = _decode_json(await self._get("/api/log-newest", query))
+            response = await self._get("/api/log-newest", query)
+            received_bytes += len(response.body)
+            if received_bytes > _MAX_TOPIC_BYTES:
+                raise StoreError(
+                    f"topic {topic!r} exceeds the limit of "
+                    f"{_MAX_TOPIC_BYTES} bytes"
+                )
+            body = _decode_json(response)
             items = _require_field(body, "items", list)
             for item in items:
                 values[_require_field(item, "key", str)] = base64.b64decode(
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -52,12 +52,15 @@
         Return whether a response is complete.
 
         A successful one must have a seal and an id, and no content
-        encoding. Others count as complete.
+        encoding, and its body must be delimited by a length or chunks:
+        one that ends with the connection may have been cut. Others
+        count as complete.
         """
         if not response.is_success:
             return True
         return (
-            response.header(names.SEAL) is not None
+            not response.ends_at_close
+            and response.header(names.SEAL) is not None
             and response.header(names.REQUEST_ID) is not None
             and response.header(names.CONTENT_ENCODING) is None
         )
--- a/src/burdockgap/shards/grant_client.py
+++ b/src/burdockgap/shards/grant_client.py
@@ -7,6 +7,7 @@
 
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.http1.response_limits import ResponseLimits
 
 if TYPE_CHECKING:
     from burdockgap.forward.target_protocol import TargetProtocol
@@ -16,6 +17,7 @@
 CALL_TIMEOUT_S = 0.4
 _RELEASE_TIMEOUT_S = 2.0
 _IDLE_TIMEOUT_S = 8.0
+_MAX_RESPONSE_BYTES = 64 * 1024
 _MAX_ANNOUNCEMENT_AGE_S = 1.3
 """Age of an announcement above which the target may have restarted.
 Targets announce themselves every 0.9 s, and a restart takes longer than
@@ -127,6 +129,7 @@
                 connect_timeout_s=CALL_TIMEOUT_S,
                 idle_s=_IDLE_TIMEOUT_S,
                 on_closed=self._on_connection_closed,
+                limits=ResponseLimits(body_bytes=_MAX_RESPONSE_BYTES),
             )
         return self._pool
 
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -19,6 +19,7 @@
     RELEASE,
 )
 from burdockgap.hop.peer_connection import PeerConnections
+from burdockgap.http1.byte_budget import ByteBudget
 from burdockgap.http1.response import Response
 from burdockgap.platform.documents import PlatformDocuments
 from burdockgap.platform.names import OPERATOR_TOPIC
@@ -36,9 +37,12 @@
 from burdockgap.sidecar.discovery import Discovery
 from burdockgap.sidecar.gauges import add_gauges
 from burdockgap.sidecar.peer_fetcher import PeerFetcher
+from burdockgap.sidecar.supervision import keep_running
 from burdockgap.uplink import Uplink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.fleet.datagrams import Datagrams
     from burdockgap.forward.outcome import Outcome
     from burdockgap.forward.target_info import TargetInfo
@@ -64,16 +68,19 @@
     :param datagrams: sends and receives datagrams of other daemons.
     :param event_log: writer of structured log lines.
     :param metrics: the daemon's metrics.
+    :ivar buffers: limits the bodies and frames of all connections.
     :ivar caller_server: the HTTP server for callers, ``None`` before it
         is created.
     :ivar holder: holds the target's keys, ``None`` unless its service
         is known to be keyed.
     :ivar leaving: whether the daemon is shutting down.
+    :ivar peers_busy: returns whether calls of peers are in progress.
     """
 
     __slots__ = (
         "_beacons",
         "_crashes",
+        "buffers",
         "caller_server",
         "cfg",
         "clock",
@@ -88,6 +95,7 @@
         "lease",
         "event_log",
         "peer_connections",
+        "peers_busy",
         "metrics",
         "protocol",
         "peer_fetcher",
@@ -114,7 +122,9 @@
         self.metrics = metrics
         self.clock = BootClock()
         self.uplink = Uplink(cfg.link_bytes_per_s)
-        self.peer_connections = PeerConnections(self.uplink)
+        self.buffers = ByteBudget(cfg.buffer_bytes)
+        self.peer_connections = PeerConnections(self.uplink, self.buffers)
+        self.peers_busy: Callable[[], bool] = lambda: False
         self.leaving = False
         self.holder: ShardHolder | None = None
         self.caller_server: Server | None = None
@@ -174,6 +184,7 @@
             ),
             uplink=self.uplink,
             crashes=self._crashes,
+            buffers=self.buffers,
             on_event=self.event_log.write,
             on_outcome=self._count_outcome,
         )
@@ -254,6 +265,10 @@
             return Response(400)
         return await self.forwarder.serve(caller_req)
 
+    def may_overlap(self, req: Request) -> bool:
+        """Return whether a request may run beside pipelined others."""
+        return self.forwarder.is_idempotent(req.header("host") or "", req.path)
+
     def on_heartbeat(self, info: TargetInfo) -> None:
         """Process a heartbeat; ignore those of other services."""
         if info.service != self.cfg.service:
@@ -276,7 +291,9 @@
                 self._run_checks,
                 self._run_holder,
             ):
-                tasks.create_task(run_component())
+                tasks.create_task(
+                    keep_running(run_component, on_event=self.event_log.write)
+                )
 
     def begin_shutdown(self) -> None:
         """Announce to the other daemons that this one is leaving."""
@@ -291,11 +308,11 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of requests of callers and peers in progress."""
+        """Number of requests in progress, unsent responses included."""
         caller_requests = (
             self.caller_server.in_flight if self.caller_server else 0
         )
-        return caller_requests + self.gate.in_flight
+        return caller_requests + self.gate.in_flight + self.peers_busy()
 
     async def _run_checks(self) -> None:
         while True:
--- a/src/burdockgap/sidecar/peer_call_handlers.py
+++ b/src/burdockgap/sidecar/peer_call_handlers.py
@@ -44,10 +44,10 @@
         return (await self._node.gate.serve(call)).encode()
 
     async def _outcome(self, payload: Any) -> Any:
-        incarnation, request_id = payload
+        incarnation, request_id, attempt = payload
         if incarnation != self._node.roster.own.incarnation:
             return None
-        return (await self._node.gate.settle(request_id)).encode()
+        return (await self._node.gate.settle(request_id, attempt)).encode()
 
     async def _control_state(self, _payload: Any) -> bytes:
         return self._node.view.state.encode()
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -12,6 +12,7 @@
 
 from burdockgap.fleet.datagrams import open_datagrams
 from burdockgap.hop.listener import open_listener
+from burdockgap.http1.limits import ConnectionLimits
 from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
 from burdockgap.logs.line_writer import LineWriter
@@ -33,6 +34,7 @@
 _MAX_SHUTDOWN_SHARE = 0.93
 """Share of the grace period after which the process always exits."""
 _POLL_INTERVAL_S = 0.05
+_MAX_CONTROL_BODY_BYTES = 64 * 1024
 METRICS_PORT = 9464
 """Also set in deploy/system.toml."""
 METRICS_PATH = "/metrics"
@@ -92,19 +94,29 @@
                 "malformed_request", {"status": status}
             ),
             uplink=node.uplink,
+            budget=node.buffers,
+            may_overlap=node.may_overlap,
         )
-        await stack.enter_async_context(
+        node.peers_busy = await stack.enter_async_context(
             open_listener(
                 PeerCallHandlers(node).handlers(),
                 cfg.peer_host,
                 cfg.peer_port,
                 uplink=node.uplink,
+                budget=node.buffers,
             )
         )
+        small = ConnectionLimits(body_bytes=_MAX_CONTROL_BODY_BYTES)
         for server, address in (
-            (Server(control_api.answer_control), cfg.control),
-            (Server(control_api.answer_readiness), cfg.readiness),
-            (Server(answer_metrics), (cfg.ip, METRICS_PORT)),
+            (Server(control_api.answer_control, limits=small), cfg.control),
+            (
+                Server(control_api.answer_readiness, limits=small),
+                cfg.readiness,
+            ),
+            (
+                Server(answer_metrics, limits=small),
+                (cfg.ip, METRICS_PORT),
+            ),
             (node.caller_server, cfg.callers),
         ):
             await stack.enter_async_context(open_server(server, *address))
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -30,12 +30,15 @@
         may be sent requests.
     :param grace_s: seconds between the signal to stop and the forced
         end of the process.
+    :param buffer_bytes: limit on all bodies and frames that are
+        received and not yet handed on.
     """
 
     __slots__ = (
         "budget_extra",
         "budget_ratio",
         "budget_window_s",
+        "buffer_bytes",
         "callers",
         "control",
         "drain_s",
@@ -72,6 +75,7 @@
         link_bytes_per_s: float,
         drain_s: float,
         grace_s: float,
+        buffer_bytes: int,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -90,3 +94,4 @@
         self.link_bytes_per_s = link_bytes_per_s
         self.drain_s = drain_s
         self.grace_s = grace_s
+        self.buffer_bytes = buffer_bytes
--- a/src/burdockgap/uplink.py
+++ b/src/burdockgap/uplink.py
@@ -71,6 +71,16 @@
         self._free_at = max(self._free_at, now) + size / self._bytes_per_s
 
     async def send(self, data: bytes, write: Callable[[bytes], None]) -> None:
+        """Send a message at once if it is small, else in parts."""
+        if len(data) > self.part_bytes:
+            await self.send_in_parts(data, write)
+        else:
+            self.count(len(data))
+            write(data)
+
+    async def send_in_parts(
+        self, data: bytes, write: Callable[[bytes], None]
+    ) -> None:
         """
         Send a large message in parts, each when the link is ready.
 
--- a/standins/sidecar/app_server.py
+++ b/standins/sidecar/app_server.py
@@ -30,6 +30,7 @@
     :ivar fences: last fencing token by the first and last key of each
         granted range.
     :ivar in_flight: number of requests that are running.
+    :ivar padding: bytes at the end of each response's body.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.status = 200
         self.fences: dict[int, int] = {}
         self.in_flight = 0
+        self.padding = b""
 
     async def answer(self, req: Request) -> Response:
         """Handle a request, a grant or a release."""
@@ -143,4 +145,5 @@
             self.in_flight -= 1
         if not self.omit_seal:
             headers.append(("Server-Seal", f"seal-{request_id}"))
-        return Response(self.status, headers, b"answer to " + req.body)
+        body = b"answer to " + req.body + self.padding
+        return Response(self.status, headers, body)
--- a/standins/sidecar/documents.py
+++ b/standins/sidecar/documents.py
@@ -67,12 +67,13 @@
     """
     Return a test site's configuration, as JSON.
 
-    It has a sharded service ``records`` and an unsharded service
-    ``dispatch``, with one route each.
+    It has a sharded service ``records`` with a safe route and an
+    unsharded service ``dispatch`` with a safe and an unsafe one.
     """
     return make_config(
         make_route("read", "records"),
         make_route("book", "dispatch", kind="unsafe"),
+        make_route("crew", "dispatch"),
         make_service("records", sharding=True),
         make_service("dispatch"),
         make_limits(),
--- a/standins/sidecar/settings_file.py
+++ b/standins/sidecar/settings_file.py
@@ -17,6 +17,7 @@
 control = "{listen}:8306"
 [limits]
 link-mbps = 1000.0
+memory-mb = 200
 [bounds]
 drain = "2000ms"
 grace-period = "6s"
--- a/tests/forward/test_dedup_cache.py
+++ b/tests/forward/test_dedup_cache.py
@@ -43,11 +43,14 @@
     async with open_server(Server(app.answer), HOST, port):
         harness = GateHarness()
         harness.state.announced(make_info(address=(HOST, port)))
-        settled = await harness.gate.settle("r1")
+        settled = await harness.gate.settle("r1", 1)
         assert settled.verdict is Verdict.NOT_RUN
-        late = await harness.gate.serve(make_call())
-        assert late.verdict is Verdict.NOT_RUN
+        for _ in range(3):
+            late = await harness.gate.serve(make_call())
+            assert late.verdict is Verdict.NOT_RUN
         assert not app.runs
+        retried = await harness.gate.serve(make_call(attempt=2))
+        assert retried.verdict is Verdict.RAN
 
 
 async def test_run_continues_after_a_lost_connection_and_is_reported():
@@ -59,7 +62,7 @@
         call = asyncio.create_task(harness.gate.serve(make_call()))
         await asyncio.sleep(0.03)
         call.cancel(CALLER_CONNECTION_LOST)
-        outcome = await harness.gate.settle("r1")
+        outcome = await harness.gate.settle("r1", 1)
         assert outcome.verdict is Verdict.RAN
         assert app.runs == ["r1"]
 
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -164,3 +164,55 @@
     outcome = await harness.gate.serve(make_call(key=5))
     assert outcome.verdict is Verdict.NOT_RUN
     assert outcome.reason is Reason.ACTIVATING
+
+
+@pytest.mark.parametrize(
+    ("framing", "verdict"),
+    [
+        pytest.param(b"content-length: 2\r\n", Verdict.RAN, id="length"),
+        pytest.param(b"", Verdict.MAY_HAVE_RUN, id="ends-at-close"),
+    ],
+)
+async def test_success_counts_only_if_its_end_is_marked(framing, verdict):
+    """A body that ends with the connection may have broken off."""
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n"
+            + framing
+            + b"\r\nok"
+        )
+
+    async with open_scripted_server(script) as address:
+        harness = GateHarness()
+        harness.state.announced(make_info(address=address))
+        outcome = await harness.gate.serve(make_call())
+    assert outcome.verdict is verdict
+
+
+async def test_response_without_end_may_have_run():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n\r\n"
+        )
+        try:
+            while True:
+                writer.write(b"x" * 65536)
+                await writer.drain()
+        except OSError:
+            pass
+
+    async with open_scripted_server(script) as address:
+        harness = GateHarness()
+        harness.state.announced(make_info(address=address))
+        outcome = await harness.gate.serve(make_call(deadline_s=5.0))
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.reason is Reason.CONNECTION_LOST
+    (fields,) = [
+        fields
+        for event, fields in harness.events
+        if event == "exchange_failed"
+    ]
+    assert "memory limit" in fields["detail"]
--- a/tests/hop/test_peer_connection.py
+++ b/tests/hop/test_peer_connection.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 
-from burdockgap.hop.frames import FrameBuffer, FrameError, encode_frame
+from burdockgap.hop.frames import (
+    CALL,
+    CANCEL,
+    PART,
+    REPLY,
+    FrameBuffer,
+    FrameError,
+    encode_frame,
+)
 from burdockgap.hop.listener import CALLER_CONNECTION_LOST, open_listener
 from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.hop.peer_connection import PeerConnections
+from burdockgap.http1.byte_budget import ByteBudget
 from tests.http1.sockets import HOST, open_scripted_server
 from tests.sidecar.builders import free_port
 
@@ -144,3 +154,136 @@
         buffer = FrameBuffer()
         frames = [*buffer.feed(data[:split_at]), *buffer.feed(data[split_at:])]
         assert frames == [[1, "a"], [2, b"bc"]]
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        pytest.param([REPLY, [1], 2], id="call-number-not-hashable"),
+        pytest.param([REPLY], id="too-short"),
+        pytest.param([REPLY, 1], id="no-payload"),
+        pytest.param([PART, 1, 7], id="part-is-no-bytes"),
+        pytest.param([PART, 1, b"\xff\xff\xff\xff"], id="part-too-large"),
+    ],
+)
+async def test_invalid_frame_of_the_peer_fails_the_call(frame):
+    async def script(reader, writer):
+        await reader.read(10)
+        writer.write(encode_frame(*frame))
+        await reader.read()
+
+    async with open_scripted_server(script) as address:
+        peer_connections = PeerConnections()
+        with pytest.raises(PeerCallError) as caught:
+            async with asyncio.timeout(2):
+                await peer_connections.call(address, 1, None)
+        assert caught.value.sent
+        assert "invalid" in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(encode_frame(CALL, [1], 1, None), id="call-number"),
+        pytest.param(encode_frame(CANCEL, {}), id="cancelled-number"),
+        pytest.param(encode_frame(CALL, 1, [2], None), id="kind"),
+        pytest.param(encode_frame(CALL, 1), id="too-short"),
+        pytest.param(b"\x00\x00\x00\x04\x81\x91\x01\x02", id="map-key"),
+    ],
+)
+async def test_invalid_frame_of_a_caller_closes_its_connection_only(data):
+    async def echo(payload):
+        return payload
+
+    port, errors = free_port(), []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _loop, context: errors.append(context)
+    )
+    async with open_listener({1: echo}, HOST, port):
+        peer_connections = PeerConnections()
+        assert await peer_connections.call((HOST, port), 1, 5) == 5
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(data)
+        async with asyncio.timeout(1):
+            with suppress(ConnectionError):
+                assert await reader.read() == b""
+        writer.close()
+        assert await peer_connections.call((HOST, port), 1, 6) == 6
+        peer_connections.close()
+    assert not errors
+
+
+async def test_callers_frames_without_end_share_a_budget():
+    budget = ByteBudget(1_000_000)
+    port = free_port()
+    async with open_listener({}, HOST, port, budget=budget):
+        writers = []
+        for _ in range(4):
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.write((70_000_000).to_bytes(4, "big"))
+            writers.append(writer)
+        async with asyncio.timeout(5):
+            for _ in range(40):
+                for writer in writers:
+                    writer.write(b"x" * 65_536)
+                await asyncio.sleep(0.005)
+                assert budget.used <= budget.max_bytes
+            while any(not writer.is_closing() for writer in writers):
+                for writer in writers:
+                    writer.write(b"x")
+                await asyncio.sleep(0.01)
+        while budget.used:
+            await asyncio.sleep(0.01)
+
+
+async def test_reply_without_end_fails_its_call_alone():
+    budget = ByteBudget(1_000_000)
+
+    async def script(reader, writer):
+        await reader.read(10)
+        part = encode_frame(
+            PART, 1, (70_000_000).to_bytes(4, "big") + b"x" * 60_000
+        )
+        writer.write(part)
+        for _ in range(40):
+            writer.write(encode_frame(PART, 1, b"x" * 60_000))
+            await writer.drain()
+        writer.write(encode_frame(REPLY, 2, "second"))
+        with suppress(ConnectionError):
+            await reader.read()
+
+    async with open_scripted_server(script) as address:
+        peer_connections = PeerConnections(budget=budget)
+        async with asyncio.timeout(5):
+            first, second = await asyncio.gather(
+                peer_connections.call(address, 1, None),
+                peer_connections.call(address, 1, None),
+                return_exceptions=True,
+            )
+        assert isinstance(first, PeerCallError)
+        assert "memory limit" in str(first)
+        assert second == "second"
+        assert budget.used == 0
+        peer_connections.close()
+
+
+async def test_listener_is_busy_until_a_reply_is_sent():
+    """A daemon that stops must not cut off a reply to a slow peer."""
+
+    async def answer(_payload):
+        return b"x" * 16_000_000
+
+    port = free_port()
+    async with open_listener({1: answer}, HOST, port) as is_busy:
+        assert not is_busy()
+        reader, writer = await asyncio.open_connection(
+            HOST, port, limit=65_536
+        )
+        writer.write(encode_frame(CALL, 1, 1, None))
+        await asyncio.sleep(0.2)
+        assert is_busy()
+        size = int.from_bytes(await reader.readexactly(4), "big")
+        await reader.readexactly(size)
+        await asyncio.sleep(0.05)
+        assert not is_busy()
+        writer.close()
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from contextlib import suppress
 
 import pytest
 
@@ -15,7 +17,7 @@
 )
 from burdockgap.platform.store_client import StoreClient
 from standins.sidecar.keyed_topics import KeyedTopics
-from tests.http1.sockets import HOST
+from tests.http1.sockets import HOST, open_scripted_server, read_head
 from tests.sidecar.builders import free_port
 
 pytestmark = pytest.mark.anyio
@@ -118,3 +120,33 @@
             await client.newest(TOPIC)
         with pytest.raises(StoreError):
             await client.changes(TOPIC, 0, 0.0)
+
+
+async def test_topic_with_endless_pages_is_given_up():
+    async def answer(_req):
+        item = {"key": "k", "value": "eA==" * 200_000, "offset": 1}
+        page = {"items": [item], "has-more": True, "end-offset": 1}
+        return Response(200, body=json.dumps(page).encode())
+
+    port = free_port()
+    async with open_server(Server(answer), HOST, port):
+        client = StoreClient((HOST, port))
+        with pytest.raises(StoreError, match="exceeds the limit"):
+            async with asyncio.timeout(10):
+                await client.newest(TOPIC)
+
+
+async def test_answer_without_end_is_a_store_error():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        with suppress(OSError):
+            while True:
+                writer.write(b" " * 65_536)
+                await writer.drain()
+
+    async with open_scripted_server(script) as address:
+        client = StoreClient(address[:2])
+        with pytest.raises(StoreError, match="body exceeds"):
+            async with asyncio.timeout(10):
+                await client.newest(TOPIC)
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -94,6 +94,7 @@
             link_bytes_per_s=125e6,
             drain_s=2.0,
             grace_s=6.0,
+            buffer_bytes=50_000_000,
         )
         metrics = SidecarMetrics()
         event_log = LineWriter(
@@ -114,7 +115,9 @@
                 PeerCallHandlers(self.node).handlers(), HOST, self.peer_port
             )
         )
-        self.node.caller_server = Server(self.node.answer_caller)
+        self.node.caller_server = Server(
+            self.node.answer_caller, may_overlap=self.node.may_overlap
+        )
         await self._stack.enter_async_context(
             open_server(self.node.caller_server, *cfg.callers)
         )
--- /dev/null
+++ b/tests/sidecar/test_shutdown.py
@@ -0,0 +1,79 @@
+"""The planned stop of a daemon while responses are being sent."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from burdockgap.http1.encode import encode_request
+from burdockgap.sidecar.run import _shut_down
+from tests.http1.sockets import read_head
+from tests.sidecar.builders import HOST, open_site
+
+pytestmark = pytest.mark.anyio
+
+# More than the buffers of both sockets take.
+PADDING = b"x" * 16_000_000
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def encode_get(request_id):
+    headers = [
+        ("Host", "a.example"),
+        ("Attempt-Id", request_id),
+        ("Deadline-Milliseconds", "5000"),
+    ]
+    return encode_request("GET", "/crew/1", headers)
+
+
+@pytest.mark.parametrize(
+    "count", [pytest.param(1, id="one"), pytest.param(2, id="pipelined")]
+)
+async def test_stop_waits_until_a_slow_caller_has_the_response(count):
+    async with open_site("dispatch") as site:
+        await site.wait_until_ready()
+        (machine,) = site.machines
+        machine.app.padding = PADDING
+        reader, writer = await asyncio.open_connection(
+            HOST, machine.callers_port, limit=65_536
+        )
+        writer.write(b"".join(encode_get(f"r{n}") for n in range(count)))
+        # Until the transport holds what the caller does not read.
+        await site.wait_until(
+            lambda: machine.app.runs and not machine.app.in_flight
+        )
+        await asyncio.sleep(0.2)
+        stop = asyncio.create_task(_shut_down(machine.node))
+        await asyncio.sleep(3.0)
+        assert not stop.done()
+        for _ in range(count):
+            head = await read_head(reader)
+            assert b"200 OK" in head
+            size = len(b"answer to ") + len(PADDING)
+            await reader.readexactly(size)
+        # One that was written before the stop does not announce it.
+        assert (b"connection: close" in head) == (count > 1)
+        assert await reader.read() == b""
+        writer.close()
+        async with asyncio.timeout(2):
+            assert await stop
+
+
+async def test_stop_ends_in_time_for_a_caller_that_never_reads():
+    async with open_site("dispatch") as site:
+        await site.wait_until_ready()
+        (machine,) = site.machines
+        machine.app.padding = PADDING
+        _, writer = await asyncio.open_connection(
+            HOST, machine.callers_port, limit=65_536
+        )
+        writer.write(encode_get("r1"))
+        await asyncio.sleep(0.3)
+        async with asyncio.timeout(machine.node.cfg.grace_s):
+            assert not await _shut_down(machine.node)
+        writer.transport.abort()
