Grant keys only to a target that is proven not to have restarted

A connection that a release had opened to a new process also counted as proof.

TargetWatch keeps a connection open and replaces it before the target closes it. A grant needs an announcement that arrived after a connection was opened which is still open, and this is checked again after a new connection was made for the grant.

--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -30,11 +30,11 @@
         until the server sends a keep-alive timeout.
     :param on_unexpected: called with a description of bytes or a
         response that no pending request asked for.
-    :param on_closed: called when the server closes the connection
-        without having announced it.
     :param limits: limits of a response, defaults of
         :class:`ResponseLimits` if ``None``.
     :ivar reusable: whether another request may be sent.
+    :ivar opened_at: when it was created, in seconds of the event loop's
+        clock.
     :ivar idle_since: when the last exchange ended, in seconds of the
         event loop's clock.
     """
@@ -56,8 +56,8 @@
         "_transport",
         "_unframed",
         "idle_since",
-        "on_closed",
         "on_unexpected",
+        "opened_at",
         "reusable",
     )
 
@@ -67,13 +67,11 @@
         *,
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
-        on_closed: Callable[[], None] = lambda: None,
         limits: ResponseLimits | None = None,
     ) -> None:
         self._loop = loop
         self._idle_s = idle_s
         self.on_unexpected = on_unexpected
-        self.on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._fut: asyncio.Future[Response] | None = None
@@ -87,8 +85,9 @@
         self._bodiless = False
         self._unframed = False
         self.reusable = True
-        self.idle_since = loop.time()
-        self._heard_at = self.idle_since
+        self.opened_at = loop.time()
+        self.idle_since = self.opened_at
+        self._heard_at = self.opened_at
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -174,8 +173,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
-        if self.reusable:
-            self.on_closed()
         self.reusable = False
         self._fail_exchange(
             f"connection was closed by the server: {exc or 'EOF'}"
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -24,8 +24,6 @@
     :param idle_s: seconds for which an unused connection stays usable.
     :param on_unexpected: called with a description of bytes or a
         response that no pending request asked for.
-    :param on_closed: called when the server closes a connection without
-        having announced it.
     :param limits: limits of a response, defaults of
         :class:`~burdockgap.http1.response_limits.ResponseLimits` if
         ``None``.
@@ -38,7 +36,6 @@
         "_idle_s",
         "_limits",
         "_loop",
-        "_on_closed",
         "_on_unexpected",
         "address",
         "opened",
@@ -51,11 +48,9 @@
         connect_timeout_s: float,
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
-        on_closed: Callable[[], None] = lambda: None,
         limits: ResponseLimits | None = None,
     ) -> None:
         self._limits = limits
-        self._on_closed = on_closed
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
@@ -70,6 +65,26 @@
         now = self._loop.time()
         return any(conn.is_usable(now) for conn in self._idle)
 
+    @property
+    def idle_opened_at(self) -> float | None:
+        """
+        When the oldest usable idle connection was opened.
+
+        In seconds of the event loop's clock; ``None`` if there is none.
+        """
+        now = self._loop.time()
+        times = [c.opened_at for c in self._idle if c.is_usable(now)]
+        return min(times, default=None)
+
+    async def connect(self) -> None:
+        """
+        Open a connection unless an idle one is usable.
+
+        :raises ExchangeError: if connecting fails.
+        """
+        if not self.has_idle:
+            self._idle.append(await self._connect())
+
     async def exchange(
         self,
         data: bytes,
@@ -132,7 +147,6 @@
                         self._loop,
                         idle_s=self._idle_s,
                         on_unexpected=self._on_unexpected,
-                        on_closed=self._on_closed,
                         limits=self._limits,
                     ),
                     *self.address,
--- a/src/burdockgap/shards/grant_client.py
+++ b/src/burdockgap/shards/grant_client.py
@@ -8,6 +8,7 @@
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response_limits import ResponseLimits
+from burdockgap.shards.target_watch import TargetWatch
 
 if TYPE_CHECKING:
     from burdockgap.forward.target_protocol import TargetProtocol
@@ -18,10 +19,6 @@
 _RELEASE_TIMEOUT_S = 2.0
 _IDLE_TIMEOUT_S = 8.0
 _MAX_RESPONSE_BYTES = 64 * 1024
-_MAX_ANNOUNCEMENT_AGE_S = 1.3
-"""Age of an announcement above which the target may have restarted.
-Targets announce themselves every 0.9 s, and a restart takes longer than
-that."""
 
 
 class GrantClient:
@@ -33,40 +30,38 @@
     """
 
     __slots__ = (
-        "_loop",
         "_pool",
         "_protocol",
         "_state",
-        "_connection_closed_at",
+        "_watch",
     )
 
     def __init__(
         self, *, state: TargetState, protocol: TargetProtocol
     ) -> None:
-        self._loop = asyncio.get_running_loop()
         self._state = state
         self._protocol = protocol
+        self._watch = TargetWatch(state)
         self._pool: ClientPool | None = None
-        self._connection_closed_at: float | None = None
 
     def may_grant(self) -> bool:
         """
-        Return whether the target has certainly not restarted.
+        Return whether the announced target is certainly running.
 
-        An open idle connection proves it. A target that closed its
-        connection, or made no recent announcement, may have restarted,
-        possibly under the same id; its next announcement shows which.
+        Only an announcement that arrived after a connection was opened,
+        which is still open, proves it: the target may have restarted
+        under the same id.
         """
         if not self._state.up:
             return False
-        announced_at = self._state.announced_at
-        if self._connection_closed_at is not None:
-            if announced_at <= self._connection_closed_at:
-                return False
-            self._connection_closed_at = None
-        if self._pool is not None and self._pool.has_idle:
+        if self._watch.is_proven():
             return True
-        return self._loop.time() - announced_at < _MAX_ANNOUNCEMENT_AGE_S
+        opened_at = self._pool.idle_opened_at if self._pool else None
+        return opened_at is not None and opened_at < self._state.announced_at
+
+    async def watch_target(self) -> None:
+        """Watch for restarts of the target until cancelled."""
+        await self._watch.run()
 
     async def grant(self, shard: Shard, hold_s: float, handover: str) -> int:
         """
@@ -76,7 +71,8 @@
             call at the target, in seconds.
         :param handover: handover of the last holder, "" if there is
             none.
-        :raises ExchangeError: if no response arrived.
+        :raises ExchangeError: if no response arrived, or the target may
+            have restarted.
         :raises TimeoutError: if no response arrived within
             :data:`CALL_TIMEOUT_S`.
         """
@@ -89,7 +85,14 @@
         )
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                return (await self._target_pool().exchange(data)).status
+                pool = self._target_pool()
+                await pool.connect()
+                # A new connection may lead to a new process.
+                if not self.may_grant():
+                    raise ExchangeError(
+                        "the target may have restarted", sent=False
+                    )
+                return (await pool.exchange(data)).status
         except ExchangeError as exc:
             if exc.refused:
                 self._state.refused_connection(shard.born)
@@ -128,10 +131,6 @@
                 info.address,
                 connect_timeout_s=CALL_TIMEOUT_S,
                 idle_s=_IDLE_TIMEOUT_S,
-                on_closed=self._on_connection_closed,
                 limits=ResponseLimits(body_bytes=_MAX_RESPONSE_BYTES),
             )
         return self._pool
-
-    def _on_connection_closed(self) -> None:
-        self._connection_closed_at = self._loop.time()
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -242,14 +242,18 @@
 
     async def run(self) -> None:
         """Take over, grant and renew ranges until cancelled."""
-        while True:
-            changed = self._changed
-            self._step()
-            try:
-                async with asyncio.timeout(_STEP_INTERVAL_S):
-                    await changed.wait()
-            except TimeoutError:
-                continue
+        watch = self._loop.create_task(self._grant_client.watch_target())
+        try:
+            while True:
+                changed = self._changed
+                self._step()
+                try:
+                    async with asyncio.timeout(_STEP_INTERVAL_S):
+                        await changed.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            watch.cancel()
 
     def _step(self) -> None:
         for holding in self._holdings:
--- a/tests/shards/test_shard_holder.py
+++ b/tests/shards/test_shard_holder.py
@@ -42,7 +42,8 @@
         self.lease = Lease(self.clock)
         gate = GateHarness()
         self.state = gate.state
-        self.state.announced(make_info(address=(HOST, port), born=7))
+        self.port, self.sequence = port, 0
+        self.announce()
         self.handover = "h-1"
         self.holder = ShardHolder(
             service=SERVICE,
@@ -68,6 +69,13 @@
         self.last_handover = body.get("handover")
         return Response(200)
 
+    def announce(self):
+        self.sequence += 1
+        address = (HOST, self.port)
+        self.state.announced(
+            make_info(address=address, born=7, sequence=self.sequence)
+        )
+
     async def _release(self, _name, _shard, _fence):
         return self.handover
 
@@ -91,11 +99,14 @@
 
 
 @asynccontextmanager
-async def open_harness():
+async def open_harness(*, is_announced_again=True):
     port = free_port()
     harness = HolderHarness(port)
     async with open_server(Server(harness.answer), HOST, port):
         task = asyncio.create_task(harness.holder.run())
+        await asyncio.sleep(0.05)
+        if is_announced_again:
+            harness.announce()
         try:
             yield harness
         finally:
@@ -220,6 +231,8 @@
     harness = HolderHarness(port)
     task = asyncio.create_task(harness.holder.run())
     async with open_server(Server(harness.answer), HOST, port):
+        await asyncio.sleep(0.15)
+        harness.announce()
         harness.extend()
         harness.assign(make_shard())
         await harness.wait_until(lambda: harness.grants)
@@ -229,25 +242,21 @@
             harness.extend()
             await asyncio.sleep(0.1)
         assert harness.grants == []
-        info = make_info(address=(HOST, port), born=7, sequence=50)
-        harness.state.announced(info)
+        harness.announce()
         harness.extend()
         await harness.wait_until(lambda: harness.grants)
     task.cancel()
     harness.holder.cancel()
 
 
-async def test_first_grant_waits_for_a_recent_announcement():
+async def test_first_grant_waits_for_an_announcement_after_connecting():
     """The server may have restarted since its last announcement."""
-    async with open_harness() as harness:
-        harness.state._announced_at -= 2.0
+    async with open_harness(is_announced_again=False) as harness:
         harness.assign(make_shard())
         for _ in range(4):
             harness.extend()
             await asyncio.sleep(0.1)
         assert harness.grants == []
-        port = harness.state.info.address[1]
-        info = make_info(address=(HOST, port), born=7, sequence=50)
-        harness.state.announced(info)
+        harness.announce()
         harness.extend()
         await harness.wait_until(lambda: harness.grants)
