Play targets that send without end in the soak; bound tiny chunks

The soak gains a target that answers heads, headers, interim responses, bodies and chunks without end while its heartbeats go on, drawn from a stream of its own so that the other faults of a seed stay the same, and a check of the daemons' peak memory (150 MB).

It found: "MEMORY m4#1 used 291836 kB". Cause: a body was collected as a list of its chunks, and a chunk of four bytes takes about 45. Bodies are now one bytearray, for callers' requests as well; the test of tiny chunks fails before.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,8 @@
 _FAULT_DURATION_S = (0.3, 5.0)
 _STORE_FAULT_DURATION_S = (0.5, 8.0)
 _FAULT_INTERVAL_S = (0.1, 1.8)
+_ENDLESS_INTERVAL_S = (2.0, 5.0)
+_ENDLESS_DURATION_S = (0.3, 2.0)
 _STOP_TIMEOUT_S = 6.0
 
 
@@ -31,14 +33,22 @@
 
     :param site: the site under test.
     :param rng: chooses the kind, target and duration of each fault.
+    :param target_rng: the same for targets that send without end; it is
+        separate, so that the other faults of a seed stay the same.
     :param log: called with a description when a fault begins.
     """
 
     def __init__(
-        self, site: Site, rng: random.Random, log: Callable[[str], None]
+        self,
+        site: Site,
+        rng: random.Random,
+        *,
+        target_rng: random.Random,
+        log: Callable[[str], None],
     ) -> None:
         self._site = site
         self._rng = rng
+        self._target_rng = target_rng
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
         self._weighted_faults: list[tuple[int, _Fault]] = [
@@ -67,6 +77,8 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         weights = [weight for weight, _ in self._weighted_faults]
+        endless = loop.create_task(self._send_endlessly(deadline))
+        self._tasks.add(endless)
         while loop.time() < deadline:
             _, fault = self._rng.choices(self._weighted_faults, weights)[0]
             task = loop.create_task(fault())
@@ -228,6 +240,19 @@
             await machine.server.start()
         machine.mark_disturbed()
 
+    async def _send_endlessly(self, deadline: float) -> None:
+        rng = self._target_rng
+        while asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(rng.uniform(*_ENDLESS_INTERVAL_S))
+            machine = rng.choice(self._site.machines)
+            duration_s = rng.uniform(*_ENDLESS_DURATION_S)
+            if not machine.server.is_up:
+                continue
+            async with self._lasting_fault(
+                "endless answers", machine, duration_s=0.0
+            ):
+                await machine.server.send_endlessly(rng, duration_s)
+
     async def _server_drains(self) -> None:
         machine = self._draw_machine()
         server = machine.server
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -219,5 +219,9 @@
         """Record what is not served after all faults have ended."""
         self._add_violation(now, f"RECOVER {description}")
 
+    def record_memory(self, process: str, peak_kb: int, now: float) -> None:
+        """Record a daemon that used more memory than it may."""
+        self._add_violation(now, f"MEMORY {process} used {peak_kb} kB")
+
     def _add_violation(self, now: float, description: str) -> None:
         self.violations.append(f"{now:.3f} {description}")
--- a/soak/run.py
+++ b/soak/run.py
@@ -66,8 +66,15 @@
         traffic = Traffic(site, random.Random(f"{seed} traffic"))
         await asyncio.sleep(_SETTLE_S)
         sender = asyncio.create_task(traffic.run())
-        await Faults(site, random.Random(f"{seed} faults"), log).run(seconds)
+        faults_of_seed = Faults(
+            site,
+            random.Random(f"{seed} faults"),
+            target_rng=random.Random(f"{seed} endless"),
+            log=log,
+        )
+        await faults_of_seed.run(seconds)
         await traffic.wait_recovered()
+        site.check_memory()
         sender.cancel()
         await asyncio.gather(sender, return_exceptions=True)
         log(f"end after {time.monotonic() - began:.1f} s")
--- a/soak/server.py
+++ b/soak/server.py
@@ -12,9 +12,11 @@
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
+from soak.endless_target import open_endless_target
 from soak.invariants import DRAIN_S, EVACUATION_S, UNDISTURBED_S
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from burdockgap.http1.request import Request
@@ -75,6 +77,7 @@
         self._grants: list[tuple[int, int, int, float]] = []
         self._in_flight = 0
         self._draining_since: float | None = None
+        self._is_endless = False
         self.is_up = False
 
     @property
@@ -83,7 +86,9 @@
         return f"{self._name}/{self._start_count}"
 
     async def start(self) -> None:
-        """Start listening as a new incarnation."""
+        """Start listening as a new incarnation, if not misbehaving."""
+        if self._is_endless:
+            return
         self._start_count += 1
         self._sequence, self._draining_since = 0, None
         self._grants = []
@@ -98,6 +103,21 @@
         self._checker.record_end(self.incarnation, self._loop.time())
         await self._stack.aclose()
 
+    async def send_endlessly(self, rng: random.Random, seconds: float) -> None:
+        """
+        Answer all requests without end, then start anew.
+
+        The heartbeats continue meanwhile.
+
+        :param rng: chooses what is sent.
+        """
+        await self.stop()
+        self._is_endless = True
+        async with open_endless_target(self._host, PORT, rng):
+            await asyncio.sleep(seconds)
+        self._is_endless = False
+        await self.start()
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the daemon until cancelled."""
         pool = ClientPool(
@@ -105,7 +125,7 @@
         )
         draining = False
         while True:
-            if self.is_up:
+            if self.is_up or self._is_endless:
                 draining = self.draining
                 acked = await self._send_heartbeat(pool, draining=draining)
                 if acked and draining and self._draining_since is None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,6 +6,7 @@
 import math
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import anyio
@@ -26,11 +27,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    from pathlib import Path
 
 _PEER_PORT = 7620
 _DATA_CENTRES = ("tanta", "mansoura", "zagazig")
 _OPERATOR_TOPIC = "keyed.op"
+_MAX_MEMORY_KB = 150_000
+"""Below the 200 MB of the users' smallest machines."""
 
 
 class Site:
@@ -72,6 +74,18 @@
             for index in range(size)
         ]
 
+    def check_memory(self) -> None:
+        """Record the daemons whose peak memory exceeds the limit."""
+        for machine in self.machines:
+            if not machine.process.is_running:
+                continue
+            status = Path(f"/proc/{machine.process.pid}/status").read_text()
+            peak_kb = int(status.partition("VmHWM:")[2].split()[0])
+            if peak_kb > _MAX_MEMORY_KB:
+                self.checker.record_memory(
+                    machine.incarnation, peak_kb, self._loop.time()
+                )
+
     def change_configuration(self) -> None:
         """Publish the next version, which adds one route."""
         self.version += 1
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -42,7 +42,6 @@
     __slots__ = (
         "_accepts",
         "_body",
-        "_body_bytes",
         "_bodiless",
         "_fut",
         "_headers",
@@ -77,8 +76,9 @@
         self._fut: asyncio.Future[Response] | None = None
         self._accepts: Callable[[Response], bool] | None = None
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One object: a list of chunks of a few bytes each would take
+        # ten times their size.
+        self._body = bytearray()
         self._received_bytes = 0
         self._limits = limits or ResponseLimits()
         self._status = 0
@@ -208,16 +208,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        limits, size = self._limits, self._body_bytes + len(body)
-        if size > limits.body_bytes:
+        limits = self._limits
+        if len(self._body) + len(body) > limits.body_bytes:
             self._exceed(f"body exceeds {limits.body_bytes} bytes")
         if not limits.budget.take(len(body)):
             self._exceed(
                 "does not fit into the memory limit for incomplete "
                 f"messages, {limits.budget.max_bytes} bytes"
             )
-        self._body_bytes = size
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Deliver a final response; ignore an interim one."""
@@ -246,8 +245,8 @@
     def _check_overhead(self) -> None:
         if self._fut is None or self._fut.done():
             return
-        overhead = self._received_bytes - self._body_bytes
-        if overhead > self._limits.max_overhead(self._body_bytes):
+        overhead = self._received_bytes - len(self._body)
+        if overhead > self._limits.max_overhead(len(self._body)):
             self._fail_exchange(
                 f"response has {overhead} bytes besides its body; "
                 f"the limit is {self._limits.header_bytes} bytes"
@@ -260,11 +259,11 @@
         raise httptools.HttpParserError(detail)
 
     def _discard_body(self) -> None:
-        self._limits.budget.give_back(self._body_bytes)
-        self._body, self._body_bytes = [], 0
+        self._limits.budget.give_back(len(self._body))
+        self._body = bytearray()
 
     def _complete(self, *, ends_at_close: bool = False) -> None:
-        response = Response(self._status, self._headers, b"".join(self._body))
+        response = Response(self._status, self._headers, bytes(self._body))
         response.ends_at_close = ends_at_close
         self._status = 0
         if self._fut is None or self._fut.done():
--- a/src/burdockgap/http1/request_reader.py
+++ b/src/burdockgap/http1/request_reader.py
@@ -37,7 +37,6 @@
 
     __slots__ = (
         "_body",
-        "_body_bytes",
         "_finished",
         "_header_bytes",
         "_headers",
@@ -77,8 +76,9 @@
         self._header_bytes = 0
         self._target = b""
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One object: a list of chunks of a few bytes each would take
+        # ten times their size.
+        self._body = bytearray()
         self.refused: int | None = None
 
     @property
@@ -100,10 +100,10 @@
             # The parser collects an incomplete header or trailer, which
             # the callbacks do not count.
             self._received_bytes += len(data)
-            overhead = self._received_bytes - self._body_bytes
+            overhead = self._received_bytes - len(self._body)
             if overhead > (
                 self._server.limits.header_bytes
-                + _MAX_OVERHEAD_FACTOR * self._body_bytes
+                + _MAX_OVERHEAD_FACTOR * len(self._body)
             ):
                 self.refuse(431)
 
@@ -132,8 +132,8 @@
         """Stop reading and discard a request that is incomplete."""
         self._finished = True
         self._started_at = None
-        self._server.budget.give_back(self._body_bytes)
-        self._body, self._body_bytes = [], 0
+        self._server.budget.give_back(len(self._body))
+        self._body = bytearray()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
@@ -164,12 +164,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; refuse it above the limits."""
-        if self._body_bytes + len(body) > self._server.limits.body_bytes:
+        if len(self._body) + len(body) > self._server.limits.body_bytes:
             self._abort(413, "request body exceeds the size limit")
         if not self._server.budget.take(len(body)):
             self._abort(503, "buffered bodies exceed the memory limit")
-        self._body.append(body)
-        self._body_bytes += len(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Hand on the complete request."""
@@ -180,13 +179,13 @@
             method=self._parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             arrived_at=self._started_at,
         )
         keep_alive = self._parser.should_keep_alive()
         self._finished = not keep_alive
         self._started_at = None
-        self._body, self._body_bytes = [], 0
+        self._body = bytearray()
         self._on_request(req, keep_alive)
 
     def _count_header_bytes(self, size: int) -> None:
--- a/tests/http1/test_endless_bytes.py
+++ b/tests/http1/test_endless_bytes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 from contextlib import asynccontextmanager
 
 import pytest
@@ -282,3 +283,26 @@
         async with asyncio.timeout(4):
             while server.connections:
                 await asyncio.sleep(0.05)
+
+
+async def test_tiny_chunks_take_little_more_memory_than_the_body():
+    """A list of them took ten times the size of the body."""
+    chunks = b"4\r\nabcd\r\n" * 1000
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(HEAD + b"transfer-encoding: chunked\r\n\r\n")
+        for _ in range(250):
+            writer.write(chunks)
+            await writer.drain()
+        await asyncio.sleep(1)
+
+    async with open_scripted_server(script) as address:
+        pool = ClientPool(address[:2], connect_timeout_s=1.0, idle_s=5.0)
+        tracemalloc.start()
+        exchange = asyncio.create_task(pool.exchange(REQUEST))
+        await asyncio.sleep(0.8)
+        used, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        exchange.cancel()
+        assert used < 4 * 1_000_000
