--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -37,6 +37,11 @@
         "Keys that the target holds now.",
         lambda: node.holder.held_key_count if node.holder else 0,
     )
+    gauge(
+        "buffered_bytes",
+        "Bytes of incomplete messages and of bodies of unanswered requests.",
+        lambda: node.buffers.used,
+    )
     gauge(
         "in_flight",
         "Requests at the target.",
