Time a planned stop by the clock that counts suspensions

The event loop's clock stood still with them, so the daemons served on and were killed at the end of the grace period. The stop now uses the boot clock; the test fails before.

--- a/src/burdockgap/shards/target_watch.py
+++ b/src/burdockgap/shards/target_watch.py
@@ -73,9 +73,12 @@
 
     def is_proven(self) -> bool:
         """Return whether the announced process is certainly running."""
+        info = self._state.info
         return (
             self._conn is not None
             and not self._conn.lost
+            and info is not None
+            and info.address == self._address
             and self._state.announced_at > self._since
         )
 
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -139,18 +139,21 @@
 
 async def _shut_down(node: Node) -> bool:
     """Hand over keys and complete requests within the grace period."""
-    loop = asyncio.get_running_loop()
+    # The platform's grace period goes on while the machine is suspended,
+    # and the event loop's clock stands still.
+    clock = node.clock
     node.event_log.write("stopping", {"in_flight": node.forwarder.in_flight})
     node.begin_shutdown()
     assert node.caller_server is not None
     node.caller_server.leaving = True
-    started_at = loop.time()
+    started_at = clock.now()
     if node.target.left or not node.target.up:
         node.reporter.spawn(node.discovery.withdraw())
-    while loop.time() < started_at + node.cfg.grace_s * _MAX_SHUTDOWN_SHARE:
-        if loop.time() - started_at > node.cfg.grace_s * _ACCEPT_SHARE:
+    while clock.now() < started_at + node.cfg.grace_s * _MAX_SHUTDOWN_SHARE:
+        elapsed_s = clock.now() - started_at
+        if elapsed_s > node.cfg.grace_s * _ACCEPT_SHARE:
             node.stop_accepting()
-        if loop.time() - started_at > _MIN_SHUTDOWN_S and not node.in_flight:
+        if elapsed_s > _MIN_SHUTDOWN_S and not node.in_flight:
             break
         await asyncio.sleep(_POLL_INTERVAL_S)
     node.stop_accepting()
--- a/tests/shards/test_target_watch.py
+++ b/tests/shards/test_target_watch.py
@@ -131,3 +131,13 @@
         for _ in range(20):
             await asyncio.sleep(0.05)
             assert target.watch.is_proven()
+
+
+async def test_target_at_another_address_is_not_proven(target):
+    target.announce()
+    async with target.open():
+        await target.wait_connected()
+        target.announce()
+        target.port = free_port()
+        target.announce()
+        assert not target.watch.is_proven()
--- a/tests/sidecar/test_shutdown.py
+++ b/tests/sidecar/test_shutdown.py
@@ -64,6 +64,29 @@
             assert await stop
 
 
+class SuspendedClock:
+    """A clock that counts a suspension of the machine."""
+
+    def __init__(self):
+        self.suspended_s = 0.0
+
+    def now(self):
+        return asyncio.get_running_loop().time() + self.suspended_s
+
+
+async def test_stop_counts_the_time_of_a_suspension():
+    """Suspended machines were killed in their stop (inc-f417)."""
+    async with open_site("dispatch") as site:
+        await site.wait_until_ready()
+        (machine,) = site.machines
+        clock = machine.node.clock = SuspendedClock()
+        stop = asyncio.create_task(_shut_down(machine.node))
+        await asyncio.sleep(0.1)
+        clock.suspended_s = 3.0
+        async with asyncio.timeout(0.5):
+            assert await stop
+
+
 async def test_stop_ends_in_time_for_a_caller_that_never_reads():
     async with open_site("dispatch") as site:
         await site.wait_until_ready()
