--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -139,8 +139,8 @@
 
 async def _shut_down(node: Node) -> bool:
     """Hand over keys and complete requests within the grace period."""
-    # The platform's grace period goes on while the machine is suspended,
-    # and the event loop's clock stands still.
+    # The grace period goes on while the machine is suspended; the event
+    # loop's clock does not.
     clock = node.clock
     node.event_log.write("stopping", {"in_flight": node.forwarder.in_flight})
     node.begin_shutdown()
