--- a/src/burdockgap/metadata/keyed_store.py
+++ b/src/burdockgap/metadata/keyed_store.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from burdockgap.metadata.store_generation import StoreGeneration
 
 
 class TopicSnapshot:
@@ -11,13 +14,18 @@
 
     :param values: newest value by key.
     :param end: offset after the topic's last record.
+    :param generation: the store's generation, in which the offset is
+        valid.
     """
 
-    __slots__ = ("end", "values")
+    __slots__ = ("end", "generation", "values")
 
-    def __init__(self, values: dict[str, bytes], end: int) -> None:
+    def __init__(
+        self, values: dict[str, bytes], end: int, generation: int = 0
+    ) -> None:
         self.values = values
         self.end = end
+        self.generation = generation
 
 
 class Changes:
@@ -26,19 +34,31 @@
 
     :param records: keys and their values; ``None`` for a removed key.
     :param end: offset after the last of these records.
+    :param generation: the store's generation, in which the offset is
+        valid.
     """
 
-    __slots__ = ("end", "records")
+    __slots__ = ("end", "generation", "records")
 
     def __init__(
-        self, records: list[tuple[str, bytes | None]], end: int
+        self,
+        records: list[tuple[str, bytes | None]],
+        end: int,
+        generation: int = 0,
     ) -> None:
         self.records = records
         self.end = end
+        self.generation = generation
 
 
 class KeyedStore(Protocol):
-    """Compacted topics: the newest value of each key is retained."""
+    """
+    Compacted topics: the newest value of each key is retained.
+
+    :ivar generation: increases when acknowledged writes were lost.
+    """
+
+    generation: StoreGeneration
 
     async def newest(self, topic: str) -> TopicSnapshot:
         """
--- a/src/burdockgap/platform/names.py
+++ b/src/burdockgap/platform/names.py
@@ -17,6 +17,10 @@
 HANDOVER = "handover"
 CONTENT_ENCODING = "content-encoding"
 
+# In each response of the store; increases when the store is restored
+# from an older copy and has lost acknowledged writes.
+STORE_GENERATION = "store-era"
+
 # Topic of the operators' documents, and their keys within it.
 OPERATOR_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -18,7 +18,9 @@
     StoreError,
     WriteConflict,
 )
+from burdockgap.metadata.store_generation import StoreGeneration
 from burdockgap.platform.fields import T, require_field
+from burdockgap.platform.names import STORE_GENERATION
 
 if TYPE_CHECKING:
     from burdockgap.http1.response import Response
@@ -45,9 +47,10 @@
 
     :param address: host and port of the store.
     :ivar calls: calls made so far.
+    :ivar generation: the store's generation from its responses.
     """
 
-    __slots__ = ("_host", "_pool", "calls")
+    __slots__ = ("_host", "_pool", "calls", "generation")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self._host = f"{address[0]}:{address[1]}"
@@ -58,14 +61,21 @@
             limits=ResponseLimits(body_bytes=_MAX_RESPONSE_BYTES),
         )
         self.calls = 0
+        self.generation = StoreGeneration()
 
     async def newest(self, topic: str) -> TopicSnapshot:
         """Read the newest value of each key, page by page."""
         values: dict[str, bytes] = {}
         received_bytes = 0
+        generation: int | None = None
         query = {"topic": topic, "part": "0"}
         while True:
             response = await self._get("/api/log-newest", query)
+            if generation not in (None, _decode_generation(response)):
+                raise StoreError(
+                    f"store was restored while {topic!r} was read"
+                )
+            generation = _decode_generation(response)
             received_bytes += len(response.body)
             if received_bytes > _MAX_TOPIC_BYTES:
                 raise StoreError(
@@ -80,7 +90,9 @@
                 )
             if not body.get("has-more") or not items:
                 return TopicSnapshot(
-                    values, _require_field(body, "end-offset", int)
+                    values,
+                    _require_field(body, "end-offset", int),
+                    generation,
                 )
             query["after"] = items[-1]["key"]
 
@@ -93,7 +105,10 @@
             "wait-ms": str(int(wait_s * 1000)),
         }
         response = await self._get("/api/log-read", query, wait_s=wait_s)
-        return _decode_records(response.body, start)
+        records = _decode_records(response.body)
+        return Changes(
+            records, start + len(records), _decode_generation(response)
+        )
 
     async def put(
         self, topic: str, key: str, value: bytes, *, at: int | None = None
@@ -135,11 +150,24 @@
     async def _exchange(self, data: bytes, read_timeout_s: float) -> Response:
         self.calls += 1
         try:
-            return await self._pool.exchange(
+            response = await self._pool.exchange(
                 data, read_timeout_s=read_timeout_s
             )
         except ExchangeError as exc:
             raise StoreError(str(exc)) from exc
+        self.generation.note(_decode_generation(response))
+        return response
+
+
+def _decode_generation(response: Response) -> int:
+    """Return the store's generation, 0 if the response has none."""
+    text = response.header(STORE_GENERATION) or "0"
+    try:
+        return int(text)
+    except ValueError as exc:
+        raise StoreError(
+            f"generation {text!r} of the store is not a number"
+        ) from exc
 
 
 def _require_field(source: Any, name: str, kind: type[T]) -> T:
@@ -172,7 +200,7 @@
     return body
 
 
-def _decode_records(data: bytes, start: int) -> Changes:
+def _decode_records(data: bytes) -> list[tuple[str, bytes | None]]:
     if len(data) < _OFFSETS_STRUCT.size:
         raise StoreError("store response is too short for its offsets")
     records: list[tuple[str, bytes | None]] = []
@@ -189,4 +217,4 @@
         key_end = 1 + record[0]
         key = record[1:key_end].decode("utf-8", "replace")
         records.append((key, record[key_end:] or None))
-    return Changes(records, start + len(records))
+    return records
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -170,7 +170,13 @@
         self._reset(term=state.term, is_first=is_first)
         self._view.adopt(state)
         self._on_event(
-            "claimed", {"term": state.term, "voters": len(state.voters)}
+            "claimed",
+            {
+                "term": state.term,
+                "revision": state.revision,
+                "next_fence": state.next_fence,
+                "voters": len(state.voters),
+            },
         )
 
     def _reset(self, *, term: int, is_first: bool) -> None:
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -17,6 +17,11 @@
         lambda: node.event_log.dropped,
     )
     gauge("store_calls", "Calls of the store.", lambda: node.store.calls)
+    gauge(
+        "store_generation",
+        "Generation of the store, which increases when it loses writes.",
+        lambda: node.store.generation.number,
+    )
     gauge(
         "members",
         "Live members, this one included.",
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -118,6 +118,7 @@
     ) -> None:
         self.cfg = cfg
         self.store = store
+        store.generation.on_restored = self._log_store_restored
         self.event_log = event_log
         self.metrics = metrics
         self.clock = BootClock()
@@ -336,6 +337,12 @@
         if changed is not None:
             self.view.adopt(changed)
 
+    def _log_store_restored(self, before: int, after: int) -> None:
+        fields: dict[str, object] = {"from": before, "to": after}
+        fields["offset"] = self.documents.end
+        fields["control"] = list(self.view.version)
+        self.event_log.write("store_restored", fields)
+
     def _count_answer(self, status: int, seconds: float) -> None:
         self.metrics.requests.labels(status).inc()
         self.metrics.latency.observe(seconds)
--- a/standins/sidecar/keyed_topics.py
+++ b/standins/sidecar/keyed_topics.py
@@ -25,6 +25,7 @@
     :ivar topics: records of each topic as (key, value), by offset.
     :ivar first: offset below which each topic can no longer be read.
     :ivar down: whether to answer all calls with status 503.
+    :ivar generation: increases when the store returns from a copy.
     :ivar lose_replies: whether to apply appends without a response.
     :ivar calls: number of calls by path.
     """
@@ -33,12 +34,18 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.first: dict[str, int] = {}
         self.down = False
+        self.generation = 1
         self.lose_replies = False
         self.calls: dict[str, int] = {}
         self._changed = asyncio.Event()
 
     async def answer(self, req: Request) -> Response:
         """Handle one API call."""
+        response = await self._answer(req)
+        response.headers.append(("Store-Era", str(self.generation)))
+        return response
+
+    async def _answer(self, req: Request) -> Response:
         url = urlsplit(req.target)
         query = {key: value[0] for key, value in parse_qs(url.query).items()}
         self.calls[url.path] = self.calls.get(url.path, 0) + 1
@@ -62,6 +69,16 @@
         """Return the newest value of a key, ``None`` if it has none."""
         return dict(self._rows(topic)).get(key)
 
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return a copy of all topics."""
+        return {topic: list(rows) for topic, rows in self.topics.items()}
+
+    def restore(self, topics: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Return to a copy; later records are lost, offsets reused."""
+        self.topics = {topic: list(rows) for topic, rows in topics.items()}
+        self.generation += 1
+        self._notify_readers()
+
     def drop_history(self, topic: str) -> None:
         """
         Make all records so far unreadable by offset.
@@ -97,15 +114,20 @@
 
     async def _read(self, topic: str, query: dict[str, str]) -> Response:
         start = int(query["from"])
-        rows = self._rows(topic)
-        if start >= len(rows):
+        generation = self.generation
+        if start > len(self._rows(topic)):
+            return _json(410, {"first-offset": self.first.get(topic, 0)})
+        if start == len(self._rows(topic)):
             wait_s = int(query.get("wait-ms", "0")) / 1000
             try:
                 async with asyncio.timeout(wait_s):
-                    while start >= len(rows):
+                    while start >= len(self._rows(topic)):
                         await self._changed.wait()
+                        if self.generation != generation:
+                            return Response(503)
             except TimeoutError:
                 pass
+        rows = self._rows(topic)
         first = self.first.get(topic, 0)
         if start < first:
             return _json(410, {"first-offset": first})
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -150,3 +150,30 @@
         with pytest.raises(StoreError, match="body exceeds"):
             async with asyncio.timeout(10):
                 await client.newest(TOPIC)
+
+
+async def test_restored_store_is_noticed(store_and_client):
+    topics, client = store_and_client
+    restored = []
+    client.generation.on_restored = lambda *numbers: restored.append(numbers)
+    copy = topics.copy()
+    await client.put(TOPIC, "a", b"1")
+    assert (await client.newest(TOPIC)).generation == 1
+    topics.restore(copy)
+    with pytest.raises(OffsetOutOfRange):
+        await client.changes(TOPIC, 1, 0.0)
+    assert restored == [(1, 2)]
+    assert (await client.changes(TOPIC, 0, 0.0)).generation == 2
+
+
+async def test_generation_that_is_no_number_is_an_error():
+    async def answer(reader, writer):
+        await read_head(reader)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nStore-Era: x\r\nContent-Length: 2\r\n\r\n{}"
+        )
+
+    async with open_scripted_server(answer) as address:
+        client = StoreClient(address[:2])
+        with pytest.raises(StoreError, match="not a number"):
+            await client.newest(TOPIC)
--- a/tests/shards/fakes.py
+++ b/tests/shards/fakes.py
@@ -5,6 +5,7 @@
 from burdockgap.fleet.roster import Roster
 from burdockgap.metadata.keyed_store import TopicSnapshot
 from burdockgap.metadata.store_error import StoreError, WriteConflict
+from burdockgap.metadata.store_generation import StoreGeneration
 from burdockgap.shards.control_state import ControlState
 from tests.shards.builders import make_member
 
@@ -17,6 +18,7 @@
         self.end = 0
         self.fails = False
         self.drops_replies = False
+        self.generation = StoreGeneration()
 
     async def newest(self, _topic):
         if self.fails:
