--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgpack
 
 from burdockgap.forward.load import Load
 
+if TYPE_CHECKING:
+    from burdockgap.metadata.keyed_store import Position
+
 
 class Member:
     """
@@ -29,8 +32,8 @@
     :param resigning: whether it asks another member to become
         coordinator.
     :param load: the target's load.
-    :param documents: offset up to which it has read the operator's
-        documents.
+    :param documents: position in the store up to which it knows the
+        operators' documents.
     :param term: newest coordinator's term that it knows.
     :param revision: newest revision of the control state that it knows.
     """
@@ -72,7 +75,7 @@
         leaving: bool = False,
         resigning: bool = False,
         load: Load | None = None,
-        documents: int = 0,
+        documents: Position = (0, 0),
         term: int = 0,
         revision: int = 0,
     ) -> None:
@@ -111,7 +114,7 @@
             self.leaving,
             self.resigning,
             self.load.encode(),
-            self.documents,
+            list(self.documents),
             self.term,
             self.revision,
         ]
@@ -143,7 +146,7 @@
             leaving,
             resigning,
             load,
-            documents,
+            (generation, offset),
             term,
             revision,
         ) = values
@@ -162,7 +165,7 @@
             leaving=leaving,
             resigning=resigning,
             load=Load.decode(load),
-            documents=documents,
+            documents=(generation, offset),
             term=term,
             revision=revision,
         )
--- a/src/burdockgap/metadata/keyed_store.py
+++ b/src/burdockgap/metadata/keyed_store.py
@@ -8,6 +8,10 @@
     from burdockgap.metadata.store_generation import StoreGeneration
 
 
+Position = tuple[int, int]
+"""A generation of the store and an offset, which is valid in it."""
+
+
 class TopicSnapshot:
     """
     The newest values of a topic.
@@ -27,6 +31,11 @@
         self.end = end
         self.generation = generation
 
+    @property
+    def position(self) -> Position:
+        """The topic's end."""
+        return self.generation, self.end
+
 
 class Changes:
     """
@@ -50,6 +59,11 @@
         self.end = end
         self.generation = generation
 
+    @property
+    def position(self) -> Position:
+        """The position after these records."""
+        return self.generation, self.end
+
 
 class KeyedStore(Protocol):
     """
--- a/src/burdockgap/routing/document_follower.py
+++ b/src/burdockgap/routing/document_follower.py
@@ -63,35 +63,50 @@
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
-        has_read = False
+        has_read = just_reread = False
         while True:
             try:
                 if not has_read:
                     await self._read_all()
-                    has_read = True
+                    has_read = just_reread = True
                 else:
-                    await self._read_changes()
+                    has_read = await self._read_changes()
+                    just_reread = False
                 self._set_lost(lost=False, why="")
             except OffsetOutOfRange:
                 has_read = False
+                if just_reread:
+                    await self._pause()
             except StoreError as exc:
                 self._set_lost(lost=True, why=str(exc))
-                await asyncio.sleep(_RETRY_DELAY_S * random.uniform(0.6, 1.4))
+                await self._pause()
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(_RETRY_DELAY_S * random.uniform(0.6, 1.4))
 
     async def _read_all(self) -> None:
         newest = await self._store.newest(self._topic)
-        self._documents.replace(newest.values, newest.end, "store")
+        self._documents.replace(newest.values, newest.position, "store")
+
+    async def _read_changes(self) -> bool:
+        """
+        Wait for changes and apply them.
 
-    async def _read_changes(self) -> None:
-        start = self._documents.end
+        :return: ``False`` if the store was restored from a copy, whose
+            records need not follow what is known here.
+        """
+        generation, start = self._documents.position
         wait_s = (
             _COORDINATOR_POLL_TIMEOUT_S
             if self._is_coordinator()
             else _POLL_TIMEOUT_S
         )
         changes = await self._store.changes(self._topic, start, wait_s)
-        if changes.records and changes.end > self._documents.end:
-            self._documents.apply(changes.records, changes.end, "store")
+        if changes.generation > generation:
+            return False
+        if changes.records and changes.position > self._documents.position:
+            self._documents.apply(changes.records, changes.position, "store")
+        return True
 
     def _set_lost(self, *, lost: bool, why: str) -> None:
         if lost == self.lost:
@@ -103,6 +118,6 @@
                 "name": "store",
                 "state": "lost" if lost else "regained",
                 "why": why,
-                "offset": self._documents.end,
+                "offset": self._documents.position[1],
             },
         )
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -339,7 +339,7 @@
 
     def _log_store_restored(self, before: int, after: int) -> None:
         fields: dict[str, object] = {"from": before, "to": after}
-        fields["offset"] = self.documents.end
+        fields["offset"] = self.documents.position[1]
         fields["control"] = list(self.view.version)
         self.event_log.write("store_restored", fields)
 
@@ -377,7 +377,7 @@
         own.leaving = self.leaving
         own.resigning = self.coordinator.is_resigning
         own.load = self.gate.load
-        own.documents = self.documents.end
+        own.documents = self.documents.position
         own.term, own.revision = self.view.version
 
     def _target_changed(self) -> None:
@@ -414,6 +414,7 @@
             self.holder.adopt(self.view.state)
 
     def _on_member_heard(self, member: Member) -> None:
+        self.store.generation.note(member.documents[0])
         self.peer_fetcher.request_control_state(
             member, (member.term, member.revision)
         )
--- a/src/burdockgap/sidecar/peer_call_handlers.py
+++ b/src/burdockgap/sidecar/peer_call_handlers.py
@@ -54,7 +54,7 @@
 
     async def _documents(self, _payload: Any) -> Any:
         documents = self._node.documents
-        return [documents.raw, documents.end]
+        return [documents.stored, list(documents.position)]
 
     async def _release(self, payload: Any) -> Any:
         service, first, last, fence = payload
--- a/src/burdockgap/sidecar/peer_fetcher.py
+++ b/src/burdockgap/sidecar/peer_fetcher.py
@@ -81,7 +81,7 @@
 
     def request_documents(self, member: Member) -> None:
         """Fetch all documents from a member if it has newer ones."""
-        if member.documents > self._documents.end:
+        if member.documents > self._documents.position:
             self._start_fetch("documents", self._fetch_documents(member))
 
     def _start_fetch(
@@ -120,10 +120,10 @@
             await asyncio.sleep(_DOCUMENTS_DELAY_S)
         elif not self._store_lost():
             await asyncio.sleep(_FIRST_DOCUMENTS_DELAY_S)
-        if member.documents <= self._documents.end:
+        if member.documents <= self._documents.position:
             return
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
-            values, end = await self._peer_connections.call(
+            values, position = await self._peer_connections.call(
                 member.address, GET_DOCUMENTS, None
             )
-        self._documents.replace(values, end, member.name)
+        self._documents.replace(values, tuple(position), member.name)
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -187,6 +187,46 @@
         await site.wait_until(lambda: node.documents.config.version == 13)
 
 
+# CONFIG: no later configuration came in force once the store had
+# returned from an older copy, and daemons read it without a pause.
+async def test_configuration_is_followed_after_a_restore_of_the_store():
+    async with open_site("dispatch", "dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        copy = site.store.copy()
+        for version in ("00000004", "00000005", "00000006"):
+            site.store.put("keyed.op", "config", make_site_config(version))
+        nodes = [machine.node for machine in site.machines]
+        await site.wait_until(
+            lambda: all(node.documents.config.version == 6 for node in nodes)
+        )
+        calls = sum(site.store.calls.values())
+        site.store.restore(copy)
+        await asyncio.sleep(1.0)
+        assert sum(site.store.calls.values()) - calls < 10 * len(nodes)
+        site.store.put("keyed.op", "config", make_site_config("00000007"))
+        await site.wait_until(
+            lambda: all(node.documents.config.version == 7 for node in nodes),
+            timeout_s=2.0,
+        )
+
+
+async def test_restore_of_the_store_is_learned_from_peers():
+    async with open_site("dispatch", "dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        copy = site.store.copy()
+        for version in ("00000004", "00000005", "00000006"):
+            site.store.put("keyed.op", "config", make_site_config(version))
+        cut = site.machines[0].node
+        await site.wait_until(lambda: cut.documents.config.version == 6)
+        cut.store._pool.address = ("127.0.0.1", 1)
+        cut.store._pool.close()
+        site.store.restore(copy)
+        site.store.put("keyed.op", "config", make_site_config("00000007"))
+        await site.wait_until(
+            lambda: cut.documents.config.version == 7, timeout_s=3.0
+        )
+
+
 async def test_keys_are_served_while_store_is_down():
     async with open_site("records", "records") as site:
         await site.wait_until_ready()
