--- a/src/burdockgap/shards/authority.py
+++ b/src/burdockgap/shards/authority.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from burdockgap.shards.lease import AUTHORITY_S, CLOCK_RATE
+from burdockgap.shards.lease import AUTHORITY_S, CLOCK_RATE, MARGIN_S
 
 
 class Authority:
@@ -54,6 +54,10 @@
         )
         return times[len(voters) // 2] + AUTHORITY_S
 
+    def are_earlier_leases_expired(self, now: float) -> bool:
+        """Return whether all leases of earlier coordinators expired."""
+        return self.safe_at is not None and now > self.safe_at + MARGIN_S
+
     def note_majority(self, now: float, voters: tuple[str, ...]) -> None:
         """Start the wait for earlier leases once a majority voted."""
         if self.safe_at is None and self.until(voters) > now:
--- a/src/burdockgap/shards/control_changes.py
+++ b/src/burdockgap/shards/control_changes.py
@@ -28,11 +28,13 @@
     :param voters: names of the new voters.
     :param next_fence: higher than every fencing token used so far.
     :param shards: new and changed ranges by keyed service.
+    :param generation: the store's generation in which it was written.
     """
 
     __slots__ = (
         "base",
         "coordinator",
+        "generation",
         "incarnation",
         "next_fence",
         "revision",
@@ -52,6 +54,7 @@
         voters: tuple[str, ...],
         next_fence: int,
         shards: dict[str, list[Shard]],
+        generation: int,
     ) -> None:
         self.base = base
         self.term = term
@@ -61,6 +64,7 @@
         self.voters = voters
         self.next_fence = next_fence
         self.shards = shards
+        self.generation = generation
 
     @classmethod
     def between(
@@ -79,6 +83,7 @@
                 service: _changed_rows(before.shards.get(service, []), rows)
                 for service, rows in after.shards.items()
             },
+            generation=after.generation,
         )
 
     def apply_to(self, state: ControlState) -> ControlState | None:
@@ -96,6 +101,7 @@
         after.incarnation = self.incarnation
         after.voters = self.voters
         after.next_fence = self.next_fence
+        after.generation = self.generation
         for service, changed in self.shards.items():
             rows = _merge_rows(after.shards.get(service, []), changed)
             if rows is None:
@@ -118,6 +124,7 @@
                     service: [row.values() for row in rows]
                     for service, rows in self.shards.items()
                 },
+                self.generation,
             ]
         )
         return data
@@ -139,6 +146,7 @@
                 voters,
                 next_fence,
                 shards,
+                generation,
             ) = msgpack.unpackb(data)
             return cls(
                 base=(base_term, base_revision),
@@ -152,6 +160,7 @@
                     service: [Shard.from_values(row) for row in rows]
                     for service, rows in shards.items()
                 },
+                generation=generation,
             )
         except (TypeError, ValueError, AttributeError) as exc:
             raise ValueError(f"malformed control changes: {exc}") from exc
--- a/src/burdockgap/shards/control_store.py
+++ b/src/burdockgap/shards/control_store.py
@@ -25,11 +25,25 @@
     :param store: the platform's store.
     """
 
-    __slots__ = ("_end", "_store")
+    __slots__ = ("_end", "_generation", "_store")
 
     def __init__(self, store: KeyedStore) -> None:
         self._store = store
         self._end: int | None = None
+        self._generation = 0
+
+    @property
+    def generation(self) -> int:
+        """The store's generation at the last read."""
+        return self._generation
+
+    def has_lost(self, state: ControlState) -> bool:
+        """
+        Return whether the store may have lost a state, or later ones.
+
+        That is so once it was restored from a copy after the write.
+        """
+        return state.generation < self._store.generation.number
 
     async def read(self) -> ControlState | None:
         """
@@ -44,13 +58,14 @@
             state = ControlState.decode(value) if value is not None else None
         except ValueError as exc:
             raise StoreError(str(exc)) from exc
-        self._end = newest.end
+        self._generation, self._end = newest.position
         return state
 
     async def write(self, state: ControlState) -> None:
         """
         Replace the state that was read or written last.
 
+        :param state: gets the generation of the store set.
         :raises WriteConflict: if another writer wrote in the meantime,
             or the state has to be read again first.
         :raises StoreError: if the outcome is unknown.
@@ -59,5 +74,9 @@
             raise WriteConflict(
                 "the control state has to be read before it is written"
             )
+        if self._generation < self._store.generation.number:
+            # The condition may hold by chance: offsets are used again.
+            raise WriteConflict("the store was restored from a copy")
         at, self._end = self._end, None
+        state.generation = self._generation
         self._end = await self._store.put(_TOPIC, _KEY, state.encode(), at=at)
--- a/src/burdockgap/shards/control_view.py
+++ b/src/burdockgap/shards/control_view.py
@@ -29,7 +29,7 @@
     @property
     def version(self) -> tuple[int, int]:
         """Term and revision of the state."""
-        return self.state.term, self.state.revision
+        return self.state.version
 
     def adopt(self, state: ControlState) -> bool:
         """
@@ -37,7 +37,7 @@
 
         :return: ``False`` if the given state is not newer.
         """
-        if self.known and (state.term, state.revision) <= self.version:
+        if self.known and state.version <= self.version:
             return False
         self.known = True
         self.state = state
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -36,6 +36,10 @@
 _RESIGN_AFTER_S = 0.4
 """Longer than a slow store takes to answer. A store that refuses this
 instance may still serve others, so another member should take over."""
+_INCUMBENT_WAIT_S = 1.0
+"""Time for a coordinator to write its state again to a restored store,
+before another member claims its role with possibly older knowledge."""
+_FIRST_GENERATION = 1
 _VOTER_SETTLE_S = 0.6
 """Time for other members to report before the voters change."""
 
@@ -63,6 +67,7 @@
         "_clock",
         "_failing_since",
         "_datagrams",
+        "_is_recovery",
         "_keyed_services",
         "_on_event",
         "_roster",
@@ -71,6 +76,8 @@
         "_lease_denied_names",
         "_pending_voters",
         "_data_centres_out",
+        "_incumbent_wait",
+        "_recovery_term",
         "term",
     )
 
@@ -94,6 +101,8 @@
         self._keyed_services = keyed_services
         self._data_centres_out = data_centres_out
         self._on_event = on_event
+        self._recovery_term = 0
+        self._incumbent_wait = (0, 0.0)
         self._reset(term=0, is_first=False)
         datagrams.handlers[REPORT] = self._handle_report
 
@@ -122,20 +131,37 @@
             stored = await self._store.read()
             if stored is not None and self._is_own_claim(stored):
                 # An earlier claim took effect, but its reply was lost.
-                self._begin(stored, is_first=stored.term == 1)
+                self._begin(
+                    stored,
+                    is_first=stored.term == 1,
+                    is_recovery=stored.term == self._recovery_term,
+                )
                 return True
             if stored is not None and stored.term > self._view.state.term:
                 # Another member's claim came first.
                 self._view.adopt(stored)
                 return False
-            claimed = self._claimed_state(stored or ControlState())
+            # The store may have lost states that members still know.
+            base = max(
+                stored or ControlState(generation=_FIRST_GENERATION),
+                self._view.state,
+                key=lambda state: state.version,
+            )
+            is_recovery = self._store.has_lost(base)
+            if is_recovery and self._is_incumbent_awaited():
+                return False
+            claimed = self._claimed_state(base)
+            if is_recovery:
+                claimed.recover()
+                self._recovery_term = claimed.term
             await self._store.write(claimed)
         except StoreError as exc:
             self._on_event("claim_failed", {"why": str(exc)})
             return False
-        self._begin(claimed, is_first=stored is None)
-        if stored is not None:
-            self._broadcast_changes(stored, claimed)
+        is_first = base.term == 0 and not is_recovery
+        self._begin(claimed, is_first=is_first, is_recovery=is_recovery)
+        if base.term:
+            self._broadcast_changes(base, claimed)
         return True
 
     async def run(self) -> None:
@@ -156,9 +182,31 @@
             and state.term > self.term
         )
 
+    def _is_incumbent_awaited(self) -> bool:
+        """
+        Return whether the coordinator may still write its state again.
+
+        It knows what the store has lost; nobody else certainly does.
+        """
+        state = self._view.state
+        member = self._roster.member(state.coordinator)
+        if (
+            member is None
+            or member.name == self._roster.own.name
+            or member.incarnation != state.incarnation
+            or not self._roster.is_alive(member.name)
+        ):
+            return False
+        now = self._clock.now()
+        generation, until = self._incumbent_wait
+        if generation != self._store.generation:
+            until = now + _INCUMBENT_WAIT_S
+            self._incumbent_wait = (self._store.generation, until)
+        return now < until
+
     def _claimed_state(self, base: ControlState) -> ControlState:
         claimed = base.successor()
-        claimed.term = base.term + 1
+        claimed.begin_term(self._store.generation)
         claimed.coordinator = self._roster.own.name
         claimed.incarnation = self._roster.own.incarnation
         if not claimed.voters:
@@ -166,8 +214,16 @@
             claimed.voters = tuple(sorted(names))
         return claimed
 
-    def _begin(self, state: ControlState, *, is_first: bool) -> None:
-        self._reset(term=state.term, is_first=is_first)
+    def _begin(
+        self,
+        state: ControlState,
+        *,
+        is_first: bool,
+        is_recovery: bool = False,
+    ) -> None:
+        self._reset(
+            term=state.term, is_first=is_first, is_recovery=is_recovery
+        )
         self._view.adopt(state)
         self._on_event(
             "claimed",
@@ -175,13 +231,17 @@
                 "term": state.term,
                 "revision": state.revision,
                 "next_fence": state.next_fence,
+                "recovery": is_recovery,
                 "voters": len(state.voters),
             },
         )
 
-    def _reset(self, *, term: int, is_first: bool) -> None:
+    def _reset(
+        self, *, term: int, is_first: bool, is_recovery: bool = False
+    ) -> None:
         now = self._clock.now()
         self.term = term
+        self._is_recovery = is_recovery
         self._authority = Authority(now, is_first=is_first)
         self._reports = LatestReports(
             authority=self._authority, since=now, term=term
@@ -207,7 +267,7 @@
         self._authority.note_majority(now, state.voters)
         self._assigner.add_key_samples(report, now)
         lease_s = 0.0
-        if report.name not in self._lease_denied_names:
+        if self._may_lease(report.name, now):
             lease_s = max(min(LEASE_S, self._authority_until() - now), 0.0)
             self._reports.note_lease(report.name, now + lease_s)
         member = self._roster.member(report.name)
@@ -224,6 +284,16 @@
             lease_s,
         )
 
+    def _may_lease(self, name: str, now: float) -> bool:
+        if name in self._lease_denied_names:
+            return False
+        # After a recovery the assignment may not name the members that
+        # hold keys under the lease of an earlier coordinator.
+        return (
+            not self._is_recovery
+            or self._authority.are_earlier_leases_expired(now)
+        )
+
     def _authority_until(self) -> float:
         until = self._authority.until(self._view.state.voters)
         if self._pending_voters:
@@ -240,6 +310,8 @@
         state = before.successor()
         reasons: list[str] = []
         dropped_names: set[str] = set()
+        if self._store.has_lost(before):
+            reasons.append("restored")
         if self._update_voters(state, now, has_authority=has_authority):
             reasons.append("voters")
         if has_authority:
@@ -323,7 +395,7 @@
                 await asyncio.sleep(_TICK_INTERVAL_S * random.uniform(1, 3))
         if stored is None:
             return False
-        if (stored.term, stored.revision) >= (state.term, state.revision):
+        if stored.version >= state.version:
             self._view.adopt(stored)
             return True
         # The write failed or is still in flight. A retry is safe: both
--- a/src/burdockgap/shards/lease.py
+++ b/src/burdockgap/shards/lease.py
@@ -27,11 +27,23 @@
     :ivar until: end of the lease on that clock, in seconds.
     """
 
-    __slots__ = ("_clock", "until")
+    __slots__ = ("_clock", "_lineage", "until")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.until = 0.0
+        self._lineage = 0
+
+    def follow(self, lineage: int) -> None:
+        """
+        End the lease if the control state is of another lineage.
+
+        The lease was for another assignment, which may name other
+        owners than the one that is followed from now on.
+        """
+        if lineage != self._lineage:
+            self._lineage = lineage
+            self.until = 0.0
 
     def extend(self, sent_at: float, lease_s: float) -> None:
         """
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -8,7 +8,11 @@
 
 from burdockgap.fleet.datagrams import LEASE, REPORT
 from burdockgap.metadata.store_error import StoreError
-from burdockgap.shards.lease import REPORT_INTERVAL_S
+from burdockgap.shards.lease import (
+    AUTHORITY_S,
+    CLOCK_RATE,
+    REPORT_INTERVAL_S,
+)
 from burdockgap.shards.reports import TARGET_UNKNOWN, Report
 
 if TYPE_CHECKING:
@@ -152,7 +156,9 @@
         Read the stored state.
 
         Without it, this daemon could vote for a coordinator although an
-        earlier process of it already followed a later one.
+        earlier process of it already followed a later one. If the store
+        may have lost the later one, this waits until the votes of the
+        earlier process no longer count.
         """
         while True:
             try:
@@ -163,6 +169,8 @@
                 await asyncio.sleep(_READ_RETRY_S * random.uniform(0.5, 1.5))
         if state is not None:
             self._view.adopt(state)
+            if self._store.has_lost(state):
+                await asyncio.sleep(AUTHORITY_S * CLOCK_RATE)
         self._answered_at = self._clock.now()
 
     def _report(self) -> None:
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -410,6 +410,7 @@
         self.holder.adopt(self.view.state)
 
     def _control_changed(self) -> None:
+        self.lease.follow(self.view.state.lineage)
         if self.holder is not None:
             self.holder.adopt(self.view.state)
 
--- a/tests/shards/fakes.py
+++ b/tests/shards/fakes.py
@@ -19,12 +19,21 @@
         self.fails = False
         self.drops_replies = False
         self.generation = StoreGeneration()
+        self.generation.note(1)
+
+    def copy(self):
+        return self.value, self.end
+
+    def restore(self, copy):
+        """Return to a copy; the generation is noted as by any call."""
+        self.value, self.end = copy
+        self.generation.note(self.generation.number + 1)
 
     async def newest(self, _topic):
         if self.fails:
             raise StoreError("the store refused the request")
         values = {} if self.value is None else {"state": self.value}
-        return TopicSnapshot(values, self.end)
+        return TopicSnapshot(values, self.end, self.generation.number)
 
     async def put(self, _topic, _key, value, *, at=None):
         if self.fails:
--- a/tests/shards/test_control_changes.py
+++ b/tests/shards/test_control_changes.py
@@ -97,6 +97,7 @@
         voters=(),
         next_fence=9,
         shards={SERVICE: [Shard(50, 60, owner="b", born=1, fence=8)]},
+        generation=0,
     )
     assert changes.apply_to(before) is None
 
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import msgpack
 import pytest
 
 from burdockgap.fleet.datagrams import LEASE, REPORT
+from burdockgap.metadata.store_error import WriteConflict
 from burdockgap.shards.control_state import ControlState
 from burdockgap.shards.control_store import ControlStore
 from burdockgap.shards.control_view import ControlView
@@ -12,7 +14,7 @@
 from burdockgap.shards.lease import AUTHORITY_S, LEASE_S
 from burdockgap.shards.reports import TARGET_UNKNOWN
 from tests.gate.fakes import FakeClock
-from tests.shards.builders import SERVICE, make_report
+from tests.shards.builders import SERVICE, make_member, make_report
 from tests.shards.fakes import FakeDatagrams, FakeStore, make_roster
 
 NAMES = ("a", "b", "c")
@@ -270,3 +272,118 @@
     harness.born["c"] = 0
     await harness.advance(4.0, *NAMES)
     assert harness.owners() == {"a", "b"}
+
+
+async def lose_moves(harness):
+    """Return a copy of the store, and the highest token used since."""
+    copy = harness.store.copy()
+    for born in range(10, 14):
+        harness.born["c"] = born
+        await harness.advance(0.3, *NAMES)
+    rows = harness.view.state.shards[SERVICE]
+    return copy, max(row.fence for row in rows)
+
+
+# OWNER: a coordinator that claimed its role after the store had
+# returned from an older copy gave out fencing tokens a second time.
+async def test_tokens_after_a_restore_exceed_those_that_the_store_lost():
+    store = FakeStore()
+    old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
+    await old.coordinator.claim()
+    await old.advance(1.0, *NAMES)
+    copy, highest = await lose_moves(old)
+    store.restore(copy)
+    new.coordinator._roster._entries.clear()
+    while not await new.coordinator.claim():
+        assert new.view.state.term <= old.view.state.term
+    rows = new.view.state.shards[SERVICE]
+    assert min(row.fence for row in rows) > highest
+    assert new.view.state.term > old.view.state.term
+    assert new.view.state.lineage != old.view.state.lineage
+
+
+# OWNER: the copy may not name the owners whose leases still run.
+@pytest.mark.parametrize("drops_reply", [False, True])
+async def test_no_lease_after_a_recovery_until_earlier_ones_expired(
+    drops_reply,
+):
+    store = FakeStore()
+    old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
+    await old.coordinator.claim()
+    await old.advance(1.0, *NAMES)
+    copy, _ = await lose_moves(old)
+    store.restore(copy)
+    new.coordinator._roster._entries.clear()
+    assert not await new.coordinator.claim()  # learns the stored state
+    store.drops_replies = drops_reply
+    await new.coordinator.claim()
+    store.drops_replies = False
+    if drops_reply:
+        assert await new.coordinator.claim()
+    for name in NAMES:
+        new.coordinator._roster.record_announcement(make_member(name))
+    await new.advance(AUTHORITY_S - 0.1, "a", "b")
+    new.report("a")
+    assert new.lease_s() == 0.0
+    await new.advance(0.4, "a", "b")
+    new.report("a")
+    assert new.lease_s() > 0.0
+
+
+async def test_coordinator_writes_its_state_again_to_a_restored_store():
+    harness = CoordinatorHarness()
+    await harness.coordinator.claim()
+    await harness.advance(1.0, *NAMES)
+    copy, _ = await lose_moves(harness)
+    known = harness.view.state
+    harness.store.restore(copy)
+    await harness.advance(0.1, *NAMES)
+    stored = harness.store.state
+    assert (stored.term, stored.revision) == (known.term, known.revision + 1)
+    assert stored.next_fence == known.next_fence
+    assert stored.generation == 2
+    harness.report("a")
+    assert harness.lease_s() > 0.0
+    await harness.advance(1.0, *NAMES)
+    assert harness.store.state.revision == stored.revision
+
+
+async def test_claim_after_a_restore_waits_for_the_coordinator():
+    store = FakeStore()
+    old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
+    await old.coordinator.claim()
+    await old.advance(1.0, *NAMES)
+    new.view.adopt(old.view.state)
+    store.restore(store.copy())
+    assert not await new.coordinator.claim()
+    assert store.state.coordinator == "a"
+    new.clock.seconds += 1.1
+    assert await new.coordinator.claim()
+
+
+async def test_all_state_lost_is_not_a_first_start():
+    store = FakeStore()
+    store.restore(store.copy())
+    harness = CoordinatorHarness(store)
+    assert await harness.coordinator.claim()
+    await harness.advance(1.0, *NAMES)
+    assert harness.lease_s() == 0.0
+    await harness.advance(1.4, *NAMES)
+    assert harness.lease_s() > 0.0
+    assert harness.view.state.lineage == 1
+
+
+async def test_late_write_does_not_meet_its_condition_by_chance():
+    harness = CoordinatorHarness()
+    await harness.coordinator.claim()
+    store = ControlStore(harness.store)
+    state = await store.read()
+    harness.store.restore(harness.store.copy())
+    with pytest.raises(WriteConflict):
+        await store.write(state.successor())
+
+
+def test_control_state_of_an_earlier_version_is_read():
+    values = msgpack.unpackb(ControlState(term=3, revision=4).encode())
+    state = ControlState.decode(msgpack.packb(values[:7]))
+    assert (state.version, state.generation) == ((3, 4), 0)
--- a/tests/shards/test_reporter.py
+++ b/tests/shards/test_reporter.py
@@ -12,7 +12,7 @@
 from burdockgap.shards.control_state import ControlState
 from burdockgap.shards.control_store import ControlStore
 from burdockgap.shards.control_view import ControlView
-from burdockgap.shards.lease import Lease
+from burdockgap.shards.lease import AUTHORITY_S, CLOCK_RATE, Lease
 from burdockgap.shards.reporter import Reporter
 from burdockgap.shards.reports import Report
 from tests.forward.builders import GateHarness
@@ -112,3 +112,36 @@
     took_s = claims[0] - started_at
     assert took_s > 1.1 + 6 * 0.25
     assert len(datagrams.sent) > took_s / 0.3 - 2
+
+
+# OWNER: the earlier process of a restarted daemon may have followed a
+# later coordinator than the one that a restored store names.
+async def test_no_report_while_votes_of_an_earlier_process_may_count(
+    monkeypatch,
+):
+    pauses = []
+
+    async def sleep(seconds):
+        pauses.append(seconds)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    reporter = make_reporter(FakeDatagrams())
+    store = FakeStore()
+    reporter._store = ControlStore(store)
+    await reporter._read_stored_state()
+    store.value = ControlState(term=1, generation=1).encode()
+    await reporter._read_stored_state()
+    assert not pauses
+    store.restore(store.copy())
+    await reporter._read_stored_state()
+    assert pauses == [AUTHORITY_S * CLOCK_RATE]
+
+
+def test_lease_ends_with_the_lineage_of_the_control_state():
+    lease = Lease(FakeClock())
+    lease.follow(0)
+    lease.extend(0.0, 1.5)
+    lease.follow(0)
+    assert lease.until == 1.5
+    lease.follow(1)
+    assert lease.until == 0.0
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -227,6 +227,43 @@
         )
 
 
+# OWNER: after the store had returned from an older copy, servers got
+# fencing tokens that others had had before.
+async def test_fencing_tokens_rise_when_the_coordinator_dies_after_a_restore():
+    async with open_site("records", "records", "dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        copy = site.store.copy()
+        restarted = site.machines[0]
+        for born in (5000, 6000, 7000):
+            restarted.born = born
+            await asyncio.sleep(0.5)
+        await site.wait_until_ready()
+        apps = [machine.app for machine in site.machines]
+        highest = max(max(app.fences.values(), default=0) for app in apps)
+        victim = next(
+            machine
+            for machine in site.machines
+            if machine.node.coordinator.is_active
+        )
+        site.store.restore(copy)
+        await victim.kill()
+        for app in apps:
+            app.fences.clear()
+            app.grants.clear()
+        survivors = [
+            machine for machine in site.machines if machine is not victim
+        ]
+        await site.wait_until(
+            lambda: any(
+                machine.node.coordinator.is_active for machine in survivors
+            )
+        )
+        await asyncio.sleep(4.0)
+        tokens = [token for app in apps for token in app.fences.values()]
+        assert tokens
+        assert min(tokens) > highest
+
+
 async def test_keys_are_served_while_store_is_down():
     async with open_site("records", "records") as site:
         await site.wait_until_ready()
