--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -7,10 +7,12 @@
 import pytest
 
 from standins.sidecar.documents import make_site_config
-from tests.sidecar.builders import open_site
+from tests.sidecar.builders import Machine, open_site
 
 pytestmark = pytest.mark.anyio
 
+MEMBERS = "keyed.burdockgap-members"
+
 
 @pytest.fixture
 def anyio_backend():
@@ -264,6 +266,43 @@
         assert min(tokens) > highest
 
 
+# A member whose entry a restored store had lost and one that started
+# later never learned of each other.
+async def test_members_find_each_other_after_a_restore_of_the_store():
+    async with open_site("dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        first, lost = site.machines
+        copy = site.store.copy()
+        copy[MEMBERS] = [row for row in copy[MEMBERS] if row[0] != lost.name]
+        site.store.restore(copy)
+        await site.wait_until(
+            lambda: dict(site.store.topics[MEMBERS]).get(lost.name)
+        )
+        newcomer = Machine(site, 9, "dispatch")
+        site.machines.append(newcomer)
+        await newcomer.start_app()
+        await newcomer.start()
+        await site.wait_until(
+            lambda: (
+                lost.node.roster.is_alive(newcomer.name)
+                and newcomer.node.roster.is_alive(lost.name)
+                and newcomer.node.roster.is_alive(first.name)
+            )
+        )
+
+
+async def test_withdrawn_member_does_not_register_again():
+    async with open_site("dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        leaving = site.machines[0]
+        await leaving.node.discovery.withdraw()
+        site.store.restore(site.store.copy())
+        await asyncio.sleep(2.0)
+        assert leaving.name not in {
+            key for key, value in site.store.topics[MEMBERS][-2:] if value
+        }
+
+
 async def test_keys_are_served_while_store_is_down():
     async with open_site("records", "records") as site:
         await site.wait_until_ready()
