--- a/standins/sidecar/app_server.py
+++ b/standins/sidecar/app_server.py
@@ -23,6 +23,8 @@
     :ivar requests: the requests that were started, oldest first.
     :ivar grants: held ranges as (first key, last key, fencing token,
         expiry in event loop time), newest last.
+    :ivar accepted: all grants that were accepted, as (event loop time,
+        first key, last key, fencing token).
     :ivar handovers: handover texts received with grants.
     :ivar shed: whether to reject all requests as not executed.
     :ivar omit_seal: whether to leave the seal header out of responses.
@@ -42,6 +44,7 @@
         self.runs: list[str] = []
         self.requests: list[Request] = []
         self.grants: list[tuple[int, int, int, float]] = []
+        self.accepted: list[tuple[float, int, int, int]] = []
         self.handovers: list[str] = []
         self.shed = False
         self.omit_seal = False
@@ -106,6 +109,7 @@
             if grant[1] < first or grant[0] > last
         ]
         self.grants.append((first, last, fence, now + hold_s))
+        self.accepted.append((now, first, last, fence))
         if body.get("handover"):
             self.handovers.append(str(body["handover"]))
         return Response(200)
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -193,6 +193,25 @@
         """Return the machines whose server holds a key."""
         return [machine for machine in self.machines if machine.app.holds(key)]
 
+    def held_tokens(self):
+        """Return the token of each grant that has not expired."""
+        now = asyncio.get_running_loop().time()
+        return {
+            (machine.name, token)
+            for machine in self.machines
+            for _, _, token, expires_at in machine.app.grants
+            if expires_at > now
+        }
+
+    def accepted_tokens(self, since):
+        """Return the token of each grant since a time of the loop."""
+        return {
+            (machine.name, token)
+            for machine in self.machines
+            for time, _, _, token in machine.app.accepted
+            if time >= since
+        }
+
     async def wait_until(self, condition, timeout_s=5.0):
         """Wait until a condition is true."""
         async with asyncio.timeout(timeout_s):
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -240,8 +240,6 @@
             restarted.born = born
             await asyncio.sleep(0.5)
         await site.wait_until_ready()
-        apps = [machine.app for machine in site.machines]
-        highest = max(max(app.fences.values(), default=0) for app in apps)
         victim = next(
             machine
             for machine in site.machines
@@ -249,9 +247,9 @@
         )
         site.store.restore(copy)
         await victim.kill()
-        for app in apps:
-            app.fences.clear()
-            app.grants.clear()
+        killed_at = asyncio.get_running_loop().time()
+        renewable = site.held_tokens()
+        highest = max(token for _, token in site.accepted_tokens(0.0))
         survivors = [
             machine for machine in site.machines if machine is not victim
         ]
@@ -261,9 +259,9 @@
             )
         )
         await asyncio.sleep(4.0)
-        tokens = [token for app in apps for token in app.fences.values()]
-        assert tokens
-        assert min(tokens) > highest
+        new = site.accepted_tokens(killed_at) - renewable
+        assert new
+        assert min(token for _, token in new) > highest
 
 
 # A member whose entry a restored store had lost and one that started
