--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -346,6 +346,7 @@
                 )
                 if await self._resolve_failed_write(state):
                     return
+                await asyncio.sleep(_TICK_INTERVAL_S)
                 continue
             self._failing_since = None
             self._broadcast_changes(before, state)
