--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -105,9 +105,12 @@
     def _handle_frame(self, frame: list[Any]) -> None:
         if frame[0] == CALL:
             call_id = frame[1]
-            self._tasks[call_id] = self._loop.create_task(
+            started = self._tasks[call_id] = self._loop.create_task(
                 self._run_call(call_id, frame[2], frame[3])
             )
+            # Not in the coroutine, no part of which runs if the task is
+            # cancelled before it starts.
+            started.add_done_callback(lambda _: self._tasks.pop(call_id, None))
         elif frame[0] == CANCEL:
             task = self._tasks.get(frame[1])
             if task is not None:
@@ -127,8 +130,6 @@
             self.close()
         else:
             await self._send_reply(call_id, reply)
-        finally:
-            self._tasks.pop(call_id, None)
 
     async def _send_reply(self, call_id: int, reply: Any) -> None:
         transport, uplink = self._transport, self._uplink
--- a/tests/hop/test_peer_connection.py
+++ b/tests/hop/test_peer_connection.py
@@ -287,3 +287,19 @@
         await asyncio.sleep(0.05)
         assert not is_busy()
         writer.close()
+
+
+async def test_call_cancelled_before_it_starts_leaves_the_listener_idle():
+    """Such a call held up a planned stop until its time limit."""
+
+    async def wait(_payload):
+        await asyncio.sleep(10)
+
+    port = free_port()
+    async with open_listener({1: wait}, HOST, port) as is_busy:
+        _, writer = await asyncio.open_connection(HOST, port)
+        # In one segment: both are handled before the call's task runs.
+        writer.write(encode_frame(CALL, 1, 1, None) + encode_frame(CANCEL, 1))
+        await asyncio.sleep(0.2)
+        assert not is_busy()
+        writer.close()
