--- a/src/burdockgap/http1/server.py
+++ b/src/burdockgap/http1/server.py
@@ -84,7 +84,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of connections with an unanswered request or bytes."""
+        """Number of connections that would be cut off if closed now."""
         return sum(conn.busy for conn in self.connections)
 
     def now(self) -> float:
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -66,9 +66,12 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request or a part of a response is in progress."""
+        """Whether a part of a request or a response is in progress."""
         return bool(
-            self._pipeline or self._closed_at is not None or self._unsent_bytes
+            self._pipeline
+            or self._reader.is_reading
+            or self._closed_at is not None
+            or self._unsent_bytes
         )
 
     @property
@@ -133,7 +136,7 @@
         else:
             idle_s = now - self._idle_since
             overdue = idle_s > self._server.limits.idle_timeout_s
-            overdue = overdue and not (self.busy or self._reader.is_reading)
+            overdue = overdue and not self.busy
         if overdue:
             self.close()
         return overdue
--- a/tests/sidecar/test_shutdown.py
+++ b/tests/sidecar/test_shutdown.py
@@ -64,6 +64,35 @@
             assert await stop
 
 
+async def test_stop_answers_a_request_that_is_still_arriving():
+    """Its caller got a closed connection instead of an answer."""
+    async with open_site("dispatch") as site:
+        await site.wait_until_ready()
+        (machine,) = site.machines
+        reader, writer = await asyncio.open_connection(
+            HOST, machine.callers_port
+        )
+        headers = [
+            ("Host", "a.example"),
+            ("Attempt-Id", "r1"),
+            ("Deadline-Milliseconds", "5000"),
+        ]
+        data = encode_request("POST", "/book/1", headers, b"body")
+        writer.write(data[:-2])
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(_shut_down(machine.node))
+        await asyncio.sleep(2.9)
+        assert not stop.done()
+        writer.write(data[-2:])
+        # The only daemon of the service is leaving.
+        assert b"503 Service Unavailable" in await read_head(reader)
+        assert await reader.read() == b""
+        assert machine.app.runs == []
+        writer.close()
+        async with asyncio.timeout(2):
+            assert await stop
+
+
 class SuspendedClock:
     """A clock that counts a suspension of the machine."""
 
