--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -155,3 +155,18 @@
         assert b"100 Continue" in await read_head(reader)
         writer.write(b"x")
         assert b"200 OK" in await read_head(reader)
+
+
+async def test_request_that_was_read_and_not_started_counts_as_in_flight():
+    """A planned stop closed its connection without an answer (LOST)."""
+    recorder = Recorder()
+    async with open_http_server(recorder.answer) as (server, reader, _):
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        (conn,) = server.connections
+        await asyncio.sleep(0.05)
+        # The connection's task runs after this iteration of the loop.
+        conn.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert server.in_flight == 1
+        server.close_idle()
+        assert b"200 OK" in await read_head(reader)
