--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -93,6 +94,8 @@
         seconds.
     :ivar in_flight: callers' requests that are being served.
     :ivar closed: whether new requests are refused.
+    :ivar ends_at: when the process ends, on the event loop's clock;
+        requests that may take longer are refused.
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         "_roster",
         "_view",
         "closed",
+        "ends_at",
         "in_flight",
     )
 
@@ -142,6 +146,7 @@
         self._on_event = on_event
         self.in_flight = 0
         self.closed = False
+        self.ends_at = math.inf
 
     def is_idempotent(self, host: str, path: str) -> bool:
         """Return whether requests to a host and path may run twice."""
@@ -166,6 +171,10 @@
                 "no route matches the host and path",
                 config=config.version,
             )
+        if _deadline(req, route) + _REPLY_GRACE_S > self.ends_at:
+            return self._refuse(
+                req, 503, "the daemon ends before the request's deadline"
+            )
         service = route.pick_service()
         policy = config.services.get(service)
         is_keyed = policy is not None and policy.keyed
@@ -196,8 +205,7 @@
         *,
         is_keyed: bool,
     ) -> Response:
-        wait_s = min(req.wait_s or _DEFAULT_TIMEOUT_S, route.timeout_s)
-        deadline = req.arrived_at + wait_s
+        deadline = _deadline(req, route)
         self._budget(service).note_request(self._loop.time())
         call = Call(
             request_id=req.request_id,
@@ -211,7 +219,7 @@
             idempotent=route.idempotent,
             large=route.large,
             priority=route.priority,
-            deadline_s=wait_s,
+            deadline_s=deadline - req.arrived_at,
             patience_s=0.0,
         )
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
@@ -444,3 +452,9 @@
                 "ms": round(took_s * 1000, 1),
             },
         )
+
+
+def _deadline(req: CallerRequest, route: Route) -> float:
+    """Return a request's deadline, on the event loop's clock."""
+    wait_s = min(req.wait_s or _DEFAULT_TIMEOUT_S, route.timeout_s)
+    return req.arrived_at + wait_s
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -302,6 +302,10 @@
         self.gate.leaving = True
         self._beacons.changed()
 
+    def refuse_longer_than(self, seconds: float) -> None:
+        """Refuse new requests that may take longer than this."""
+        self.forwarder.ends_at = asyncio.get_running_loop().time() + seconds
+
     def stop_accepting(self) -> None:
         """Refuse all new requests with the verdict "not run"."""
         self.forwarder.closed = True
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -149,12 +149,14 @@
     started_at = clock.now()
     if node.target.left or not node.target.up:
         node.reporter.spawn(node.discovery.withdraw())
-    while clock.now() < started_at + node.cfg.grace_s * _MAX_SHUTDOWN_SHARE:
-        elapsed_s = clock.now() - started_at
+    max_shutdown_s = node.cfg.grace_s * _MAX_SHUTDOWN_SHARE
+    while (elapsed_s := clock.now() - started_at) < max_shutdown_s:
         if elapsed_s > node.cfg.grace_s * _ACCEPT_SHARE:
             node.stop_accepting()
-        if elapsed_s > _MIN_SHUTDOWN_S and not node.in_flight:
-            break
+        if elapsed_s > _MIN_SHUTDOWN_S:
+            if not node.in_flight:
+                break
+            node.refuse_longer_than(max_shutdown_s - elapsed_s)
         await asyncio.sleep(_POLL_INTERVAL_S)
     node.stop_accepting()
     node.caller_server.close_idle()
--- a/tests/sidecar/test_shutdown.py
+++ b/tests/sidecar/test_shutdown.py
@@ -8,6 +8,12 @@
 
 from burdockgap.http1.encode import encode_request
 from burdockgap.sidecar.run import _shut_down
+from standins.sidecar.documents import (
+    make_config,
+    make_limits,
+    make_route,
+    make_service,
+)
 from tests.http1.sockets import read_head
 from tests.sidecar.builders import HOST, open_site
 
@@ -93,6 +99,43 @@
             assert await stop
 
 
+async def test_late_request_that_can_not_be_completed_is_refused():
+    """The process ended while it was in progress (LOST)."""
+    async with open_site("dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        leaving, other = site.machines
+        leaving.app.work_s = other.app.work_s = 4.0
+        config = make_config(
+            make_route("crew", "dispatch", timeout="5000ms"),
+            make_service("dispatch"),
+            make_limits(),
+            version="00000004",
+        )
+        site.store.put("keyed.op", "config", config)
+        documents = leaving.node.documents
+        await site.wait_until(
+            lambda: documents.config.find("a.example", "/crew/1").timeout_s > 4
+        )
+        first, first_writer = await asyncio.open_connection(
+            HOST, leaving.callers_port
+        )
+        late, late_writer = await asyncio.open_connection(
+            HOST, leaving.callers_port
+        )
+        first_writer.write(encode_get("r1"))
+        await asyncio.sleep(0.1)
+        stop = asyncio.create_task(_shut_down(leaving.node))
+        await asyncio.sleep(3.0)
+        late_writer.write(encode_get("r2"))
+        assert b"503 Service Unavailable" in await read_head(late)
+        assert b"200 OK" in await read_head(first)
+        async with asyncio.timeout(2):
+            assert await stop
+        assert "r2" not in leaving.app.runs + other.app.runs
+        first_writer.close()
+        late_writer.close()
+
+
 class SuspendedClock:
     """A clock that counts a suspension of the machine."""
 
