--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -129,7 +129,11 @@
         """
         try:
             stored = await self._store.read()
-            if stored is not None and self._is_own_claim(stored):
+            if (
+                stored is not None
+                and self._is_own_claim(stored)
+                and not self._store.has_lost(stored)
+            ):
                 # An earlier claim took effect, but its reply was lost.
                 self._begin(
                     stored,
@@ -311,6 +315,9 @@
         reasons: list[str] = []
         dropped_names: set[str] = set()
         if self._store.has_lost(before):
+            if not has_authority:
+                self._give_up_unless_recent(now)
+                return
             reasons.append("restored")
         if self._update_voters(state, now, has_authority=has_authority):
             reasons.append("voters")
@@ -327,6 +334,18 @@
             self._lease_denied_names = set()
             self._pending_voters = ()
 
+    def _give_up_unless_recent(self, now: float) -> None:
+        """
+        End the term if its state was lost and no majority follows it.
+
+        A later claim may be lost as well. Only a majority or a claim of
+        a new term can rule out that another coordinator acts.
+        """
+        if now - self._reports.since < _NO_MAJORITY_TIMEOUT_S:
+            return
+        self._on_event("term_ended", {"term": self.term})
+        self._reset(term=0, is_first=False)
+
     async def _write(
         self, before: ControlState, state: ControlState, reasons: list[str]
     ) -> None:
@@ -393,11 +412,17 @@
                 break
             except StoreError:
                 await asyncio.sleep(_TICK_INTERVAL_S * random.uniform(1, 3))
-        if stored is None:
-            return False
-        if stored.version >= state.version:
+        if stored is not None and stored.version >= state.version:
             self._view.adopt(stored)
             return True
+        if (
+            self._store.has_lost(state)
+            and self._authority_until() <= self._clock.now()
+        ):
+            # The copy does not show whether this member was replaced.
+            return True
+        if stored is None:
+            return False
         # The write failed or is still in flight. A retry is safe: both
         # require the same offset, so at most one of them takes effect.
         return self._view.state.term != self.term
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -387,3 +387,52 @@
     values = msgpack.unpackb(ControlState(term=3, revision=4).encode())
     state = ControlState.decode(msgpack.packb(values[:7]))
     assert (state.version, state.generation) == ((3, 4), 0)
+
+
+async def depose_and_lose_claim():
+    """
+    Depose ``a`` by a claim that a restore of the store then loses.
+
+    :return: the coordinators ``a``, which has not heard of the claim,
+        and ``b``.
+    """
+    store = FakeStore()
+    old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
+    await old.coordinator.claim()
+    await old.advance(1.0, *NAMES)
+    copy = store.copy()
+    new.view.adopt(old.view.state)
+    new.clock.seconds = old.clock.seconds
+    await new.coordinator.claim()
+    await new.advance(2.5, "b", "c")
+    old.clock.seconds = new.clock.seconds
+    store.restore(copy)
+    return old, new
+
+
+# OWNER: the copy does not show a later claim, so only a majority can
+# confirm that a coordinator is still the only one.
+async def test_coordinator_without_majority_does_not_write_a_lost_state():
+    old, _ = await depose_and_lose_claim()
+    known = old.store.state.version
+    await old.advance(4.5, "a")
+    old.report("a")
+    assert old.lease_s() == 0.0
+    await old.advance(4.0, "a")
+    assert old.store.state.version == known
+
+
+async def test_coordinator_without_majority_recovers_by_a_new_claim():
+    old, _ = await depose_and_lose_claim()
+    await old.advance(8.0, "a")
+    assert not old.coordinator.is_active
+    assert await old.coordinator.claim()
+    assert old.view.state.lineage == 1
+
+
+# OWNER: a write that was planned before the restore was repeated after
+# it, although another coordinator may have acted in between.
+async def test_write_is_not_repeated_on_a_restored_copy_without_majority():
+    old, _ = await depose_and_lose_claim()
+    planned = old.view.state.successor()
+    assert await old.coordinator._resolve_failed_write(planned)
