--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -157,6 +157,7 @@
             claimed = self._claimed_state(base)
             if is_recovery:
                 claimed.recover()
+                claimed.voters = self._known_names(claimed.voters)
                 self._recovery_term = claimed.term
             await self._store.write(claimed)
         except StoreError as exc:
@@ -208,6 +209,16 @@
             self._incumbent_wait = (self._store.generation, until)
         return now < until
 
+    def _known_names(self, voters: tuple[str, ...]) -> tuple[str, ...]:
+        """
+        Return the names of the given voters and of all known members.
+
+        An outdated state may name too few voters, whose majority need
+        not include any follower of an earlier coordinator.
+        """
+        names = {entry.member.name for entry in self._roster.entries()}
+        return tuple(sorted({*voters, *names, self._roster.own.name}))
+
     def _claimed_state(self, base: ControlState) -> ControlState:
         claimed = base.successor()
         claimed.begin_term(self._store.generation)
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -436,3 +436,22 @@
     old, _ = await depose_and_lose_claim()
     planned = old.view.state.successor()
     assert await old.coordinator._resolve_failed_write(planned)
+
+
+# OWNER: an outdated copy may name too few voters, and their majority
+# says nothing about members that follow an earlier coordinator.
+async def test_voters_after_a_recovery_include_all_known_members():
+    store = FakeStore()
+    old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
+    await old.coordinator.claim()
+    state = store.state
+    state.voters = ("b",)
+    new.view.adopt(state)
+    store.restore((state.encode(), store.end))
+    new.clock.seconds += 5.0
+    while not await new.coordinator.claim():
+        new.clock.seconds += 1.1
+    assert set(new.view.state.voters) == set(NAMES)
+    await new.advance(AUTHORITY_S + 1.0, "b")
+    new.report("b")
+    assert new.lease_s() == 0.0
