--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -39,6 +39,9 @@
 _CONFLICT_STATUSES = (409, 412)
 _LENGTH_STRUCT = struct.Struct(">I")
 _OFFSETS_STRUCT = struct.Struct(">QQ")
+_MAX_DIGITS = 9
+"""Terms of a generation begin at 2**32 times its number and have to fit
+into 64 bits."""
 
 
 class StoreClient:
@@ -161,13 +164,12 @@
 
 def _decode_generation(response: Response) -> int:
     """Return the store's generation, 0 if the response has none."""
-    text = response.header(STORE_GENERATION) or "0"
-    try:
+    text = response.header(STORE_GENERATION)
+    if text is None:
+        return 0
+    if text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS:
         return int(text)
-    except ValueError as exc:
-        raise StoreError(
-            f"generation {text!r} of the store is not a number"
-        ) from exc
+    raise StoreError(f"generation {text[:40]!r} of the store is not a number")
 
 
 def _require_field(source: Any, name: str, kind: type[T]) -> T:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -177,3 +177,22 @@
         client = StoreClient(address[:2])
         with pytest.raises(StoreError, match="not a number"):
             await client.newest(TOPIC)
+
+
+# A single malformed response would stop a daemon's announcements for
+# good, and those of all members that heard its last one.
+@pytest.mark.parametrize(
+    "text", ["-1", "1" * 12, "1" * 5000, "1_0", "+1", "\u0661", "1.0", ""]
+)
+async def test_generation_out_of_range_is_not_taken_over(text):
+    body = f"HTTP/1.1 200 OK\r\nStore-Era: {text}\r\nContent-Length: 2\r\n\r\n"
+
+    async def answer(reader, writer):
+        await read_head(reader)
+        writer.write(body.encode() + b"{}")
+
+    async with open_scripted_server(answer) as address:
+        client = StoreClient(address[:2])
+        with pytest.raises(StoreError):
+            await client.newest(TOPIC)
+        assert client.generation.number == 0
