--- a/src/burdockgap/shards/control_store.py
+++ b/src/burdockgap/shards/control_store.py
@@ -12,6 +12,7 @@
 
 _TOPIC = "keyed.burdockgap-control"
 _KEY = "state"
+_FIRST_GENERATION = 1
 
 
 class ControlStore:
@@ -37,13 +38,16 @@
         """The store's generation at the last read."""
         return self._generation
 
-    def has_lost(self, state: ControlState) -> bool:
+    def has_lost(self, state: ControlState | None) -> bool:
         """
         Return whether the store may have lost a state, or later ones.
 
         That is so once it was restored from a copy after the write.
+
+        :param state: ``None`` stands for a store without any state.
         """
-        return state.generation < self._store.generation.number
+        generation = _FIRST_GENERATION if state is None else state.generation
+        return generation < self._store.generation.number
 
     async def read(self) -> ControlState | None:
         """
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -39,7 +39,6 @@
 _INCUMBENT_WAIT_S = 1.0
 """Time for a coordinator to write its state again to a restored store,
 before another member claims its role with possibly older knowledge."""
-_FIRST_GENERATION = 1
 _VOTER_SETTLE_S = 0.6
 """Time for other members to report before the voters change."""
 
@@ -147,11 +146,11 @@
                 return False
             # The store may have lost states that members still know.
             base = max(
-                stored or ControlState(generation=_FIRST_GENERATION),
+                stored or ControlState(),
                 self._view.state,
                 key=lambda state: state.version,
             )
-            is_recovery = self._store.has_lost(base)
+            is_recovery = self._store.has_lost(base if base.term else None)
             if is_recovery and self._is_incumbent_awaited():
                 return False
             claimed = self._claimed_state(base)
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -169,8 +169,8 @@
                 await asyncio.sleep(_READ_RETRY_S * random.uniform(0.5, 1.5))
         if state is not None:
             self._view.adopt(state)
-            if self._store.has_lost(state):
-                await asyncio.sleep(AUTHORITY_S * CLOCK_RATE)
+        if self._store.has_lost(state):
+            await asyncio.sleep(AUTHORITY_S * CLOCK_RATE)
         self._answered_at = self._clock.now()
 
     def _report(self) -> None:
--- a/tests/shards/test_reporter.py
+++ b/tests/shards/test_reporter.py
@@ -137,6 +137,23 @@
     assert pauses == [AUTHORITY_S * CLOCK_RATE]
 
 
+# OWNER: a copy from before the first claim has no state at all, but the
+# earlier process may have followed a coordinator.
+async def test_no_report_at_once_if_the_store_lost_all_states(monkeypatch):
+    pauses = []
+
+    async def sleep(seconds):
+        pauses.append(seconds)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    reporter = make_reporter(FakeDatagrams())
+    store = FakeStore()
+    reporter._store = ControlStore(store)
+    store.restore(store.copy())
+    await reporter._read_stored_state()
+    assert pauses == [AUTHORITY_S * CLOCK_RATE]
+
+
 def test_lease_ends_with_the_lineage_of_the_control_state():
     lease = Lease(FakeClock())
     lease.follow(0)
