--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -39,7 +39,6 @@
 _INCUMBENT_WAIT_S = 1.0
 """Time for a coordinator to write its state again to a restored store,
 before another member claims its role with possibly older knowledge."""
-_FIRST_GENERATION = 1
 _VOTER_SETTLE_S = 0.6
 """Time for other members to report before the voters change."""
 
@@ -129,7 +128,11 @@
         """
         try:
             stored = await self._store.read()
-            if stored is not None and self._is_own_claim(stored):
+            if (
+                stored is not None
+                and self._is_own_claim(stored)
+                and not self._store.has_lost(stored)
+            ):
                 # An earlier claim took effect, but its reply was lost.
                 self._begin(
                     stored,
@@ -143,16 +146,17 @@
                 return False
             # The store may have lost states that members still know.
             base = max(
-                stored or ControlState(generation=_FIRST_GENERATION),
+                stored or ControlState(),
                 self._view.state,
                 key=lambda state: state.version,
             )
-            is_recovery = self._store.has_lost(base)
+            is_recovery = self._store.has_lost(base if base.term else None)
             if is_recovery and self._is_incumbent_awaited():
                 return False
             claimed = self._claimed_state(base)
             if is_recovery:
                 claimed.recover()
+                claimed.voters = self._known_names(claimed.voters)
                 self._recovery_term = claimed.term
             await self._store.write(claimed)
         except StoreError as exc:
@@ -204,6 +208,16 @@
             self._incumbent_wait = (self._store.generation, until)
         return now < until
 
+    def _known_names(self, voters: tuple[str, ...]) -> tuple[str, ...]:
+        """
+        Return the names of the given voters and of all known members.
+
+        An outdated state may name too few voters, whose majority need
+        not include any follower of an earlier coordinator.
+        """
+        names = {entry.member.name for entry in self._roster.entries()}
+        return tuple(sorted({*voters, *names, self._roster.own.name}))
+
     def _claimed_state(self, base: ControlState) -> ControlState:
         claimed = base.successor()
         claimed.begin_term(self._store.generation)
@@ -311,6 +325,9 @@
         reasons: list[str] = []
         dropped_names: set[str] = set()
         if self._store.has_lost(before):
+            if not has_authority:
+                self._give_up_unless_recent(now)
+                return
             reasons.append("restored")
         if self._update_voters(state, now, has_authority=has_authority):
             reasons.append("voters")
@@ -327,6 +344,18 @@
             self._lease_denied_names = set()
             self._pending_voters = ()
 
+    def _give_up_unless_recent(self, now: float) -> None:
+        """
+        End the term if its state was lost and no majority follows it.
+
+        A later claim may be lost as well. Only a majority or a claim of
+        a new term can rule out that another coordinator acts.
+        """
+        if now - self._reports.since < _NO_MAJORITY_TIMEOUT_S:
+            return
+        self._on_event("term_ended", {"term": self.term})
+        self._reset(term=0, is_first=False)
+
     async def _write(
         self, before: ControlState, state: ControlState, reasons: list[str]
     ) -> None:
@@ -394,11 +423,17 @@
                 break
             except StoreError:
                 await asyncio.sleep(_TICK_INTERVAL_S * random.uniform(1, 3))
-        if stored is None:
-            return False
-        if stored.version >= state.version:
+        if stored is not None and stored.version >= state.version:
             self._view.adopt(stored)
             return True
+        if (
+            self._store.has_lost(state)
+            and self._authority_until() <= self._clock.now()
+        ):
+            # The copy does not show whether this member was replaced.
+            return True
+        if stored is None:
+            return False
         # The write failed or is still in flight. A retry is safe: both
         # require the same offset, so at most one of them takes effect.
         return self._view.state.term != self.term
