--- a/standins/sidecar/keyed_topics.py
+++ b/standins/sidecar/keyed_topics.py
@@ -76,6 +76,8 @@
     def restore(self, topics: dict[str, list[tuple[str, bytes]]]) -> None:
         """Return to a copy; later records are lost, offsets reused."""
         self.topics = {topic: list(rows) for topic, rows in topics.items()}
+        for topic, first in self.first.items():
+            self.first[topic] = min(first, len(self._rows(topic)))
         self.generation += 1
         self._notify_readers()
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -166,6 +166,19 @@
     assert (await client.changes(TOPIC, 0, 0.0)).generation == 2
 
 
+async def test_restored_store_that_forgot_its_history_can_be_read(
+    store_and_client,
+):
+    topics, client = store_and_client
+    copy = topics.copy()
+    await client.put(TOPIC, "a", b"1")
+    topics.drop_history(TOPIC)
+    topics.restore(copy)
+    await client.put(TOPIC, "b", b"2")
+    changes = await client.changes(TOPIC, 0, 0.0)
+    assert changes.records == [("b", b"2")]
+
+
 async def test_generation_that_is_no_number_is_an_error():
     async def answer(reader, writer):
         await read_head(reader)
