--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,7 @@
             )
         )
         (folder / "faults.log").write_text("\n".join(result.faults) + "\n")
+        (folder / "violations.log").write_text("\n".join(result.violations))
         print(
             f"seed {seed}: {len(result.violations)} broken, answers "
             f"{dict(sorted(result.statuses.items()))}, output in {folder}",
