--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from soak.restored_store import RestoredStore
 from standins.relay.links import LOG
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
     :param rng: chooses the kind, target and duration of each fault.
     :param target_rng: the same for targets that send without end; it is
         separate, so that the other faults of a seed stay the same.
+    :param store_rng: the same for a store that returns from copies.
     :param log: called with a description when a fault begins.
     """
 
@@ -44,11 +46,14 @@
         rng: random.Random,
         *,
         target_rng: random.Random,
+        store_rng: random.Random,
         log: Callable[[str], None],
     ) -> None:
         self._site = site
         self._rng = rng
         self._target_rng = target_rng
+        self._restored_store = RestoredStore(site, store_rng, log)
+        self._evacuates = False
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
         self._weighted_faults: list[tuple[int, _Fault]] = [
@@ -78,7 +83,8 @@
         deadline = loop.time() + seconds
         weights = [weight for weight, _ in self._weighted_faults]
         endless = loop.create_task(self._send_endlessly(deadline))
-        self._tasks.add(endless)
+        restores = loop.create_task(self._restored_store.run(deadline))
+        self._tasks |= {endless, restores}
         while loop.time() < deadline:
             _, fault = self._rng.choices(self._weighted_faults, weights)[0]
             task = loop.create_task(fault())
@@ -222,11 +228,9 @@
     async def _disrupt_store(self, flag: str) -> None:
         duration_s = self._rng.uniform(*_STORE_FAULT_DURATION_S)
         self._log_fault(f"store {flag} for {duration_s:.2f} s")
-        self._site.begin_store_fault()
-        setattr(self._site.store, flag, True)
+        self._site.begin_store_fault(flag)
         await asyncio.sleep(duration_s)
-        setattr(self._site.store, flag, False)
-        self._site.end_store_fault()
+        self._site.end_store_fault(flag)
 
     async def _server_dies(self) -> None:
         machine = self._draw_machine()
@@ -270,18 +274,22 @@
 
     async def _configure(self) -> None:
         for _ in range(self._rng.choice((1, 1, 3))):
-            self._log_fault(f"configuration {self._site.version + 1}")
-            self._site.change_configuration()
+            self._log_fault(
+                f"configuration {self._site.operators.version + 1}"
+            )
+            self._site.operators.change_configuration()
             await asyncio.sleep(self._rng.uniform(0.1, 0.8))
 
     async def _evacuate(self) -> None:
         data_centre = self._draw_machine().data_centre
-        if self._site.evacuated_at:
+        if self._evacuates:
             return
+        self._evacuates = True
         self._log_fault(f"take out {data_centre}")
-        self._site.begin_evacuation(data_centre)
+        self._site.operators.begin_evacuation(data_centre)
         await asyncio.sleep(self._rng.uniform(2.0, 9.0))
-        self._site.end_evacuation(data_centre)
+        self._site.operators.end_evacuation(data_centre)
+        self._evacuates = False
 
     async def _forget_history(self) -> None:
         self._log_fault("store forgets its history")
--- a/soak/run.py
+++ b/soak/run.py
@@ -70,6 +70,7 @@
             site,
             random.Random(f"{seed} faults"),
             target_rng=random.Random(f"{seed} endless"),
+            store_rng=random.Random(f"{seed} restored"),
             log=log,
         )
         await faults_of_seed.run(seconds)
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,15 +14,10 @@
 from burdockgap.http1.server import Server, open_server
 from soak.invariants import InvariantChecker
 from soak.machine import STORE_PORT, Machine
+from soak.operators import Operators
 from standins.relay.links import Links
 from standins.relay.relay import Relay
 from standins.relay.route import Route
-from standins.sidecar.documents import (
-    make_config,
-    make_limits,
-    make_route,
-    make_service,
-)
 from standins.sidecar.keyed_topics import KeyedTopics
 
 if TYPE_CHECKING:
@@ -30,7 +25,6 @@
 
 _PEER_PORT = 7620
 _DATA_CENTRES = ("tanta", "mansoura", "zagazig")
-_OPERATOR_TOPIC = "keyed.op"
 _MAX_MEMORY_KB = 150_000
 """Below the 200 MB of the users' smallest machines."""
 
@@ -42,8 +36,6 @@
     :param net: first two octets of all addresses, such as ``127.20``.
     :param folder: where settings and outputs are written.
     :param size: number of machines; every second one owns keys.
-    :ivar changed_at: time of the last configuration change.
-    :ivar evacuated_at: start of the evacuation by data centre.
     """
 
     def __init__(self, *, net: str, folder: Path, size: int) -> None:
@@ -51,12 +43,10 @@
         self.net = net
         self.checker = InvariantChecker()
         self.store = KeyedTopics()
+        self.operators = Operators(self.store)
         self.links = Links()
-        self.version = 0
-        self.changed_at = -math.inf
-        self._active_store_faults = 0
+        self._store_faults: list[str] = []
         self._store_fault_ended_at = -math.inf
-        self.evacuated_at: dict[str, float] = {}
         self.machines = [
             Machine(
                 f"m{index}",
@@ -86,50 +76,24 @@
                     machine.incarnation, peak_kb, self._loop.time()
                 )
 
-    def change_configuration(self) -> None:
-        """Publish the next version, which adds one route."""
-        self.version += 1
-        routes = [
-            make_route(f"v{number}", "dispatch")
-            for number in range(max(self.version - 5, 1), self.version + 1)
-        ]
-        self.store.put(
-            _OPERATOR_TOPIC,
-            "config",
-            make_config(
-                make_route("read", "records"),
-                make_route("book", "dispatch", kind="unsafe"),
-                *routes,
-                make_service("records", sharding=True),
-                make_service("dispatch"),
-                make_limits(),
-                version=f"{self.version:08x}",
-            ),
-        )
-        self.changed_at = self._loop.time()
-
-    def begin_evacuation(self, data_centre: str) -> None:
-        """Request the evacuation of a data centre."""
-        self.store.put(_OPERATOR_TOPIC, f"evacuate/{data_centre}", b"{}")
-        self.evacuated_at[data_centre] = self._loop.time()
-
-    def end_evacuation(self, data_centre: str) -> None:
-        """Withdraw the evacuation of a data centre."""
-        self.evacuated_at.pop(data_centre, None)
-        self.store.put(_OPERATOR_TOPIC, f"evacuate/{data_centre}", b"")
+    def begin_store_fault(self, flag: str) -> None:
+        """
+        Start a store fault; it may overlap with others.
 
-    def begin_store_fault(self) -> None:
-        """Record the start of a store fault."""
-        self._active_store_faults += 1
+        :param flag: the attribute of the store that is set.
+        """
+        self._store_faults.append(flag)
+        setattr(self.store, flag, True)
 
-    def end_store_fault(self) -> None:
-        """Record the end of a store fault."""
-        self._active_store_faults -= 1
+    def end_store_fault(self, flag: str) -> None:
+        """End a store fault."""
+        self._store_faults.remove(flag)
+        setattr(self.store, flag, flag in self._store_faults)
         self._store_fault_ended_at = self._loop.time()
 
     def store_undisturbed_s(self) -> float:
         """Return the time since the last store fault, 0 during one."""
-        if self._active_store_faults:
+        if self._store_faults:
             return 0.0
         return self._loop.time() - self._store_fault_ended_at
 
@@ -156,7 +120,7 @@
         )
 
     def _evacuated_for_s(self, data_centre: str) -> float:
-        began = self.evacuated_at.get(data_centre)
+        began = self.operators.evacuated_at.get(data_centre)
         if began is None:
             return 0.0
         return min(self._loop.time() - began, self.store_undisturbed_s())
@@ -175,7 +139,7 @@
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         await tasks.start(site.relay().run)
-        site.change_configuration()
+        site.operators.change_configuration()
         for item in site.machines:
             stack.callback(_kill_process, item)
             item.start()
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -107,9 +107,9 @@
         while True:
             await asyncio.sleep(_PROBE_INTERVAL_S)
             site, process = self._site, machine.incarnation
-            version, now = site.version, self._loop.time()
+            version, now = site.operators.version, self._loop.time()
             due = (
-                now - site.changed_at > APPLY_S
+                now - site.operators.changed_at > APPLY_S
                 and machine.undisturbed_s() > UNDISTURBED_S
                 and site.store_undisturbed_s() > UNDISTURBED_S + APPLY_S
             )
