--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -77,6 +77,9 @@
                 unserved.add(f"{machine.name} is not ready")
             if await self._send(pool, "POST", "/book/x", None) != 200:
                 unserved.add(f"{machine.name} books nothing")
+            version = self._site.operators.version
+            if await self._send(pool, "GET", f"/v{version}/x", None) != 200:
+                unserved.add(f"{machine.name} lacks version {version}")
             for number in range(0, KEYS, 6):
                 key = _key(number)
                 status = await self._send(pool, "GET", "/read/x", key)
@@ -111,7 +114,7 @@
             due = (
                 now - site.operators.changed_at > APPLY_S
                 and machine.undisturbed_s() > UNDISTURBED_S
-                and site.store_undisturbed_s() > UNDISTURBED_S + APPLY_S
+                and site.store_undisturbed_s() > UNDISTURBED_S
             )
             path = f"/v{version}/x"
             status = await self._send(pool, "GET", path, None)
