--- a/soak/site.py
+++ b/soak/site.py
@@ -12,7 +12,7 @@
 import anyio
 
 from burdockgap.http1.server import Server, open_server
-from soak.invariants import InvariantChecker
+from soak.invariants import UNDISTURBED_S, InvariantChecker
 from soak.machine import STORE_PORT, Machine
 from soak.operators import Operators
 from standins.relay.links import Links
@@ -36,6 +36,7 @@
     :param net: first two octets of all addresses, such as ``127.20``.
     :param folder: where settings and outputs are written.
     :param size: number of machines; every second one owns keys.
+    :ivar store_fault_ended_at: when the last store fault ended.
     """
 
     def __init__(self, *, net: str, folder: Path, size: int) -> None:
@@ -46,7 +47,7 @@
         self.operators = Operators(self.store)
         self.links = Links()
         self._store_faults: list[str] = []
-        self._store_fault_ended_at = -math.inf
+        self.store_fault_ended_at = -math.inf
         self.machines = [
             Machine(
                 f"m{index}",
@@ -57,7 +58,7 @@
                 folder=folder,
                 checker=self.checker,
                 evacuated_for_s=partial(
-                    self._evacuated_for_s,
+                    self.evacuated_for_s,
                     _DATA_CENTRES[index % len(_DATA_CENTRES)],
                 ),
             )
@@ -89,13 +90,25 @@
         """End a store fault."""
         self._store_faults.remove(flag)
         setattr(self.store, flag, flag in self._store_faults)
-        self._store_fault_ended_at = self._loop.time()
+        self.store_fault_ended_at = self._loop.time()
 
     def store_undisturbed_s(self) -> float:
         """Return the time since the last store fault, 0 during one."""
         if self._store_faults:
             return 0.0
-        return self._loop.time() - self._store_fault_ended_at
+        return self._loop.time() - self.store_fault_ended_at
+
+    def evacuated_for_s(self, data_centre: str) -> float:
+        """
+        Return the time since the evacuation of a data centre began.
+
+        It is 0 if there is none, and while the store's disruption
+        excuses the daemons. Writing it again starts no new time.
+        """
+        began = self.operators.evacuated_at.get(data_centre)
+        if began is None or self.store_undisturbed_s() < UNDISTURBED_S:
+            return 0.0
+        return self._loop.time() - began
 
     def relay(self) -> Relay:
         """Create the relay between the daemons and to the store."""
@@ -119,12 +132,6 @@
             },
         )
 
-    def _evacuated_for_s(self, data_centre: str) -> float:
-        began = self.operators.evacuated_at.get(data_centre)
-        if began is None:
-            return 0.0
-        return min(self._loop.time() - began, self.store_undisturbed_s())
-
 
 @asynccontextmanager
 async def open_site(
--- a/tests/soak/test_restored_store.py
+++ b/tests/soak/test_restored_store.py
@@ -8,6 +8,7 @@
 import pytest
 
 from soak import restored_store
+from soak.invariants import EVACUATION_S
 from soak.restored_store import RestoredStore
 from soak.site import Site
 
@@ -56,3 +57,18 @@
     assert not site.store.down
     await asyncio.sleep(0.01)
     assert 0.0 < site.store_undisturbed_s() < 1.0
+
+
+@pytest.mark.parametrize(
+    ("since_store_fault_s", "due"), [(2.9, False), (3.1, True)]
+)
+async def test_evacuation_is_due_when_the_store_is_stable(
+    site, since_store_fault_s, due
+):
+    site.operators.begin_evacuation("tanta")
+    site.operators.evacuated_at["tanta"] -= EVACUATION_S
+    site.begin_store_fault("down")
+    site.end_store_fault("down")
+    site.store_fault_ended_at -= since_store_fault_s
+    assert (site.evacuated_for_s("tanta") >= EVACUATION_S) == due
+    assert site.evacuated_for_s("mansoura") == 0.0
