--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -1,4 +1,4 @@
-"""A short soak run, and a run with a seed that failed before."""
+"""A short soak run, and runs with seeds that failed before."""
 
 from __future__ import annotations
 
@@ -21,6 +21,9 @@
         # OWNER: a grant was renewed at a server that had restarted
         # under the same id.
         pytest.param(122, 20.0, 6, id="new-life-of-a-server"),
+        # OWNER and CONFIG: tokens and offsets of a store that was
+        # restored from a copy were compared with those before.
+        pytest.param(1173, 20.0, 6, id="restored-store"),
     ],
 )
 async def test_soak_keeps_the_promises(seed, seconds, size, tmp_path):
