--- a/standins/relay/relay.py
+++ b/standins/relay/relay.py
@@ -4,7 +4,7 @@
 
 import socket
 from contextlib import AsyncExitStack, suppress
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import anyio
 from anyio.abc import SocketAttribute
@@ -21,6 +21,8 @@
     from standins.relay.links import Links
     from standins.relay.route import Route
 
+    _Address = tuple[str, int]
+
 _CHUNK_BYTES = 65536
 
 
@@ -151,8 +153,11 @@
     async def _forward_peer_stream(
         self, stream: SocketStream, route: Route
     ) -> None:
-        port = stream.extra(SocketAttribute.remote_port)
-        source = find_port_owner(port, self._peer_port, self._pids())
+        source = find_port_owner(
+            cast("_Address", stream.extra(SocketAttribute.remote_address)),
+            cast("_Address", stream.extra(SocketAttribute.local_address)),
+            self._pids(),
+        )
         async with stream:
             if source is not None:
                 await self._forward_stream(
