--- a/src/burdockgap/router/attempt_history.py
+++ b/src/burdockgap/router/attempt_history.py
@@ -19,28 +19,30 @@
     """
 
     __slots__ = (
-        "_current_session",
+        "_current_server",
         "_owner_hint",
         "_may_have_run",
         "_refused_sessions",
+        "_unreachable_incarnations",
         "count",
     )
 
     def __init__(self) -> None:
         self.count = 0
-        self._current_session = 0
+        self._current_server: SessionEntry | None = None
         self._owner_hint = ""
         self._may_have_run = False
         self._refused_sessions: list[int] = []
+        self._unreachable_incarnations: set[int] = set()
 
     def record_start(self, entry: SessionEntry) -> None:
         """Record the server that the next attempt is sent to."""
-        self._current_session = entry.session_id
+        self._current_server = entry
 
     def record_hedge(self) -> None:
         """Exclude the current server from the choice for a hedge."""
-        if self._current_session:
-            self._refused_sessions.append(self._current_session)
+        if self._current_server is not None:
+            self._refused_sessions.append(self._current_server.session_id)
 
     def record_refusal(self, refusal: Refusal) -> None:
         """Record the refusal of the attempt that was started last."""
@@ -48,9 +50,17 @@
         self._owner_hint = refusal.owner
         if refusal.verdict is Verdict.MAY_HAVE_RUN:
             self._may_have_run = True
-        if refusal.reason is not Reason.ACTIVATING and self._current_session:
-            self._refused_sessions.append(self._current_session)
-        self._current_session = 0
+        server, self._current_server = self._current_server, None
+        if server is None:
+            return
+        if refusal.reason is not Reason.ACTIVATING:
+            self._refused_sessions.append(server.session_id)
+        if refusal.reason is Reason.UNREACHABLE:
+            self._unreachable_incarnations.add(server.incarnation)
+
+    def was_unreachable(self, entry: SessionEntry) -> bool:
+        """Tell whether an attempt found a server unreachable."""
+        return entry.incarnation in self._unreachable_incarnations
 
     def choose_owner(self, owners: list[SessionEntry]) -> SessionEntry:
         """
--- a/src/burdockgap/router/router.py
+++ b/src/burdockgap/router/router.py
@@ -195,9 +195,7 @@
         if req.key_hash is not None:
             owners = keyed_candidates(control, req.service, req.key_hash)
             if owners:
-                return history.choose_owner(
-                    self._table.reachable_first(owners)
-                )
+                return self._choose_owner(owners, history)
             raise Refusal(
                 Verdict.NOT_RUN, Reason.NO_OWNER, "no server owns the key yet"
             )
@@ -211,6 +209,28 @@
             return rendezvous_server(untried, req.request_id)
         return self._chooser.choose(untried, spill_load=req.profile.spill_load)
 
+    def _choose_owner(
+        self, owners: list[SessionEntry], history: AttemptHistory
+    ) -> SessionEntry:
+        """
+        Choose the owner or a fallback for an attempt.
+
+        A server that this request could not connect to is left out as
+        long as no other request reaches it, even if a refusal names it
+        as the owner: until a successor has the proof that the owner has
+        stopped, it names the old one, and each connection that is
+        attempted there takes much of the time until the deadline.
+        """
+        hopeful = [
+            entry
+            for entry in owners
+            if not history.was_unreachable(entry)
+            or not self._table.recently_unreachable(entry)
+        ]
+        return history.choose_owner(
+            self._table.reachable_first(hopeful or owners)
+        )
+
     def _attempt_deadline(
         self, req: RouteRequest, history: AttemptHistory
     ) -> float:
--- a/src/burdockgap/router/server_table.py
+++ b/src/burdockgap/router/server_table.py
@@ -41,11 +41,11 @@
         self, entries: list[SessionEntry]
     ) -> list[SessionEntry]:
         """Return the servers, recently unreachable ones last."""
-        now = self._clock.now()
-        return sorted(
-            entries,
-            key=lambda entry: self.stats(entry).recently_unreachable(now),
-        )
+        return sorted(entries, key=self.recently_unreachable)
+
+    def recently_unreachable(self, entry: SessionEntry) -> bool:
+        """Tell whether a server was unreachable a short time ago."""
+        return self.stats(entry).recently_unreachable(self._clock.now())
 
     def cost(self, entry: SessionEntry) -> float:
         """Return the expected cost of one more request."""
--- a/tests/router/test_router.py
+++ b/tests/router/test_router.py
@@ -348,3 +348,115 @@
         assert router._choose(req, AttemptHistory()) is owner
         table.stats(owner).record_unreachable()
         assert router._choose(req, AttemptHistory()) is successor
+
+
+class OwnerCutOff:
+    """
+    The owner can't be reached; its successor names it as the owner.
+
+    :ivar owner_heals: whether the owner answers from its second try.
+    :ivar takes_over_at: clock time from which the successor answers.
+    """
+
+    def __init__(self, owner, successor) -> None:
+        self.owner = owner
+        self.successor = successor
+        self.takes_over_at = float("inf")
+        self.owner_heals = False
+        self.tried = []
+        self.clock = BootClock()
+        self.table = ServerTable(self.clock)
+
+    @asynccontextmanager
+    async def send(self, entry, req, stats, _deadline):
+        first_time = entry not in self.tried
+        self.tried.append(entry)
+        if entry is self.owner and (first_time or not self.owner_heals):
+            await anyio.sleep(0.2)
+            stats.record_unreachable()
+            raise DOWN
+        if entry is self.successor and self.clock.now() < self.takes_over_at:
+            raise Refusal(
+                Verdict.NOT_RUN,
+                Reason.NOT_OWNER,
+                "not the owner",
+                owner=self.owner.peer_address,
+            )
+        yield RouteReply(
+            status=200,
+            headers=[],
+            body=req.body.parts(),
+            owner=entry.name,
+            owner_address="",
+        )
+
+
+def route_keyed(dispatcher, req, *, also=None):
+    """Route a request for a key; return the owner that answered."""
+    router = Router(
+        folds=Folds(),
+        dispatcher=dispatcher,
+        table=dispatcher.table,
+        chooser=Chooser(table=dispatcher.table, data_centre="dc1"),
+        clock=dispatcher.clock,
+        metrics=Metrics(),
+    )
+    req.key_hash = 1
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            if also is not None:
+                tasks.start_soon(also)
+            async with router.route(req) as reply:
+                return reply.owner
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            "burdockgap.router.router.keyed_candidates",
+            lambda *_args: [dispatcher.owner, dispatcher.successor],
+        )
+        return anyio.run(run)
+
+
+def owner_and_successor():
+    return (
+        make_session(session_id=number, peer_address=f"127.0.0.1:{number}")
+        for number in (1, 2)
+    )
+
+
+def test_unreachable_owner_is_not_tried_again_at_once():
+    """
+    A successor that waits for its proof still names the old owner.
+
+    Each try there costs a connection's timeout, and the request could
+    reach its deadline in one although the successor has taken over.
+    """
+    dispatcher = OwnerCutOff(*owner_and_successor())
+    dispatcher.takes_over_at = dispatcher.clock.now() + 0.45
+    req = make_request(idempotent=False, timeout_s=0.65)
+    assert route_keyed(dispatcher, req) == dispatcher.successor.name
+    assert dispatcher.tried.count(dispatcher.owner) == 1
+
+
+def test_unreachable_owner_is_tried_again_after_some_time():
+    dispatcher = OwnerCutOff(*owner_and_successor())
+    dispatcher.owner_heals = True
+    req = make_request(idempotent=False)
+    assert route_keyed(dispatcher, req) == dispatcher.owner.name
+
+
+def test_owner_that_answers_others_is_tried_again_at_once():
+    dispatcher = OwnerCutOff(*owner_and_successor())
+    dispatcher.owner_heals = True
+
+    async def answer_another():
+        await anyio.sleep(0.3)
+        stats = dispatcher.table.stats(dispatcher.owner)
+        stats.record_answer(stats.begin())
+
+    req = make_request(idempotent=False, timeout_s=0.6)
+    assert (
+        route_keyed(dispatcher, req, also=answer_another)
+        == dispatcher.owner.name
+    )
