--- a/src/burdockgap/sidecar/discovery.py
+++ b/src/burdockgap/sidecar/discovery.py
@@ -56,22 +56,27 @@
         """Register in each generation of the store until withdrawn."""
         while not self._withdrawn:
             generation = await self._register()
+            if generation is None:
+                return
             await self._store.generation.wait_above(generation)
             await asyncio.sleep(random.uniform(0, _MAX_JITTER_S))
 
-    async def _register(self) -> int:
+    async def _register(self) -> int | None:
         """
         Write the own entry and read all, retrying until both succeed.
 
-        :return: the generation of the store that has the entry.
+        :return: the generation of the store that has the entry,
+            ``None`` if the member is withdrawn.
         """
         own = self._roster.own
         while True:
+            if self._withdrawn:
+                return None
             try:
                 entry = own.encode()
                 await self._store.put(_MEMBERS_TOPIC, own.name, entry)
                 newest = await self._store.newest(_MEMBERS_TOPIC)
-                if newest.values.get(own.name) == entry or self._withdrawn:
+                if newest.values.get(own.name) == entry:
                     break
                 why = "the store does not have the entry"
             except StoreError as exc:
