--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -34,6 +34,8 @@
     :param load: the target's load.
     :param documents: position in the store up to which it knows the
         operators' documents.
+    :param config_version: version of the configuration in force at it,
+        0 if there is none.
     :param term: newest coordinator's term that it knows.
     :param revision: newest revision of the control state that it knows.
     """
@@ -41,6 +43,7 @@
     __slots__ = (
         "address",
         "born",
+        "config_version",
         "documents",
         "incarnation",
         "leaving",
@@ -76,6 +79,7 @@
         resigning: bool = False,
         load: Load | None = None,
         documents: Position = (0, 0),
+        config_version: int = 0,
         term: int = 0,
         revision: int = 0,
     ) -> None:
@@ -94,6 +98,7 @@
         self.resigning = resigning
         self.load = load or Load()
         self.documents = documents
+        self.config_version = config_version
         self.term = term
         self.revision = revision
 
@@ -115,6 +120,7 @@
             self.resigning,
             self.load.encode(),
             list(self.documents),
+            self.config_version,
             self.term,
             self.revision,
         ]
@@ -147,6 +153,7 @@
             resigning,
             load,
             (generation, offset),
+            config_version,
             term,
             revision,
         ) = values
@@ -166,6 +173,7 @@
             resigning=resigning,
             load=Load.decode(load),
             documents=(generation, offset),
+            config_version=config_version,
             term=term,
             revision=revision,
         )
--- a/src/burdockgap/routing/documents.py
+++ b/src/burdockgap/routing/documents.py
@@ -105,11 +105,22 @@
             key: value for key, value in values.items() if value is not None
         }
 
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force, 0 if there is none."""
+        return self.config.version if self.config is not None else 0
+
     def replace(
         self, values: dict[str, bytes], position: Position, source: str
     ) -> None:
-        """Replace all documents if the given position is newer."""
+        """
+        Replace all documents if the given position is newer.
+
+        If it is not, take over only a newer configuration, which the
+        store may have lost after the source read it.
+        """
         if position <= self.position and self.config is not None:
+            self._take_newer_config(values, source)
             return
         records: list[tuple[str, bytes | None]] = list(values.items())
         records += [
@@ -133,6 +144,16 @@
         ]
         self.apply(records, position, source)
 
+    def _take_newer_config(
+        self, values: dict[str, bytes], source: str
+    ) -> None:
+        before = self.config_version
+        value = values.get(self._config_key)
+        if value is not None:
+            self._apply_one(self._config_key, value, source)
+        if self.config_version > before:
+            self._on_change()
+
     def apply(
         self,
         records: list[tuple[str, bytes | None]],
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -378,6 +378,7 @@
         own.resigning = self.coordinator.is_resigning
         own.load = self.gate.load
         own.documents = self.documents.position
+        own.config_version = self.documents.config_version
         own.term, own.revision = self.view.version
 
     def _target_changed(self) -> None:
--- a/src/burdockgap/sidecar/peer_fetcher.py
+++ b/src/burdockgap/sidecar/peer_fetcher.py
@@ -81,9 +81,17 @@
 
     def request_documents(self, member: Member) -> None:
         """Fetch all documents from a member if it has newer ones."""
-        if member.documents > self._documents.position:
+        if self._has_newer_documents(member):
             self._start_fetch("documents", self._fetch_documents(member))
 
+    def _has_newer_documents(self, member: Member) -> bool:
+        # A restored store may have lost a configuration that the member
+        # read before, so the position does not tell.
+        return (
+            member.documents > self._documents.position
+            or member.config_version > self._documents.config_version
+        )
+
     def _start_fetch(
         self, what: str, fetch: Coroutine[Any, Any, None]
     ) -> None:
@@ -120,7 +128,7 @@
             await asyncio.sleep(_DOCUMENTS_DELAY_S)
         elif not self._store_lost():
             await asyncio.sleep(_FIRST_DOCUMENTS_DELAY_S)
-        if member.documents <= self._documents.position:
+        if not self._has_newer_documents(member):
             return
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
             values, position = await self._peer_connections.call(
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -391,3 +391,30 @@
         answer = await stopping.ask("/read/1", key=0)
         assert answer.status == 503
         assert len(stopping.app.runs) + len(other.app.runs) == runs
+
+
+# CONFIG: a daemon that started after a restore took the older
+# configuration of the copy and never asked peers for the later one,
+# since they knew the documents up to the same offset.
+async def test_daemon_started_after_a_restore_learns_the_configuration():
+    async with open_site("dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        copy = site.store.copy()
+        site.store.put("keyed.op", "config", make_site_config("00000006"))
+        nodes = [machine.node for machine in site.machines]
+        await site.wait_until(
+            lambda: all(node.documents.config.version == 6 for node in nodes)
+        )
+        site.store.restore(copy)
+        await site.wait_until(
+            lambda: all(node.documents.position[0] == 2 for node in nodes)
+        )
+        newcomer = Machine(site, 9, "dispatch")
+        site.machines.append(newcomer)
+        await newcomer.start_app()
+        await newcomer.start()
+        await site.wait_until(lambda: newcomer.node.is_ready)
+        await site.wait_until(
+            lambda: newcomer.node.documents.config.version == 6,
+            timeout_s=3.0,
+        )
