--- a/src/burdockgap/routing/documents.py
+++ b/src/burdockgap/routing/documents.py
@@ -11,8 +11,9 @@
     from burdockgap.metadata.keyed_store import Position
     from burdockgap.routing.routing_config import RoutingConfig
 
-REWRITE_TIMEOUT_S = 3.0
-"""Time for operators to write again what a restored store has lost."""
+REWRITE_TIMEOUT_S = 2.0
+"""Time for operators to write again what a restored store has lost;
+their lost documents are back in about this time."""
 
 
 class DataCentreOut:
@@ -45,9 +46,9 @@
 
     A store that was restored from an older copy contradicts what is
     known here until operators have written their lost documents again.
-    The configuration never reverts. Other documents that disappear or
-    come back with the copy change after :data:`REWRITE_TIMEOUT_S`, if
-    operators do not write them before.
+    The configuration never reverts. Other documents that the copy
+    lacks, or has although they were withdrawn, change after
+    :data:`REWRITE_TIMEOUT_S`, unless operators write them before.
 
     :param decoder: decodes the documents.
     :param on_change: called after each change.
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -18,6 +18,7 @@
 from burdockgap.shards.latest_reports import LatestReports
 from burdockgap.shards.lease import LEASE_S
 from burdockgap.shards.reports import Report
+from burdockgap.shards.term_start import TermStart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,18 +30,20 @@
     from burdockgap.shards.control_view import ControlView
 
 _TICK_INTERVAL_S = 0.1
+
 _NO_MAJORITY_TIMEOUT_S = 5.0
 """After this time without a majority, the members that still report
 become the voters."""
 _VOTER_TIMEOUT_S = 10.0
+_VOTER_SETTLE_S = 0.6
+"""Time for other members to report before the voters change."""
+
 _RESIGN_AFTER_S = 0.4
 """Longer than a slow store takes to answer. A store that refuses this
 instance may still serve others, so another member should take over."""
 _INCUMBENT_WAIT_S = 1.0
 """Time for a coordinator to write its state again to a restored store,
 before another member claims its role with possibly older knowledge."""
-_VOTER_SETTLE_S = 0.6
-"""Time for other members to report before the voters change."""
 
 
 class Coordinator:
@@ -66,7 +69,6 @@
         "_clock",
         "_failing_since",
         "_datagrams",
-        "_is_recovery",
         "_keyed_services",
         "_on_event",
         "_roster",
@@ -76,7 +78,8 @@
         "_pending_voters",
         "_data_centres_out",
         "_incumbent_wait",
-        "_recovery_term",
+        "_claimed_start",
+        "_start",
         "term",
     )
 
@@ -100,9 +103,9 @@
         self._keyed_services = keyed_services
         self._data_centres_out = data_centres_out
         self._on_event = on_event
-        self._recovery_term = 0
+        self._claimed_start = TermStart.SUCCESSION
         self._incumbent_wait = (0, 0.0)
-        self._reset(term=0, is_first=False)
+        self._reset(term=0, start=TermStart.SUCCESSION)
         datagrams.handlers[REPORT] = self._handle_report
 
     @property
@@ -117,8 +120,13 @@
     @property
     def is_active(self) -> bool:
         """Whether this member acts as coordinator."""
-        state = self._view.state
-        return self.term > 0 and self.term == state.term
+        state, own = self._view.state, self._roster.own
+        return (
+            self.term > 0
+            and self.term == state.term
+            and state.coordinator == own.name
+            and state.incarnation == own.incarnation
+        )
 
     async def claim(self) -> bool:
         """
@@ -127,43 +135,29 @@
         :return: whether the claim is known to have taken effect.
         """
         try:
-            stored = await self._store.read()
-            if (
-                stored is not None
-                and self._is_own_claim(stored)
-                and not self._store.has_lost(stored)
-            ):
+            stored = await self._store.read() or ControlState()
+            if self._is_own_claim(stored):
                 # An earlier claim took effect, but its reply was lost.
-                self._begin(
-                    stored,
-                    is_first=stored.term == 1,
-                    is_recovery=stored.term == self._recovery_term,
-                )
+                self._begin(stored, self._claimed_start)
                 return True
-            if stored is not None and stored.term > self._view.state.term:
+            if stored.term > self._view.state.term:
                 # Another member's claim came first.
                 self._view.adopt(stored)
                 return False
             # The store may have lost states that members still know.
             base = max(
-                stored or ControlState(),
-                self._view.state,
-                key=lambda state: state.version,
+                stored, self._view.state, key=lambda state: state.version
             )
-            is_recovery = self._store.has_lost(base if base.term else None)
-            if is_recovery and self._is_incumbent_awaited():
+            start = self._start_from(base)
+            if start is TermStart.RECOVERY and self._is_incumbent_awaited():
                 return False
-            claimed = self._claimed_state(base)
-            if is_recovery:
-                claimed.recover()
-                claimed.voters = self._known_names(claimed.voters)
-                self._recovery_term = claimed.term
+            claimed = self._claimed_state(base, start)
+            self._claimed_start = start
             await self._store.write(claimed)
         except StoreError as exc:
             self._on_event("claim_failed", {"why": str(exc)})
             return False
-        is_first = base.term == 0 and not is_recovery
-        self._begin(claimed, is_first=is_first, is_recovery=is_recovery)
+        self._begin(claimed, start)
         if base.term:
             self._broadcast_changes(base, claimed)
         return True
@@ -184,8 +178,14 @@
             state.coordinator == own.name
             and state.incarnation == own.incarnation
             and state.term > self.term
+            and not self._store.has_lost(state)
         )
 
+    def _start_from(self, base: ControlState) -> TermStart:
+        if self._store.has_lost(base if base.term else None):
+            return TermStart.RECOVERY
+        return TermStart.SUCCESSION if base.term else TermStart.FIRST
+
     def _is_incumbent_awaited(self) -> bool:
         """
         Return whether the coordinator may still write its state again.
@@ -208,36 +208,28 @@
             self._incumbent_wait = (self._store.generation, until)
         return now < until
 
-    def _known_names(self, voters: tuple[str, ...]) -> tuple[str, ...]:
-        """
-        Return the names of the given voters and of all known members.
-
-        An outdated state may name too few voters, whose majority need
-        not include any follower of an earlier coordinator.
-        """
-        names = {entry.member.name for entry in self._roster.entries()}
-        return tuple(sorted({*voters, *names, self._roster.own.name}))
-
-    def _claimed_state(self, base: ControlState) -> ControlState:
+    def _claimed_state(
+        self, base: ControlState, start: TermStart
+    ) -> ControlState:
         claimed = base.successor()
         claimed.begin_term(self._store.generation)
         claimed.coordinator = self._roster.own.name
         claimed.incarnation = self._roster.own.incarnation
-        if not claimed.voters:
-            names = {member.name for member in self._roster.live()}
-            claimed.voters = tuple(sorted(names))
+        voters = set(claimed.voters)
+        if start is TermStart.RECOVERY:
+            claimed.recover()
+            # An outdated state may name too few voters, whose majority
+            # need not include a follower of an earlier coordinator.
+            entries = self._roster.entries()
+            voters |= {entry.member.name for entry in entries}
+            voters.add(self._roster.own.name)
+        if not voters:
+            voters = {member.name for member in self._roster.live()}
+        claimed.voters = tuple(sorted(voters))
         return claimed
 
-    def _begin(
-        self,
-        state: ControlState,
-        *,
-        is_first: bool,
-        is_recovery: bool = False,
-    ) -> None:
-        self._reset(
-            term=state.term, is_first=is_first, is_recovery=is_recovery
-        )
+    def _begin(self, state: ControlState, start: TermStart) -> None:
+        self._reset(term=state.term, start=start)
         self._view.adopt(state)
         self._on_event(
             "claimed",
@@ -245,18 +237,16 @@
                 "term": state.term,
                 "revision": state.revision,
                 "next_fence": state.next_fence,
-                "recovery": is_recovery,
+                "start": start.value,
                 "voters": len(state.voters),
             },
         )
 
-    def _reset(
-        self, *, term: int, is_first: bool, is_recovery: bool = False
-    ) -> None:
+    def _reset(self, *, term: int, start: TermStart) -> None:
         now = self._clock.now()
         self.term = term
-        self._is_recovery = is_recovery
-        self._authority = Authority(now, is_first=is_first)
+        self._start = start
+        self._authority = Authority(now, is_first=start is TermStart.FIRST)
         self._reports = LatestReports(
             authority=self._authority, since=now, term=term
         )
@@ -304,7 +294,7 @@
         # After a recovery the assignment may not name the members that
         # hold keys under the lease of an earlier coordinator.
         return (
-            not self._is_recovery
+            self._start is not TermStart.RECOVERY
             or self._authority.are_earlier_leases_expired(now)
         )
 
@@ -354,7 +344,7 @@
         if now - self._reports.since < _NO_MAJORITY_TIMEOUT_S:
             return
         self._on_event("term_ended", {"term": self.term})
-        self._reset(term=0, is_first=False)
+        self._reset(term=0, start=TermStart.SUCCESSION)
 
     async def _write(
         self, before: ControlState, state: ControlState, reasons: list[str]
--- /dev/null
+++ b/src/burdockgap/shards/term_start.py
@@ -0,0 +1,17 @@
+"""How the term of a coordinator begins."""
+
+from __future__ import annotations
+
+import enum
+
+
+class TermStart(enum.Enum):
+    """What a new coordinator knows of earlier leases."""
+
+    FIRST = "first"
+    """There are none, as this is the first term of all."""
+    SUCCESSION = "succession"
+    """The stored state names their holders; they may be renewed."""
+    RECOVERY = "recovery"
+    """The store may have lost states, so unknown members may hold some;
+    nothing may be leased before all have expired."""
