--- /dev/null
+++ b/tests/shards/test_grant_client.py
@@ -0,0 +1,53 @@
+"""Grants to a target that may have restarted."""
+
+from __future__ import annotations
+
+import pytest
+
+from burdockgap.http1.client_pool import ClientPool
+from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.http1.response import Response
+from burdockgap.http1.server import Server, open_server
+from burdockgap.platform.target_protocol import PlatformTargetProtocol
+from burdockgap.shards.grant_client import GrantClient
+from tests.forward.builders import GateHarness
+from tests.http1.sockets import HOST
+from tests.shards.test_shard_holder import make_shard
+from tests.sidecar.builders import free_port, make_info
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+# OWNER: a target that had restarted got keys under the token of its
+# earlier process.
+async def test_grant_is_not_sent_to_a_process_that_started_meanwhile(
+    monkeypatch,
+):
+    grants = []
+
+    async def answer(req):
+        grants.append(req.path)
+        return Response(200)
+
+    address = (HOST, free_port())
+    state = GateHarness().state
+    client = GrantClient(state=state, protocol=PlatformTargetProtocol())
+    connect = ClientPool.connect
+
+    async def connect_while_the_target_restarts(pool):
+        await connect(pool)
+        state.announced(make_info(address=address, born=8, sequence=1))
+
+    monkeypatch.setattr(
+        ClientPool, "connect", connect_while_the_target_restarts
+    )
+    async with open_server(Server(answer), *address):
+        state.announced(make_info(address=address, born=7, sequence=1))
+        with pytest.raises(ExchangeError, match="may have restarted"):
+            await client.grant(make_shard(born=7), 1.0, "")
+    assert grants == []
