--- a/src/burdockgap/shards/grant_client.py
+++ b/src/burdockgap/shards/grant_client.py
@@ -87,8 +87,10 @@
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 pool = self._target_pool()
                 await pool.connect()
-                # A new connection may lead to a new process.
-                if not self.may_grant():
+                # A new connection may lead to a new process, which may
+                # have announced itself meanwhile.
+                is_same = self._state.born == shard.born
+                if not (is_same and self.may_grant()):
                     raise ExchangeError(
                         "the target may have restarted", sent=False
                     )
