Show how far a daemon has read the operators' documents

Nothing told a read that waits without learning anything from a document that was refused or never arrived: the position of the documents and the age of the store's last answer are gauges now, and each list of all documents is logged with the position known before. No behaviour changes.

--- a/src/burdockgap/routing/document_follower.py
+++ b/src/burdockgap/routing/document_follower.py
@@ -37,6 +37,7 @@
     """
 
     __slots__ = (
+        "_answered_at",
         "_documents",
         "_is_coordinator",
         "_on_event",
@@ -59,8 +60,14 @@
         self._documents = documents
         self._is_coordinator = is_coordinator
         self._on_event = on_event
+        self._answered_at = asyncio.get_running_loop().time()
         self.lost = False
 
+    @property
+    def read_age_s(self) -> float:
+        """Time since the store last answered a read, in seconds."""
+        return asyncio.get_running_loop().time() - self._answered_at
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         has_read = just_reread = False
@@ -86,6 +93,17 @@
 
     async def _read_all(self) -> None:
         newest = await self._store.newest(self._topic)
+        self._note_answer()
+        generation, offset = newest.position
+        self._on_event(
+            "documents_listed",
+            {
+                "documents": len(newest.values),
+                "generation": generation,
+                "offset": offset,
+                "known": list(self._documents.position),
+            },
+        )
         self._documents.replace(newest.values, newest.position, "store")
 
     async def _read_changes(self) -> bool:
@@ -102,12 +120,16 @@
             else _POLL_TIMEOUT_S
         )
         changes = await self._store.changes(self._topic, start, wait_s)
+        self._note_answer()
         if changes.generation > generation:
             return False
         if changes.records and changes.position > self._documents.position:
             self._documents.apply(changes.records, changes.position, "store")
         return True
 
+    def _note_answer(self) -> None:
+        self._answered_at = asyncio.get_running_loop().time()
+
     def _set_lost(self, *, lost: bool, why: str) -> None:
         if lost == self.lost:
             return
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -37,6 +37,21 @@
         "Version of the configuration in force, 0 if none.",
         lambda: node.documents.config.version if node.documents.config else 0,
     )
+    gauge(
+        "documents_offset",
+        "Offset up to which the operators' documents are known.",
+        lambda: node.documents.position[1],
+    )
+    gauge(
+        "documents_generation",
+        "Generation of the store in which that offset is valid.",
+        lambda: node.documents.position[0],
+    )
+    gauge(
+        "documents_read_age_seconds",
+        "Time since the store last answered a read of these documents.",
+        lambda: node.follower.read_age_s,
+    )
     gauge(
         "keys_held",
         "Keys that the target holds now.",
