Show a configuration that is not in force after a restore

CONFIG: a daemon that waits for records after the last offset that it knows learns nothing from a restored store whose end is not below that offset.

--- a/standins/sidecar/keyed_topics.py
+++ b/standins/sidecar/keyed_topics.py
@@ -81,6 +81,11 @@
         self.generation += 1
         self._notify_readers()
 
+    def stop(self) -> None:
+        """Answer pending and later calls with status 503."""
+        self.down = True
+        self._notify_readers()
+
     def drop_history(self, topic: str) -> None:
         """
         Make all records so far unreadable by offset.
@@ -125,7 +130,7 @@
                 async with asyncio.timeout(wait_s):
                     while start >= len(self._rows(topic)):
                         await self._changed.wait()
-                        if self.generation != generation:
+                        if self.down or self.generation != generation:
                             return Response(503)
             except TimeoutError:
                 pass
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -418,3 +418,36 @@
             lambda: newcomer.node.documents.config.version == 6,
             timeout_s=3.0,
         )
+
+
+# CONFIG: a configuration that operators wrote after a restore, below the
+# offset that daemons knew, came in force only when their reads timed out.
+async def test_configuration_below_the_known_offset_is_in_force_in_time():
+    async with open_site("records", "records", "dispatch") as site:
+        await site.wait_until_ready()
+        copy = site.store.copy()
+        site.store.put("keyed.op", "config", make_site_config("00000004"))
+        await site.wait_until(
+            lambda: all(
+                machine.node.documents.config_version == 4
+                for machine in site.machines
+            )
+        )
+        site.store.stop()
+        coordinator = next(
+            machine
+            for machine in site.machines
+            if machine.node.coordinator.is_active
+        )
+        await coordinator.kill()
+        await asyncio.sleep(0.5)
+        site.store.restore(copy)
+        site.store.put("keyed.op", "config", make_site_config("00000005"))
+        site.store.down = False
+        rest = [item for item in site.machines if item is not coordinator]
+        await site.wait_until(
+            lambda: all(
+                machine.node.documents.config_version == 5 for machine in rest
+            ),
+            timeout_s=2.0,
+        )
