End a read of documents that is outdated

Callers were refused as an older configuration says, for up to 10 s after a confirmed change. Cause: a daemon's read that waits for changes outlived what it was started with. After a restore of the store a later configuration can lie below the offset that the daemon waits at; the wait shows neither it nor the generation, and a member that became coordinator kept the members' 10 s.

A read ends now once the generation, the position or the role has changed; a list of all documents is read in each generation that is known, also if a peer told it; and the first read after a failed one returns at once, since only a response names the generation. Responses of an earlier generation are answered with a pause: before, records in them were ignored in a loop.

Ruled out: that the document was refused (nothing was logged) and that peers could help (all of them waited).

--- a/src/burdockgap/routing/document_follower.py
+++ b/src/burdockgap/routing/document_follower.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from burdockgap.metadata.keyed_store import KeyedStore
+    from burdockgap.metadata.keyed_store import Changes, KeyedStore
     from burdockgap.routing.documents import Documents
 
 _RETRY_DELAY_S = 0.25
@@ -40,6 +40,7 @@
         "_answered_at",
         "_documents",
         "_is_coordinator",
+        "_outdated",
         "_on_event",
         "_store",
         "_topic",
@@ -60,6 +61,7 @@
         self._documents = documents
         self._is_coordinator = is_coordinator
         self._on_event = on_event
+        self._outdated = asyncio.Event()
         self._answered_at = asyncio.get_running_loop().time()
         self.lost = False
 
@@ -68,18 +70,30 @@
         """Time since the store last answered a read, in seconds."""
         return asyncio.get_running_loop().time() - self._answered_at
 
+    def refresh(self) -> None:
+        """
+        End the pending read, as what it was started with has changed.
+
+        That is the position or the generation, since the pending read
+        may wait for records that will not come, or the role, which
+        determines the timeout.
+        """
+        self._outdated.set()
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         has_read = just_reread = False
         while True:
             try:
-                if not has_read:
+                if not has_read or self._is_generation_outdated():
                     await self._read_all()
                     has_read = just_reread = True
+                    if self._is_generation_outdated():
+                        # The store does not know yet what a peer knows.
+                        await self._pause()
                 else:
                     has_read = await self._read_changes()
                     just_reread = False
-                self._set_lost(lost=False, why="")
             except OffsetOutOfRange:
                 has_read = False
                 if just_reread:
@@ -91,6 +105,9 @@
     async def _pause(self) -> None:
         await asyncio.sleep(_RETRY_DELAY_S * random.uniform(0.6, 1.4))
 
+    def _is_generation_outdated(self) -> bool:
+        return self._store.generation.number > self._documents.position[0]
+
     async def _read_all(self) -> None:
         newest = await self._store.newest(self._topic)
         self._note_answer()
@@ -114,21 +131,45 @@
             records need not follow what is known here.
         """
         generation, start = self._documents.position
-        wait_s = (
-            _COORDINATOR_POLL_TIMEOUT_S
-            if self._is_coordinator()
-            else _POLL_TIMEOUT_S
-        )
-        changes = await self._store.changes(self._topic, start, wait_s)
+        changes = await self._poll(start)
+        if changes is None:
+            return True
         self._note_answer()
         if changes.generation > generation:
             return False
-        if changes.records and changes.position > self._documents.position:
+        if changes.generation < generation:
+            await self._pause()
+        elif changes.records and changes.position > self._documents.position:
             self._documents.apply(changes.records, changes.position, "store")
         return True
 
+    async def _poll(self, start: int) -> Changes | None:
+        """Return the changes; ``None`` if the read became outdated."""
+        self._outdated.clear()
+        read = asyncio.ensure_future(
+            self._store.changes(self._topic, start, self._poll_timeout_s())
+        )
+        outdated = asyncio.ensure_future(self._outdated.wait())
+        try:
+            await asyncio.wait(
+                (read, outdated), return_when=asyncio.FIRST_COMPLETED
+            )
+            return read.result() if read.done() else None
+        finally:
+            read.cancel()
+            outdated.cancel()
+
+    def _poll_timeout_s(self) -> float:
+        if self.lost:
+            # Only a response shows whether the store was restored.
+            return 0.0
+        if self._is_coordinator():
+            return _COORDINATOR_POLL_TIMEOUT_S
+        return _POLL_TIMEOUT_S
+
     def _note_answer(self) -> None:
         self._answered_at = asyncio.get_running_loop().time()
+        self._set_lost(lost=False, why="")
 
     def _set_lost(self, *, lost: bool, why: str) -> None:
         if lost == self.lost:
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -80,6 +80,7 @@
     __slots__ = (
         "_beacons",
         "_crashes",
+        "_is_coordinator",
         "buffers",
         "caller_server",
         "cfg",
@@ -118,7 +119,7 @@
     ) -> None:
         self.cfg = cfg
         self.store = store
-        store.generation.on_restored = self._log_store_restored
+        store.generation.on_restored = self._store_restored
         self.event_log = event_log
         self.metrics = metrics
         self.clock = BootClock()
@@ -126,6 +127,7 @@
         self.buffers = ByteBudget(cfg.buffer_bytes)
         self.peer_connections = PeerConnections(self.uplink, self.buffers)
         self.peers_busy: Callable[[], bool] = lambda: False
+        self._is_coordinator = False
         self.leaving = False
         self.holder: ShardHolder | None = None
         self.caller_server: Server | None = None
@@ -341,7 +343,8 @@
         if changed is not None:
             self.view.adopt(changed)
 
-    def _log_store_restored(self, before: int, after: int) -> None:
+    def _store_restored(self, before: int, after: int) -> None:
+        self.follower.refresh()
         fields: dict[str, object] = {"from": before, "to": after}
         fields["offset"] = self.documents.position[1]
         fields["control"] = list(self.view.version)
@@ -392,6 +395,7 @@
         self._beacons.changed()
 
     def _documents_changed(self) -> None:
+        self.follower.refresh()
         config = self.documents.config
         if config is not None:
             if self.caller_server is not None:
@@ -415,6 +419,9 @@
         self.holder.adopt(self.view.state)
 
     def _control_changed(self) -> None:
+        if self.coordinator.is_active != self._is_coordinator:
+            self._is_coordinator = self.coordinator.is_active
+            self.follower.refresh()
         self.lease.follow(self.view.state.lineage)
         if self.holder is not None:
             self.holder.adopt(self.view.state)
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -420,8 +420,9 @@
         )
 
 
-# CONFIG: a configuration that operators wrote after a restore, below the
-# offset that daemons knew, came in force only when their reads timed out.
+# CONFIG: a configuration that operators wrote after a restore, below
+# the offset that daemons knew, was in force only when their reads had
+# timed out.
 async def test_configuration_below_the_known_offset_is_in_force_in_time():
     async with open_site("records", "records", "dispatch") as site:
         await site.wait_until_ready()
@@ -451,3 +452,20 @@
             ),
             timeout_s=2.0,
         )
+
+
+# CONFIG: the member that became coordinator kept its read of documents
+# with the members' timeout.
+async def test_new_coordinator_reads_documents_with_its_own_timeout():
+    async with open_site("records", "dispatch") as site:
+        await site.wait_until_ready()
+        coordinator = next(
+            machine
+            for machine in site.machines
+            if machine.node.coordinator.is_active
+        )
+        await asyncio.sleep(0.5)
+        await coordinator.kill()
+        calls = site.store.calls["/api/log-read"]
+        await asyncio.sleep(5.5)
+        assert site.store.calls["/api/log-read"] - calls >= 2
