Count a list of documents as read up to its first page

A document of an earlier page that changed in between was never read. The first page's offset is taken now; records that are read twice change nothing.

The test failed before: the change that was written between two pages was missing from the read that followed.

--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -67,10 +67,17 @@
         self.generation = StoreGeneration()
 
     async def newest(self, topic: str) -> TopicSnapshot:
-        """Read the newest value of each key, page by page."""
+        """
+        Read the newest value of each key, page by page.
+
+        The pages are not a snapshot. The end is that of the first one,
+        so that no change between two of them is skipped by who reads on
+        from there.
+        """
         values: dict[str, bytes] = {}
         received_bytes = 0
         generation: int | None = None
+        end: int | None = None
         query = {"topic": topic, "part": "0"}
         while True:
             response = await self._get("/api/log-newest", query)
@@ -86,17 +93,15 @@
                     f"{_MAX_TOPIC_BYTES} bytes"
                 )
             body = _decode_json(response)
+            page_end = _require_field(body, "end-offset", int)
+            end = page_end if end is None else end
             items = _require_field(body, "items", list)
             for item in items:
                 values[_require_field(item, "key", str)] = base64.b64decode(
                     _require_field(item, "value", str)
                 )
             if not body.get("has-more") or not items:
-                return TopicSnapshot(
-                    values,
-                    _require_field(body, "end-offset", int),
-                    generation,
-                )
+                return TopicSnapshot(values, end, generation)
             query["after"] = items[-1]["key"]
 
     async def changes(self, topic: str, start: int, wait_s: float) -> Changes:
--- a/standins/sidecar/keyed_topics.py
+++ b/standins/sidecar/keyed_topics.py
@@ -16,6 +16,7 @@
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
+_PAGE_ITEMS = 500
 
 
 class KeyedTopics:
@@ -27,6 +28,7 @@
     :ivar down: whether to answer all calls with status 503.
     :ivar generation: increases when the store returns from a copy.
     :ivar lose_replies: whether to apply appends without a response.
+    :ivar page_items: documents in one page of a list.
     :ivar calls: number of calls by path.
     """
 
@@ -36,6 +38,7 @@
         self.down = False
         self.generation = 1
         self.lose_replies = False
+        self.page_items = _PAGE_ITEMS
         self.calls: dict[str, int] = {}
         self._changed = asyncio.Event()
 
@@ -53,7 +56,7 @@
             return Response(503)
         topic = query["topic"]
         if url.path == "/api/log-newest":
-            return self._newest(topic)
+            return self._newest(topic, query.get("after", ""))
         if url.path == "/api/log-read":
             return await self._read(topic, query)
         if url.path == "/api/log-append":
@@ -102,7 +105,7 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    def _newest(self, topic: str) -> Response:
+    def _newest(self, topic: str, after: str) -> Response:
         rows = self._rows(topic)
         newest = {
             key: (offset, value) for offset, (key, value) in enumerate(rows)
@@ -113,10 +116,14 @@
                 "value": base64.b64encode(value).decode(),
                 "offset": offset,
             }
-            for key, (offset, value) in newest.items()
-            if value
+            for key, (offset, value) in sorted(newest.items())
+            if value and key > after
         ]
-        body = {"items": items, "has-more": False, "end-offset": len(rows)}
+        body = {
+            "items": items[: self.page_items],
+            "has-more": len(items) > self.page_items,
+            "end-offset": len(rows),
+        }
         return _json(200, body)
 
     async def _read(self, topic: str, query: dict[str, str]) -> Response:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -209,3 +209,25 @@
         with pytest.raises(StoreError):
             await client.newest(TOPIC)
         assert client.generation.number == 0
+
+
+# CONFIG: a document that changed while later pages were read was never
+# read again, as the list counted as read up to the last page's offset.
+async def test_change_while_pages_are_read_is_not_skipped():
+    topics, port = KeyedTopics(), free_port()
+    topics.page_items = 1
+
+    async def answer(req):
+        response = await topics.answer(req)
+        if req.path == "/api/log-newest" and len(topics.topics[TOPIC]) == 2:
+            topics.put(TOPIC, "a", b"3")
+        return response
+
+    async with open_server(Server(answer), HOST, port):
+        client = StoreClient((HOST, port))
+        await client.put(TOPIC, "a", b"1")
+        await client.put(TOPIC, "b", b"2")
+        newest = await client.newest(TOPIC)
+        changes = await client.changes(TOPIC, newest.end, 0.0)
+    assert newest.values == {"a": b"1", "b": b"2"}
+    assert changes.records == [("a", b"3")]
