Log and expose the limit that a target names in its responses

No log line or metric told whether a daemon knew the limit of its target, so a limit that nobody read could not be told from one that is kept per daemon or only without keys. Each change is logged as target_limit; a gauge shows the limit. Nothing is limited yet. A response of another process or with a limit that is no number says nothing.

--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -306,6 +306,9 @@
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, sent=True
             )
         self._state.note_response()
+        notice = self._protocol.notice(call, response)
+        if notice is not None:
+            self._state.note_notice(notice, info.born)
         verdict = self._protocol.verdict(response)
         if verdict is Verdict.NOT_RUN:
             return Outcome(verdict, reason=Reason.TARGET_SHED, sent=True)
--- a/src/burdockgap/forward/target_protocol.py
+++ b/src/burdockgap/forward/target_protocol.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from burdockgap.forward.call import Call
+    from burdockgap.forward.target_notice import TargetNotice
     from burdockgap.http1.response import Response
     from burdockgap.verdict import Verdict
 
@@ -37,6 +38,15 @@
         """Return the slowdown that the target reports; 1.0 is none."""
         ...
 
+    def notice(self, call: Call, response: Response) -> TargetNotice | None:
+        """
+        Return what the target says of itself.
+
+        :return: ``None`` if the response may come from another process
+            or cannot be understood.
+        """
+        ...
+
     def encode_grant(
         self,
         *,
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from burdockgap.forward.target_info import TargetInfo
+    from burdockgap.forward.target_notice import TargetNotice
 
 _ANNOUNCEMENT_TIMEOUT_S = 2.4
 """Long enough that two late announcements do not cause a timeout."""
@@ -41,6 +42,8 @@
     :ivar up: whether the target is considered to be running.
     :ivar ended: whether its process is known to have ended.
     :ivar left: whether it has deregistered.
+    :ivar rate_limit: requests per second that it said it takes from all
+        daemons together, ``None`` if it named no limit.
     :ivar drain_deadline: time on the event loop's clock until which it
         may be sent requests; set when it first announces that it drains
         or deregisters.
@@ -64,6 +67,7 @@
         "info",
         "left",
         "drain_deadline",
+        "rate_limit",
         "up",
     )
 
@@ -89,6 +93,7 @@
         self.ended = False
         self.drain_deadline = math.inf
         self.left = False
+        self.rate_limit: float | None = None
         self._normalized_service_s = _INITIAL_SERVICE_S
         self._samples = 0
         self._slowness = 1.0
@@ -168,6 +173,7 @@
             self.left = False
             self.drain_deadline = math.inf
             self._cold_bucket, self._cold_until = None, 0.0
+            self.rate_limit = None
         if info.draining:
             self.drain_deadline = min(self.drain_deadline, now + self._drain_s)
         self._extend_cold_period(info, now)
@@ -192,6 +198,18 @@
             self._log("target", state="left")
             self._on_change()
 
+    def note_notice(self, notice: TargetNotice, born: int) -> None:
+        """
+        Apply what the target said in a response.
+
+        :param born: start time of the process that responded.
+        """
+        if self.info is None or self.info.born != born:
+            return
+        if notice.rate_limit != self.rate_limit:
+            self.rate_limit = notice.rate_limit
+            self._log("target_limit", rate_limit=notice.rate_limit)
+
     def note_response(self) -> None:
         """Record that the target responded."""
         self._responded_at = self._loop.time()
--- a/src/burdockgap/platform/names.py
+++ b/src/burdockgap/platform/names.py
@@ -11,6 +11,11 @@
 # optionally, the current processing time in per cent of the usual one.
 LOAD = "server-load"
 NOT_RUN = "not-executed"
+# Requests per second, a decimal number, that the server takes from all
+# daemons together; valid as long as its responses have it.
+RATE_LIMIT = "server-limit"
+# "1" while the server is about to stop.
+LEAVING = "server-leaving"
 # Service on the machine at which a request entered the system.
 ORIGIN_SERVICE = "calling-service"
 KEY = "shard-key"
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING
 
+from burdockgap.forward.target_notice import TargetNotice
 from burdockgap.http1.encode import encode_request
 from burdockgap.platform import names
 from burdockgap.platform.times import encode_time
@@ -79,6 +81,29 @@
         per_cent = int(slowness_field) if slowness_field.isdigit() else 0
         return per_cent / _PER_CENT if per_cent else 1.0
 
+    def notice(self, call: Call, response: Response) -> TargetNotice | None:
+        """
+        Return what the target says of itself.
+
+        :return: ``None`` if the response has no id, is that of another
+            instance at the address, or names a limit that is not a
+            decimal number.
+        """
+        if (
+            response.header(names.REQUEST_ID) != call.request_id
+            or response.status == _MISDIRECTED_STATUS
+        ):
+            return None
+        limit = response.header(names.RATE_LIMIT)
+        try:
+            rate_limit = None if limit is None else _decode_rate(limit)
+        except ValueError:
+            return None
+        return TargetNotice(
+            rate_limit=rate_limit,
+            leaving=response.header(names.LEAVING) == "1",
+        )
+
     def encode_grant(
         self,
         *,
@@ -111,3 +136,10 @@
     def handover(self, response: Response) -> str:
         """Return the handover in the response to a release, or ""."""
         return response.header(names.HANDOVER) or ""
+
+
+def _decode_rate(text: str) -> float:
+    rate = float(text)
+    if not math.isfinite(rate) or rate < 0:
+        raise ValueError(f"rate {text!r} is not a finite positive number")
+    return rate
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -57,6 +57,11 @@
         "Keys that the target holds now.",
         lambda: node.holder.held_key_count if node.holder else 0,
     )
+    gauge(
+        "target_rate_limit",
+        "Requests per second that the target named as its limit, 0 if none.",
+        lambda: node.target.rate_limit or 0,
+    )
     gauge(
         "buffered_bytes",
         "Bytes of incomplete messages and of bodies of unanswered requests.",
--- a/tests/platform/test_target_protocol.py
+++ b/tests/platform/test_target_protocol.py
@@ -47,6 +47,39 @@
     assert protocol.is_complete(Response(200, headers)) is trusted
 
 
+@pytest.mark.parametrize(
+    ("headers", "rate_limit", "leaving"),
+    [
+        pytest.param([], None, False, id="nothing"),
+        pytest.param([("server-limit", "14.5")], 14.5, False, id="limit"),
+        pytest.param([("server-limit", "0")], 0.0, False, id="limit-zero"),
+        pytest.param([("server-leaving", "1")], None, True, id="leaving"),
+        pytest.param([("server-leaving", "0")], None, False, id="stays"),
+    ],
+)
+def test_notice_of_response(headers, rate_limit, leaving):
+    response = Response(200, [*SEALED, *headers])
+    notice = PlatformTargetProtocol().notice(make_call(), response)
+    assert (notice.rate_limit, notice.leaving) == (rate_limit, leaving)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        pytest.param(200, [("server-leaving", "1")], id="no-id"),
+        pytest.param(200, [("attempt-id", "r9")], id="other-id"),
+        pytest.param(421, SEALED, id="other-instance"),
+        pytest.param(200, [*SEALED, ("server-limit", "x")], id="no-number"),
+        pytest.param(200, [*SEALED, ("server-limit", "nan")], id="nan"),
+        pytest.param(200, [*SEALED, ("server-limit", "1e999")], id="endless"),
+        pytest.param(200, [*SEALED, ("server-limit", "-1")], id="negative"),
+    ],
+)
+def test_notice_that_may_not_be_the_targets_is_ignored(status, headers):
+    response = Response(status, headers)
+    assert PlatformTargetProtocol().notice(make_call(), response) is None
+
+
 @pytest.mark.parametrize(
     ("value", "slowness"),
     [
