--- a/standins/sidecar/app_server.py
+++ b/standins/sidecar/app_server.py
@@ -31,6 +31,8 @@
     :ivar status: status of the responses to requests that were run.
     :ivar fences: last fencing token by the first and last key of each
         granted range.
+    :ivar notices: headers that it adds to its responses.
+    :ivar arrivals: event loop time of each request, oldest first.
     :ivar in_flight: number of requests that are running.
     :ivar padding: bytes at the end of each response's body.
     """
@@ -50,6 +52,8 @@
         self.omit_seal = False
         self.status = 200
         self.fences: dict[int, int] = {}
+        self.notices: list[tuple[str, str]] = []
+        self.arrivals: list[float] = []
         self.in_flight = 0
         self.padding = b""
 
@@ -132,7 +136,8 @@
 
     async def _run(self, req: Request) -> Response:
         request_id = req.header("attempt-id") or ""
-        headers = [("Attempt-Id", request_id)]
+        headers = [("Attempt-Id", request_id), *self.notices]
+        self.arrivals.append(asyncio.get_running_loop().time())
         if req.header("expected-instance") != self.target_id:
             return Response(421, headers)
         key = req.header("shard-key")
--- /dev/null
+++ b/tests/sidecar/test_target_notices.py
@@ -0,0 +1,136 @@
+"""Limits and stops that servers announce in their responses."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from contextlib import asynccontextmanager
+
+import pytest
+
+from tests.sidecar.builders import open_site
+
+pytestmark = pytest.mark.anyio
+
+STABILITY_WINDOW_S = 3.0
+WINDOW_S = 4.0
+OVERAGE = 1.5
+SLACK = 5
+DRAIN_S = 2.0
+LIMIT_PER_S = 10.0
+CALLS_PER_S = 90
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@asynccontextmanager
+async def under_load(site, machines, path, **fields):
+    """Send requests through several daemons until the context exits."""
+    answers = []
+
+    async def ask(machine):
+        answers.append(await machine.ask(path, **fields))
+
+    async def send():
+        async with asyncio.TaskGroup() as tasks:
+            for machine in itertools.cycle(machines):
+                tasks.create_task(ask(machine))
+                await asyncio.sleep(1 / CALLS_PER_S)
+
+    task = asyncio.create_task(send())
+    try:
+        yield answers
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def most_in_window(times, since):
+    """Return the most arrivals in any window from a time on."""
+    times = [time for time in times if time >= since]
+    return max(
+        (
+            sum(start <= time < start + WINDOW_S for time in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+def allowed(limit_per_s):
+    return OVERAGE * limit_per_s * WINDOW_S + SLACK
+
+
+# LIMIT: servers got all requests, whatever limit they named.
+async def test_servers_get_no_more_requests_than_they_name():
+    async with open_site("dispatch", "dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        for machine in site.machines:
+            machine.app.notices = [("Server-Limit", f"{LIMIT_PER_S}")]
+        named_at = asyncio.get_running_loop().time()
+        async with under_load(site, site.machines, "/crew/1") as answers:
+            await asyncio.sleep(STABILITY_WINDOW_S + WINDOW_S + 0.5)
+    since = named_at + STABILITY_WINDOW_S
+    for machine in site.machines:
+        most = most_in_window(machine.app.arrivals, since)
+        assert most <= allowed(LIMIT_PER_S)
+        # The limit is what the server takes, so callers get that much.
+        assert most >= 0.8 * LIMIT_PER_S * WINDOW_S
+    refused = [item for item in answers if item.status == 503]
+    assert refused
+    assert all(float(item.header("retry-after")) > 0 for item in refused)
+
+
+# LIMIT: a daemon that started again sent its server all requests.
+async def test_limit_holds_after_a_restart_of_the_daemon():
+    limit_per_s = 1.0
+    async with open_site("dispatch", "alerts", "alerts") as site:
+        limited, *others = site.machines
+        await site.wait_until(
+            lambda: all(
+                machine.node.roster.servers("dispatch")
+                for machine in site.machines
+            )
+        )
+        limited.app.work_s = 0.2
+        limited.app.notices = [("Server-Limit", f"{limit_per_s}")]
+        named_at = asyncio.get_running_loop().time()
+        async with under_load(site, others, "/crew/1"):
+            await asyncio.sleep(STABILITY_WINDOW_S)
+            for _ in range(2):
+                await limited.kill()
+                await asyncio.sleep(0.1)
+                await limited.start()
+                await asyncio.sleep(WINDOW_S / 2)
+    most = most_in_window(limited.app.arrivals, named_at + STABILITY_WINDOW_S)
+    assert most <= allowed(limit_per_s)
+
+
+# LIMIT: the owner of keys got all requests for them.
+async def test_limited_owner_of_keys_gives_keys_away():
+    async with open_site("records", "records", "records") as site:
+        await site.wait_until_ready()
+        limited = site.machines[0]
+        limited.app.notices = [("Server-Limit", f"{LIMIT_PER_S}")]
+        named_at = asyncio.get_running_loop().time()
+        keys = itertools.cycle(range(0, 65536, 331))
+        answers = []
+
+        async def ask(machine, key):
+            answers.append(await machine.ask("/read/1", key=key))
+
+        async with asyncio.TaskGroup() as tasks:
+            for machine in itertools.cycle(site.machines):
+                tasks.create_task(ask(machine, next(keys)))
+                await asyncio.sleep(1 / CALLS_PER_S)
+                now = asyncio.get_running_loop().time()
+                if now > named_at + STABILITY_WINDOW_S + WINDOW_S + 0.5:
+                    break
+    most = most_in_window(limited.app.arrivals, named_at + STABILITY_WINDOW_S)
+    assert most <= allowed(LIMIT_PER_S)
+    late = answers[-2 * CALLS_PER_S :]
+    served = sum(item.status == 200 for item in late)
+    assert served >= 0.9 * len(late)
