Keep the rate limit that a target names in its responses

Callers saw servers in need fail: two that had named 14.5 and 7.9 requests a second got 141 and 107 in 4 s, allowed 92 and 52. Cause: nobody read what a server says of itself in its responses; the class is state of a target that only the next process can know from others.

The gate is the only way in to a target, so one token bucket there keeps the limit for all machines. A request that the rate will not admit within its patience is refused at once, with a time to return of its own. Choosers and the coordinator learn the limit with the load, so requests go elsewhere and an owner of keys gives keys away. Callers' daemons tell the last notice with each call, as the target's daemon may have started again.

--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -9,6 +9,7 @@
     from collections.abc import Callable, Iterator
 
     from burdockgap.fleet.member import Member
+    from burdockgap.forward.known_notice import KnownNotice
     from burdockgap.forward.load import Load
 
 MEMBER_TIMEOUT_S = 3.2
@@ -35,6 +36,8 @@
         known from the store.
     :ivar load: the newest load known.
     :ivar load_at: when the load was received.
+    :ivar notice: the newest notice of its target that was received with
+        an outcome, if any.
     :ivar unreported_calls: calls from this daemon to it that its load
         does not include yet.
     :ivar ejected_until: end of its ejection after a failure.
@@ -46,6 +49,7 @@
         "load",
         "load_at",
         "member",
+        "notice",
         "unreported_calls",
     )
 
@@ -54,6 +58,7 @@
         self.heard_at = heard_at
         self.load = member.load
         self.load_at = heard_at or 0.0
+        self.notice: KnownNotice | None = None
         self.unreported_calls = 0
         self.ejected_until = 0.0
 
@@ -194,6 +199,17 @@
             entry.load, entry.unreported_calls = load, 0
             entry.load_at = self._loop.time()
 
+    def note_notice(self, name: str, notice: KnownNotice) -> None:
+        """Store the target's notice from a member's reply."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.notice = notice
+
+    def notice(self, name: str) -> KnownNotice | None:
+        """Return the newest known notice of a member's target."""
+        entry = self._entries.get(name)
+        return entry.notice if entry else None
+
     def load(self, member: Member) -> Load:
         """Return the newest known load of a member."""
         entry = self._entries.get(member.name)
@@ -233,7 +249,12 @@
         queued = max(work + 1 - slots, 0) / slots
         slowness = load.slowness if age_s < _MAX_SLOWNESS_AGE_S else 1.0
         contention = _CONTENTION_SHARE * min(work / slots, 1.0)
-        return load.service_s * slowness * (1 + contention + queued)
+        rate_wait_s = 0.0
+        if load.rate_limit:
+            added_s = unreported_calls / load.rate_limit
+            rate_wait_s = max(load.rate_wait_s + added_s - age_s, 0.0)
+        service_s = load.service_s * slowness * (1 + contention + queued)
+        return rate_wait_s + service_s
 
     def _is_ejected(self, name: str, now: float) -> bool:
         entry = self._entries.get(name)
--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from burdockgap.forward.known_notice import KnownNotice
+
 
 class Call:
     """
@@ -23,6 +25,8 @@
     :param deadline_s: time until the caller's deadline, in seconds.
     :param patience_s: longest wait for a grant of the key and for a
         slot before it is sent to the target, in seconds.
+    :param notice: what the caller's daemon knows of the target's
+        notices, if anything.
     :param attempt: 1 for the first target that is tried.
     """
 
@@ -35,6 +39,7 @@
         "key",
         "large",
         "method",
+        "notice",
         "patience_s",
         "origin",
         "priority",
@@ -59,6 +64,7 @@
         priority: int,
         deadline_s: float,
         patience_s: float,
+        notice: KnownNotice | None = None,
         attempt: int = 1,
     ) -> None:
         self.request_id = request_id
@@ -74,6 +80,7 @@
         self.priority = priority
         self.deadline_s = deadline_s
         self.patience_s = patience_s
+        self.notice = notice
         self.attempt = attempt
 
     def encode(self) -> list[Any]:
@@ -92,6 +99,7 @@
             self.priority,
             self.deadline_s,
             self.patience_s,
+            self.notice.encode() if self.notice else None,
             self.attempt,
         ]
 
@@ -117,6 +125,7 @@
             priority,
             deadline_s,
             patience_s,
+            notice,
             attempt,
         ) = values
         return cls(
@@ -133,5 +142,6 @@
             priority=priority,
             deadline_s=deadline_s,
             patience_s=patience_s,
+            notice=KnownNotice.decode(notice) if notice else None,
             attempt=attempt,
         )
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -32,9 +32,11 @@
 _DEFAULT_TIMEOUT_S = 30.0
 _REPLY_GRACE_S = 0.05
 """How long after the deadline a target's daemon may still reply."""
-_FINAL_KEYED_REASONS = frozenset({Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT})
+_FINAL_KEYED_REASONS = frozenset(
+    {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.RATE_LIMITED}
+)
 """Not retried for a key: it has one owner, so no other target can serve
-it when the owner's queue is full."""
+it when the owner has no room."""
 _MAX_TRIES = 4
 """Daemons tried for one request; each refusal costs one round trip."""
 _RETRY_DELAY_S = 0.03
@@ -298,6 +300,7 @@
 
     async def _call_member(self, member: Member, call: Call) -> Outcome:
         self._roster.note_call(member.name)
+        call.notice = self._roster.notice(member.name)
         reply_deadline = self._loop.time() + call.deadline_s + _REPLY_GRACE_S
         try:
             async with asyncio.timeout_at(reply_deadline):
@@ -329,6 +332,8 @@
             )
         if outcome.load is not None:
             self._roster.note_load(member.name, outcome.load)
+        if outcome.notice is not None:
+            self._roster.note_notice(member.name, outcome.notice)
         return outcome
 
     async def _settle(
--- /dev/null
+++ b/src/burdockgap/forward/known_notice.py
@@ -0,0 +1,48 @@
+"""What daemons pass on of a target's notices."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class KnownNotice:
+    """
+    The latest notice of one target process.
+
+    Its daemon tells it with each outcome, and callers' daemons return
+    it with each call: a daemon that has started again then knows it
+    before its target's next response.
+
+    :param born: start time of the target process.
+    :param rate_limit: requests per second that it takes from all
+        daemons together, ``None`` if it names no limit.
+    :param leaving_s: time since it first said that it is about to stop,
+        in seconds; ``None`` if it did not.
+    """
+
+    __slots__ = ("born", "leaving_s", "rate_limit")
+
+    def __init__(
+        self,
+        *,
+        born: int,
+        rate_limit: float | None = None,
+        leaving_s: float | None = None,
+    ) -> None:
+        self.born = born
+        self.rate_limit = rate_limit
+        self.leaving_s = leaving_s
+
+    def encode(self) -> list[Any]:
+        """Return the fields as the list that ``decode`` reads."""
+        return [self.born, self.rate_limit, self.leaving_s]
+
+    @classmethod
+    def decode(cls, values: list[Any]) -> KnownNotice:
+        """
+        Return the notice that ``encode`` turned into a list.
+
+        :raises ValueError: if the list has too few or too many fields.
+        """
+        born, rate_limit, leaving_s = values
+        return cls(born=born, rate_limit=rate_limit, leaving_s=leaving_s)
--- a/src/burdockgap/forward/load.py
+++ b/src/burdockgap/forward/load.py
@@ -17,10 +17,16 @@
         average, as reported by the target.
     :param uplink_s: time until the machine's link has sent all queued
         and expected data, in seconds.
+    :param rate_limit: requests per second that the target takes from
+        all daemons together, ``None`` if it names no limit.
+    :param rate_wait_s: time until that limit admits another request, in
+        seconds.
     """
 
     __slots__ = (
         "in_flight",
+        "rate_limit",
+        "rate_wait_s",
         "service_s",
         "slots",
         "slowness",
@@ -37,6 +43,8 @@
         service_s: float = 0.05,
         slowness: float = 1.0,
         uplink_s: float = 0.0,
+        rate_limit: float | None = None,
+        rate_wait_s: float = 0.0,
     ) -> None:
         self.uplink_s = uplink_s
         self.in_flight = in_flight
@@ -44,6 +52,8 @@
         self.slots = slots
         self.service_s = service_s
         self.slowness = slowness
+        self.rate_limit = rate_limit
+        self.rate_wait_s = rate_wait_s
 
     def encode(self) -> list[Any]:
         """Return the fields as the list that ``decode`` reads."""
@@ -54,12 +64,23 @@
             self.service_s,
             self.slowness,
             self.uplink_s,
+            self.rate_limit,
+            self.rate_wait_s,
         ]
 
     @classmethod
     def decode(cls, values: list[Any]) -> Load:
         """Return the load that ``encode`` turned into a list."""
-        in_flight, waiting, slots, service_s, slowness, uplink_s = values
+        (
+            in_flight,
+            waiting,
+            slots,
+            service_s,
+            slowness,
+            uplink_s,
+            rate_limit,
+            rate_wait_s,
+        ) = values
         return cls(
             in_flight=in_flight,
             waiting=waiting,
@@ -67,4 +88,6 @@
             service_s=service_s,
             slowness=slowness,
             uplink_s=uplink_s,
+            rate_limit=rate_limit,
+            rate_wait_s=rate_wait_s,
         )
--- a/src/burdockgap/forward/outcome.py
+++ b/src/burdockgap/forward/outcome.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from burdockgap.forward.known_notice import KnownNotice
 from burdockgap.forward.load import Load
 from burdockgap.http1.response import Response
 from burdockgap.verdict import Reason, Verdict
@@ -19,6 +20,7 @@
     :param retry_after_s: delay after which another attempt may succeed,
         in seconds.
     :param load: the target's load at the end of the attempt.
+    :param notice: what is known of the target's notices, if anything.
     :param sent: whether the request was, or may have been, sent to a
         target.
     :ivar waited_s: time spent waiting for a grant and a slot, in
@@ -27,6 +29,7 @@
 
     __slots__ = (
         "load",
+        "notice",
         "sent",
         "reason",
         "response",
@@ -43,6 +46,7 @@
         reason: Reason | None = None,
         retry_after_s: float = 0.0,
         load: Load | None = None,
+        notice: KnownNotice | None = None,
         sent: bool = False,
     ) -> None:
         self.verdict = verdict
@@ -50,6 +54,7 @@
         self.reason = reason
         self.retry_after_s = retry_after_s
         self.load = load
+        self.notice = notice
         self.sent = sent
         self.waited_s = 0.0
 
@@ -62,6 +67,7 @@
             self.retry_after_s,
             self.sent,
             self.load.encode() if self.load else None,
+            self.notice.encode() if self.notice else None,
             [response.status, response.headers, response.body]
             if response
             else None,
@@ -74,13 +80,14 @@
 
         :raises ValueError: if the list is not that of an outcome.
         """
-        verdict, reason, retry_after_s, sent, load, response = values
+        verdict, reason, retry_after_s, sent, load, notice, response = values
         return cls(
             Verdict(verdict),
             reason=Reason(reason) if reason else None,
             retry_after_s=retry_after_s,
             sent=sent,
             load=Load.decode(load) if load else None,
+            notice=KnownNotice.decode(notice) if notice else None,
             response=_response(response) if response else None,
         )
 
--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -6,8 +6,11 @@
 import bisect
 import itertools
 
+from burdockgap.forward.rate_limit import RateLimit
 from burdockgap.verdict import Reason, Refusal, Verdict
 
+_NO_ROOM = "The target has no room for the request; retry later."
+
 
 class _Waiter:
     """A queued request, ordered by priority and then by age."""
@@ -28,6 +31,7 @@
     """
     Admits as many requests as a target has slots and queues a few more.
 
+    :param limit: bounds the rate of admissions; no limit by default.
     :ivar size: requests admitted at once.
     :ivar queue_size: requests that may wait.
     :ivar in_flight: requests admitted now.
@@ -35,6 +39,8 @@
 
     __slots__ = (
         "_counter",
+        "_limit",
+        "_limit_timer",
         "_loop",
         "_queue",
         "in_flight",
@@ -42,8 +48,12 @@
         "size",
     )
 
-    def __init__(self, *, size: int, queue_size: int) -> None:
+    def __init__(
+        self, *, size: int, queue_size: int, limit: RateLimit | None = None
+    ) -> None:
         self._loop = asyncio.get_running_loop()
+        self._limit = limit or RateLimit()
+        self._limit_timer: asyncio.TimerHandle | None = None
         self._queue: list[_Waiter] = []
         self._counter = itertools.count()
         self.size = size
@@ -60,17 +70,27 @@
         Acquire a slot, at once or after a wait in the queue.
 
         If the queue exceeds its size, its least urgent request is
-        refused.
+        refused. A request that the rate would not admit within its
+        wait is refused at once.
 
         :param priority: rank; 0 is the most urgent.
         :param wait_s: longest wait, in seconds.
         :raises Refusal: with ``not-run``, if the wait takes too long
             or the request is removed from the queue.
         """
-        if self.in_flight < self.size and not self._queue:
+        now = self._loop.time()
+        if (
+            self.in_flight < self.size
+            and not self._queue
+            and self._limit.take(now)
+        ):
             self.in_flight += 1
             return
+        ahead = sum(waiter.rank[0] <= priority for waiter in self._queue)
+        if self._limit.wait_s(now, ahead) > wait_s:
+            raise Refusal(Verdict.NOT_RUN, Reason.RATE_LIMITED, _NO_ROOM)
         waiter = self._enqueue(priority)
+        self._admit()
         timer = self._loop.call_later(
             max(wait_s, 0.0), _refuse, waiter.fut, Reason.QUEUE_TIMEOUT
         )
@@ -112,13 +132,22 @@
 
     def _admit(self) -> None:
         while self._queue and self.in_flight < self.size:
-            waiter = self._queue.pop(0)
-            if not waiter.fut.done():
-                self.in_flight += 1
-                waiter.fut.set_result(None)
+            if self._queue[0].fut.done():
+                self._queue.pop(0)
+                continue
+            now = self._loop.time()
+            if not self._limit.take(now):
+                self._admit_in(self._limit.wait_s(now))
+                return
+            self.in_flight += 1
+            self._queue.pop(0).fut.set_result(None)
+
+    def _admit_in(self, seconds: float) -> None:
+        if self._limit_timer is not None:
+            self._limit_timer.cancel()
+        self._limit_timer = self._loop.call_later(seconds, self._admit)
 
 
 def _refuse(fut: asyncio.Future[None], reason: Reason) -> None:
     if not fut.done():
-        detail = "The target has no room for the request; retry later."
-        fut.set_exception(Refusal(Verdict.NOT_RUN, reason, detail))
+        fut.set_exception(Refusal(Verdict.NOT_RUN, reason, _NO_ROOM))
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -33,6 +33,11 @@
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 _QUEUE_PER_SLOT = 0.5
 _RETRY_AFTER_S = 0.1
+_LIMIT_REASONS = frozenset(
+    {Reason.RATE_LIMITED, Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT}
+)
+"""Reasons after which the target's limit determines the time to return,
+if it names one."""
 _SIZE_WEIGHT = 0.1
 """Weight of one large response's size in the moving average; sizes vary
 by half."""
@@ -109,7 +114,7 @@
         self._protocol = protocol
         self._out_since = out_since
         self._on_event = on_event
-        self._slots = Slots(size=1, queue_size=1)
+        self._slots = Slots(size=1, queue_size=1, limit=state.limit)
         self._dedup_cache = DedupCache()
         self._pool: ClientPool | None = None
         self.holder: ShardHolder | None = None
@@ -126,6 +131,10 @@
             service_s=self._state.service_s,
             slowness=self._state.slowness,
             uplink_s=self._uplink_s,
+            rate_limit=self._state.limit.rate,
+            rate_wait_s=self._state.limit.wait_s(
+                self._loop.time(), self._slots.waiting
+            ),
         )
 
     @property
@@ -172,11 +181,14 @@
         """Send a call to the target if admitted; return its outcome."""
         began = self._loop.time()
         deadline = began + call.deadline_s
+        if call.notice is not None:
+            self._state.adopt_notice(call.notice)
         if call.idempotent:
             outcome = await self._attempt(call, deadline)
         else:
             outcome = await self._attempt_once(call, deadline)
         outcome.load = self.load
+        outcome.notice = self._state.known_notice
         self._log(call, outcome, began)
         return outcome
 
@@ -350,8 +362,16 @@
         )
 
     def _refusal_outcome(self, exc: Refusal) -> Outcome:
+        retry_after_s = _RETRY_AFTER_S
+        if exc.reason in _LIMIT_REASONS:
+            retry_after_s = max(
+                retry_after_s,
+                self._state.limit.return_after_s(
+                    self._loop.time(), self._slots.waiting
+                ),
+            )
         return Outcome(
-            exc.verdict, reason=exc.reason, retry_after_s=_RETRY_AFTER_S
+            exc.verdict, reason=exc.reason, retry_after_s=retry_after_s
         )
 
     def _on_unexpected_bytes(self, what: str) -> None:
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -6,6 +6,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from burdockgap.forward.known_notice import KnownNotice
+from burdockgap.forward.rate_limit import RateLimit
 from burdockgap.forward.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
@@ -42,8 +44,7 @@
     :ivar up: whether the target is considered to be running.
     :ivar ended: whether its process is known to have ended.
     :ivar left: whether it has deregistered.
-    :ivar rate_limit: requests per second that it said it takes from all
-        daemons together, ``None`` if it named no limit.
+    :ivar limit: the limit that it names in its responses.
     :ivar drain_deadline: time on the event loop's clock until which it
         may be sent requests; set when it first announces that it drains
         or deregisters.
@@ -67,7 +68,8 @@
         "info",
         "left",
         "drain_deadline",
-        "rate_limit",
+        "limit",
+        "_has_notice",
         "up",
     )
 
@@ -93,7 +95,8 @@
         self.ended = False
         self.drain_deadline = math.inf
         self.left = False
-        self.rate_limit: float | None = None
+        self.limit = RateLimit()
+        self._has_notice = False
         self._normalized_service_s = _INITIAL_SERVICE_S
         self._samples = 0
         self._slowness = 1.0
@@ -173,7 +176,8 @@
             self.left = False
             self.drain_deadline = math.inf
             self._cold_bucket, self._cold_until = None, 0.0
-            self.rate_limit = None
+            self.limit.change(None, now)
+            self._has_notice = False
         if info.draining:
             self.drain_deadline = min(self.drain_deadline, now + self._drain_s)
         self._extend_cold_period(info, now)
@@ -206,9 +210,32 @@
         """
         if self.info is None or self.info.born != born:
             return
-        if notice.rate_limit != self.rate_limit:
-            self.rate_limit = notice.rate_limit
-            self._log("target_limit", rate_limit=notice.rate_limit)
+        self._has_notice = True
+        self._change_limit(notice.rate_limit)
+
+    def adopt_notice(self, notice: KnownNotice) -> None:
+        """
+        Apply what another daemon knows from before this one's start.
+
+        Responses that this daemon has received itself are newer.
+        """
+        if (
+            self.info is None
+            or self.info.born != notice.born
+            or self._has_notice
+        ):
+            return
+        self._has_notice = True
+        self._change_limit(notice.rate_limit)
+
+    @property
+    def known_notice(self) -> KnownNotice | None:
+        """What is known of the target's notices, if anything."""
+        if self.info is None or not self._has_notice:
+            return None
+        return KnownNotice(
+            born=self.info.born, rate_limit=self.limit.named_rate
+        )
 
     def note_response(self) -> None:
         """Record that the target responded."""
@@ -264,6 +291,15 @@
             )
             self._on_change()
 
+    def _change_limit(self, rate: float | None) -> None:
+        if rate == self.limit.named_rate:
+            return
+        was_limited = self.limit.rate is not None
+        self.limit.change(rate, self._loop.time())
+        if was_limited != (rate is not None):
+            self._log("target_limit", rate_limit=rate)
+            self._on_change()
+
     def _extend_cold_period(self, info: TargetInfo, now: float) -> None:
         if info.cold_s <= 0:
             return
--- a/src/burdockgap/shards/assigner.py
+++ b/src/burdockgap/shards/assigner.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from burdockgap.fleet.roster import Roster
+    from burdockgap.forward.load import Load
     from burdockgap.shards.control_state import ControlState
     from burdockgap.shards.latest_reports import LatestReports
     from burdockgap.shards.reports import Report
@@ -22,6 +23,8 @@
 _MAX_TARGET_WAIT_S = 3.0
 """Longest wait for the targets of known members before the first
 assignment; targets announce themselves about once a second."""
+_MIN_SERVICE_S = 0.005
+"""Bounds the capacity of a target whose requests take no time."""
 
 
 class Assigner:
@@ -194,11 +197,10 @@
                 and member.data_centre not in self._data_centres_out()
             )
             if usable:
-                load = report.load
                 servers[name] = Server(
                     name=name,
                     born=report.born,
-                    capacity=load.slots / max(load.service_s, 0.005),
+                    capacity=_capacity(report.load),
                 )
         return servers
 
@@ -270,3 +272,11 @@
         if service in state.shards:
             state.shards[service] = rows
         return changed
+
+
+def _capacity(load: Load) -> float:
+    """Return the requests per second that a target can serve."""
+    capacity = load.slots / max(load.service_s, _MIN_SERVICE_S)
+    if load.rate_limit is None:
+        return capacity
+    return min(capacity, load.rate_limit)
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -60,7 +60,7 @@
     gauge(
         "target_rate_limit",
         "Requests per second that the target named as its limit, 0 if none.",
-        lambda: node.target.rate_limit or 0,
+        lambda: node.target.limit.named_rate or 0,
     )
     gauge(
         "buffered_bytes",
--- a/tests/sidecar/test_target_notices.py
+++ b/tests/sidecar/test_target_notices.py
@@ -27,7 +27,7 @@
 
 
 @asynccontextmanager
-async def under_load(site, machines, path, **fields):
+async def under_load(machines, path, **fields):
     """Send requests through several daemons until the context exits."""
     answers = []
 
@@ -71,7 +71,7 @@
         for machine in site.machines:
             machine.app.notices = [("Server-Limit", f"{LIMIT_PER_S}")]
         named_at = asyncio.get_running_loop().time()
-        async with under_load(site, site.machines, "/crew/1") as answers:
+        async with under_load(site.machines, "/crew/1") as answers:
             await asyncio.sleep(STABILITY_WINDOW_S + WINDOW_S + 0.5)
     since = named_at + STABILITY_WINDOW_S
     for machine in site.machines:
@@ -98,7 +98,7 @@
         limited.app.work_s = 0.2
         limited.app.notices = [("Server-Limit", f"{limit_per_s}")]
         named_at = asyncio.get_running_loop().time()
-        async with under_load(site, others, "/crew/1"):
+        async with under_load(others, "/crew/1"):
             await asyncio.sleep(STABILITY_WINDOW_S)
             for _ in range(2):
                 await limited.kill()
