Drain a target that says in its responses that it leaves

DRAIN: a server whose heartbeats say nothing, but whose responses say that it is leaving, got requests without end; after its end callers would have seen lost connections. The class is that of the server limit: what a server says of itself in a response was read by nobody.

Such a response drains the target as a heartbeat does, until its next process. Callers' daemons remember when they learned it and tell it with each call, so the drain time goes on if the target's daemon starts again.

--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -38,6 +38,7 @@
     :ivar load_at: when the load was received.
     :ivar notice: the newest notice of its target that was received with
         an outcome, if any.
+    :ivar notice_at: when that was.
     :ivar unreported_calls: calls from this daemon to it that its load
         does not include yet.
     :ivar ejected_until: end of its ejection after a failure.
@@ -50,6 +51,7 @@
         "load_at",
         "member",
         "notice",
+        "notice_at",
         "unreported_calls",
     )
 
@@ -59,6 +61,7 @@
         self.load = member.load
         self.load_at = heard_at or 0.0
         self.notice: KnownNotice | None = None
+        self.notice_at = 0.0
         self.unreported_calls = 0
         self.ejected_until = 0.0
 
@@ -203,12 +206,14 @@
         """Store the target's notice from a member's reply."""
         entry = self._entries.get(name)
         if entry is not None:
-            entry.notice = notice
+            entry.notice, entry.notice_at = notice, self._loop.time()
 
     def notice(self, name: str) -> KnownNotice | None:
         """Return the newest known notice of a member's target."""
         entry = self._entries.get(name)
-        return entry.notice if entry else None
+        if entry is None or entry.notice is None:
+            return None
+        return entry.notice.aged(self._loop.time() - entry.notice_at)
 
     def load(self, member: Member) -> Load:
         """Return the newest known load of a member."""
--- a/src/burdockgap/forward/known_notice.py
+++ b/src/burdockgap/forward/known_notice.py
@@ -33,6 +33,15 @@
         self.rate_limit = rate_limit
         self.leaving_s = leaving_s
 
+    def aged(self, seconds: float) -> KnownNotice:
+        """Return the notice as it is some seconds later."""
+        leaving_s = self.leaving_s
+        return KnownNotice(
+            born=self.born,
+            rate_limit=self.rate_limit,
+            leaving_s=None if leaving_s is None else leaving_s + seconds,
+        )
+
     def encode(self) -> list[Any]:
         """Return the fields as the list that ``decode`` reads."""
         return [self.born, self.rate_limit, self.leaving_s]
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -70,6 +70,7 @@
         "drain_deadline",
         "limit",
         "_has_notice",
+        "_leaving_at",
         "up",
     )
 
@@ -97,6 +98,7 @@
         self.left = False
         self.limit = RateLimit()
         self._has_notice = False
+        self._leaving_at: float | None = None
         self._normalized_service_s = _INITIAL_SERVICE_S
         self._samples = 0
         self._slowness = 1.0
@@ -178,6 +180,7 @@
             self._cold_bucket, self._cold_until = None, 0.0
             self.limit.change(None, now)
             self._has_notice = False
+            self._leaving_at = None
         if info.draining:
             self.drain_deadline = min(self.drain_deadline, now + self._drain_s)
         self._extend_cold_period(info, now)
@@ -212,6 +215,8 @@
             return
         self._has_notice = True
         self._change_limit(notice.rate_limit)
+        if notice.leaving:
+            self._begin_leaving(0.0)
 
     def adopt_notice(self, notice: KnownNotice) -> None:
         """
@@ -227,14 +232,21 @@
             return
         self._has_notice = True
         self._change_limit(notice.rate_limit)
+        if notice.leaving_s is not None:
+            self._begin_leaving(notice.leaving_s)
 
     @property
     def known_notice(self) -> KnownNotice | None:
         """What is known of the target's notices, if anything."""
         if self.info is None or not self._has_notice:
             return None
+        leaving_s = None
+        if self._leaving_at is not None:
+            leaving_s = self._loop.time() - self._leaving_at
         return KnownNotice(
-            born=self.info.born, rate_limit=self.limit.named_rate
+            born=self.info.born,
+            rate_limit=self.limit.named_rate,
+            leaving_s=leaving_s,
         )
 
     def note_response(self) -> None:
@@ -300,6 +312,19 @@
             self._log("target_limit", rate_limit=rate)
             self._on_change()
 
+    def _begin_leaving(self, since_s: float) -> None:
+        """Drain the target, which first said so some seconds ago."""
+        if self._leaving_at is not None or self.info is None:
+            return
+        self._leaving_at = self._loop.time() - since_s
+        self.drain_deadline = min(
+            self.drain_deadline, self._leaving_at + self._drain_s
+        )
+        if not self.info.draining:
+            self.info.draining = True
+            self._log("target", state="draining", why="its response")
+            self._on_change()
+
     def _extend_cold_period(self, info: TargetInfo, now: float) -> None:
         if info.cold_s <= 0:
             return
--- a/tests/forward/test_target_state.py
+++ b/tests/forward/test_target_state.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from burdockgap.forward.known_notice import KnownNotice
+from burdockgap.forward.target_notice import TargetNotice
 from burdockgap.forward.token_bucket import TokenBucket
 from tests.forward.builders import GateHarness
 from tests.sidecar.builders import make_info
@@ -104,3 +106,25 @@
     state.note_success(0.18, 1.8)
     assert state.slowness == pytest.approx(3.0, rel=0.1)
     assert state.service_s == pytest.approx(0.06, rel=0.1)
+
+
+async def test_leaving_in_a_response_is_not_revoked_by_an_announcement():
+    harness = GateHarness()
+    harness.state.announced(make_info(sequence=1))
+    harness.state.note_notice(TargetNotice(leaving=True), 1000)
+    drain_deadline = harness.state.drain_deadline
+    harness.state.announced(make_info(sequence=2))
+    harness.state.note_notice(TargetNotice(), 1000)
+    assert not harness.state.takes_work
+    assert harness.state.drain_deadline == drain_deadline
+    harness.state.announced(make_info(born=2000, sequence=1))
+    assert harness.state.takes_work
+
+
+async def test_leaving_known_to_a_caller_counts_from_its_first_response():
+    harness = GateHarness(drain_s=2.0)
+    harness.state.announced(make_info())
+    notice = KnownNotice(born=1000, leaving_s=0.5).aged(1.0)
+    harness.state.adopt_notice(notice)
+    now = asyncio.get_running_loop().time()
+    assert harness.state.drain_deadline == pytest.approx(now + 0.5, abs=0.05)
--- a/tests/sidecar/test_target_notices.py
+++ b/tests/sidecar/test_target_notices.py
@@ -134,3 +134,59 @@
     late = answers[-2 * CALLS_PER_S :]
     served = sum(item.status == 200 for item in late)
     assert served >= 0.9 * len(late)
+
+
+async def arrivals_after_leaving(leaving, callers, path, *, restart):
+    """
+    Return the requests that reach a server later than its drain time.
+
+    :param restart: whether its daemon starts again meanwhile.
+    """
+    async with under_load(callers, path):
+        await asyncio.sleep(0.5)
+        leaving.app.notices = [("Server-Leaving", "1")]
+        # Each caller's daemon passes on an answer that says so.
+        await asyncio.sleep(0.5)
+        if restart:
+            await leaving.kill()
+            await asyncio.sleep(0.1)
+            await leaving.start()
+        told_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(DRAIN_S + 2.0)
+    return [time for time in leaving.app.arrivals if time > told_at + DRAIN_S]
+
+
+# DRAIN: a server that said in its answers, but not in its heartbeats,
+# that it leaves went on getting requests.
+@pytest.mark.parametrize("restart", [False, True])
+async def test_server_that_says_it_leaves_gets_no_more_requests(restart):
+    async with open_site("dispatch", "alerts", "alerts") as site:
+        leaving, *callers = site.machines
+        await site.wait_until_ready()
+        assert not await arrivals_after_leaving(
+            leaving, callers, "/crew/1", restart=restart
+        )
+
+
+# DRAIN: the same for an owner of keys.
+async def test_owner_that_says_it_leaves_gives_its_keys_away():
+    async with open_site("records", "records") as site:
+        await site.wait_until_ready()
+        leaving, other = site.machines
+        leaving.app.notices = [("Server-Leaving", "1")]
+        keys = itertools.cycle(range(0, 65536, 331))
+        answers = []
+
+        async def ask(key):
+            answers.append(await other.ask("/read/1", key=key))
+
+        began = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as tasks:
+            while asyncio.get_running_loop().time() < began + DRAIN_S + 2:
+                tasks.create_task(ask(next(keys)))
+                await asyncio.sleep(1 / CALLS_PER_S)
+    assert not [
+        time for time in leaving.app.arrivals if time > began + 0.5 + DRAIN_S
+    ]
+    late = answers[-CALLS_PER_S:]
+    assert all(answer.status == 200 for answer in late)
