--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from burdockgap.forward.known_notice import KnownNotice
 from burdockgap.forward.load import Load
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     :param resigning: whether it asks another member to become
         coordinator.
     :param load: the target's load.
+    :param notice: what is known of the target's notices, if anything.
     :param documents: position in the store up to which it knows the
         operators' documents.
     :param config_version: version of the configuration in force at it,
@@ -49,6 +51,7 @@
         "leaving",
         "load",
         "name",
+        "notice",
         "region",
         "resigning",
         "revision",
@@ -78,6 +81,7 @@
         leaving: bool = False,
         resigning: bool = False,
         load: Load | None = None,
+        notice: KnownNotice | None = None,
         documents: Position = (0, 0),
         config_version: int = 0,
         term: int = 0,
@@ -97,6 +101,7 @@
         self.leaving = leaving
         self.resigning = resigning
         self.load = load or Load()
+        self.notice = notice
         self.documents = documents
         self.config_version = config_version
         self.term = term
@@ -119,6 +124,7 @@
             self.leaving,
             self.resigning,
             self.load.encode(),
+            self.notice.encode() if self.notice else None,
             list(self.documents),
             self.config_version,
             self.term,
@@ -152,6 +158,7 @@
             leaving,
             resigning,
             load,
+            notice,
             (generation, offset),
             config_version,
             term,
@@ -172,6 +179,7 @@
             leaving=leaving,
             resigning=resigning,
             load=Load.decode(load),
+            notice=KnownNotice.decode(notice) if notice else None,
             documents=(generation, offset),
             config_version=config_version,
             term=term,
--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -36,8 +36,8 @@
         known from the store.
     :ivar load: the newest load known.
     :ivar load_at: when the load was received.
-    :ivar notice: the newest notice of its target that was received with
-        an outcome, if any.
+    :ivar notice: the newest notice of its target that was received, if
+        any.
     :ivar notice_at: when that was.
     :ivar unreported_calls: calls from this daemon to it that its load
         does not include yet.
@@ -121,6 +121,9 @@
         entry.member = member
         entry.heard_at = now
         entry.load, entry.unreported_calls, entry.load_at = member.load, 0, now
+        if member.notice is not None:
+            # A daemon that has started again may not know it any more.
+            entry.notice, entry.notice_at = member.notice, now
         return entry
 
     def add_stored(self, member: Member) -> None:
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -384,6 +384,7 @@
         own.leaving = self.leaving
         own.resigning = self.coordinator.is_resigning
         own.load = self.gate.load
+        own.notice = self.target.known_notice
         own.documents = self.documents.position
         own.config_version = self.documents.config_version
         own.term, own.revision = self.view.version
