Refuse values of other writers that cannot be used

Here: a member's entry with the port 99999 was accepted, and the announcements and reports of each daemon that read it failed every 0.5 s with an OverflowError, so members lost each other. Deep nesting ended in a RecursionError in the decoders of heartbeats, documents and the store's responses, and the follower of documents failed in a loop.

The class is a check of form, but not of value, at the boundary. Values are checked where they are decoded now: types, ranges, finite numbers, addresses; what can't be decoded is a ValueError, whatever the cause.

Values of a wrong type in configurations were found too. Not checked: reports to the coordinator, which come from members only.

--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -8,6 +8,13 @@
 
 from burdockgap.forward.known_notice import KnownNotice
 from burdockgap.forward.load import Load
+from burdockgap.wire.checks import (
+    MAX_COUNT,
+    check_address,
+    check_flag,
+    check_integer,
+    check_text,
+)
 
 if TYPE_CHECKING:
     from burdockgap.metadata.keyed_store import Position
@@ -147,7 +154,7 @@
             name,
             incarnation,
             sequence,
-            (host, port),
+            address,
             data_centre,
             region,
             service,
@@ -165,25 +172,28 @@
             revision,
         ) = values
         return cls(
-            name=name,
-            incarnation=incarnation,
-            sequence=sequence,
-            address=(host, port),
-            data_centre=data_centre,
-            region=region,
-            service=service,
-            target_id=target_id,
-            born=born,
-            slots=slots,
-            takes_work=takes_work,
-            leaving=leaving,
-            resigning=resigning,
+            name=check_text(name, "name"),
+            incarnation=check_integer(incarnation, "incarnation"),
+            sequence=check_integer(sequence, "sequence"),
+            address=check_address(address, "address"),
+            data_centre=check_text(data_centre, "data centre"),
+            region=check_text(region, "region"),
+            service=check_text(service, "service"),
+            target_id=check_text(target_id, "target id"),
+            born=check_integer(born, "born"),
+            slots=check_integer(slots, "slots", most=MAX_COUNT),
+            takes_work=check_flag(takes_work, "takes_work"),
+            leaving=check_flag(leaving, "leaving"),
+            resigning=check_flag(resigning, "resigning"),
             load=Load.decode(load),
             notice=KnownNotice.decode(notice) if notice else None,
-            documents=(generation, offset),
-            config_version=config_version,
-            term=term,
-            revision=revision,
+            documents=(
+                check_integer(generation, "generation"),
+                check_integer(offset, "offset"),
+            ),
+            config_version=check_integer(config_version, "config version"),
+            term=check_integer(term, "term"),
+            revision=check_integer(revision, "revision"),
         )
 
     @classmethod
--- a/src/burdockgap/forward/known_notice.py
+++ b/src/burdockgap/forward/known_notice.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from burdockgap.wire.checks import check_integer, check_number
+
 
 class KnownNotice:
     """
@@ -51,7 +53,17 @@
         """
         Return the notice that ``encode`` turned into a list.
 
-        :raises ValueError: if the list has too few or too many fields.
+        :raises ValueError: if the list is not that of a notice.
         """
+        if not isinstance(values, list):
+            raise ValueError(f"notice is {values!r:.40}, which is no list")
         born, rate_limit, leaving_s = values
-        return cls(born=born, rate_limit=rate_limit, leaving_s=leaving_s)
+        return cls(
+            born=check_integer(born, "born"),
+            rate_limit=_decode_optional(rate_limit, "rate limit"),
+            leaving_s=_decode_optional(leaving_s, "leaving"),
+        )
+
+
+def _decode_optional(value: Any, name: str) -> float | None:
+    return None if value is None else check_number(value, name)
--- a/src/burdockgap/forward/load.py
+++ b/src/burdockgap/forward/load.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from burdockgap.wire.checks import MAX_COUNT, check_integer, check_number
+
 
 class Load:
     """
@@ -70,7 +72,13 @@
 
     @classmethod
     def decode(cls, values: list[Any]) -> Load:
-        """Return the load that ``encode`` turned into a list."""
+        """
+        Return the load that ``encode`` turned into a list.
+
+        :raises ValueError: if the list is not that of a load.
+        """
+        if not isinstance(values, list):
+            raise ValueError(f"load is {values!r:.40}, which is no list")
         (
             in_flight,
             waiting,
@@ -82,12 +90,14 @@
             rate_wait_s,
         ) = values
         return cls(
-            in_flight=in_flight,
-            waiting=waiting,
-            slots=slots,
-            service_s=service_s,
-            slowness=slowness,
-            uplink_s=uplink_s,
-            rate_limit=rate_limit,
-            rate_wait_s=rate_wait_s,
+            in_flight=check_integer(in_flight, "in flight", most=MAX_COUNT),
+            waiting=check_integer(waiting, "waiting", most=MAX_COUNT),
+            slots=check_integer(slots, "slots", most=MAX_COUNT),
+            service_s=check_number(service_s, "service time"),
+            slowness=check_number(slowness, "slowness"),
+            uplink_s=check_number(uplink_s, "uplink time"),
+            rate_limit=None
+            if rate_limit is None
+            else check_number(rate_limit, "rate limit"),
+            rate_wait_s=check_number(rate_wait_s, "rate wait"),
         )
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -283,7 +283,12 @@
             return
         for part in value.split(","):
             name, _, number = part.strip().partition("=")
-            if name.lower() == "timeout" and number.strip().isdigit():
+            number = number.strip()
+            if (
+                name.lower() == "timeout"
+                and number.isascii()
+                and number.isdigit()
+            ):
                 self._idle_s = max(
                     float(number) * _KEEP_ALIVE_SHARE, _MIN_KEEP_ALIVE_S
                 )
--- a/src/burdockgap/platform/announcements.py
+++ b/src/burdockgap/platform/announcements.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 from burdockgap.forward.target_info import TargetInfo
 from burdockgap.http1.response import Response
-from burdockgap.platform.fields import parse_address, require_field
+from burdockgap.platform.fields import (
+    decode_json,
+    parse_address,
+    require_field,
+    require_integer,
+)
 from burdockgap.platform.times import decode_time
+from burdockgap.wire.checks import MAX_COUNT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,24 +34,21 @@
     :raises ValueError: if a field is missing, has the wrong type or a
         value that is not allowed.
     """
-    heartbeat = json.loads(body)
+    heartbeat = decode_json(body)
     state = require_field(heartbeat, "state", str)
     if state not in _STATES:
         raise ValueError(f"state {state!r} is unknown; use ready or draining")
-    slots = require_field(heartbeat, "slots", int)
-    if slots < 1:
-        raise ValueError(f"field 'slots' is {slots}, but must be at least 1")
     return TargetInfo(
         target_id=target_id,
-        born=require_field(heartbeat, "born", int),
+        born=require_integer(heartbeat, "born"),
         address=parse_address(require_field(heartbeat, "address", str)),
         service=require_field(heartbeat, "service", str),
         data_centre=require_field(heartbeat, "zone", str),
-        slots=slots,
+        slots=require_integer(heartbeat, "slots", least=1, most=MAX_COUNT),
         draining=state == "draining",
         # Remaining time of the cold start.
         cold_s=decode_time(require_field(heartbeat, "cold-remaining", str)),
-        sequence=require_field(heartbeat, "sequence", int),
+        sequence=require_integer(heartbeat, "sequence"),
     )
 
 
--- a/src/burdockgap/platform/documents.py
+++ b/src/burdockgap/platform/documents.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from burdockgap.http1.limits import ConnectionLimits
-from burdockgap.platform.fields import require_field
+from burdockgap.platform.fields import (
+    decode_json,
+    require_field,
+    require_integer,
+)
 from burdockgap.platform.names import CONFIG_KEY, ZONE_OUT_PREFIX
 from burdockgap.platform.times import decode_time
 from burdockgap.routing.documents import DataCentreOut
@@ -49,7 +52,7 @@
     :param value: the configuration's JSON.
     :raises ValueError: if any part of it is invalid.
     """
-    source = json.loads(value)
+    source = decode_json(value)
     resources = require_field(source, "resources", list)
     routes: list[Route] = []
     services: list[ServicePolicy] = []
@@ -57,7 +60,7 @@
     for resource in resources:
         # The kind of this entry, not that of the entry it belongs to.
         kind = require_field(resource, "resource-kind", str)
-        name = resource.get("metadata", {}).get("name", "")
+        name = _decode_name(resource)
         spec = require_field(resource, "specification", dict)
         if kind == "routes":
             routes.append(_decode_route(name, spec))
@@ -94,13 +97,31 @@
         large=kind == "download",
         timeout_s=timeout_s,
         objective_s=decode_time(spec.get("target-latency", spec["timeout"])),
-        max_attempts=spec.get("max-attempts", _DEFAULT_MAX_ATTEMPTS),
-        priority=spec.get("priority", 0),
+        max_attempts=require_integer(
+            {"max-attempts": _DEFAULT_MAX_ATTEMPTS, **spec}, "max-attempts"
+        ),
+        priority=require_integer({"priority": 0, **spec}, "priority"),
         weighted_services=_decode_weighted_services(name, spec),
-        regions=frozenset(spec.get("allowed-regions") or ()),
+        regions=_decode_regions(name, spec),
     )
 
 
+def _decode_name(resource: dict[str, Any]) -> str:
+    metadata = require_field({"metadata": {}, **resource}, "metadata", dict)
+    return str(metadata.get("name", ""))
+
+
+def _decode_regions(name: str, spec: dict[str, Any]) -> frozenset[str]:
+    regions = spec.get("allowed-regions") or []
+    if not isinstance(regions, list) or not all(
+        isinstance(region, str) for region in regions
+    ):
+        raise ValueError(
+            f"field 'allowed-regions' of route {name!r} is no list of names"
+        )
+    return frozenset(regions)
+
+
 def _decode_weighted_services(
     name: str, spec: dict[str, Any]
 ) -> list[tuple[str, float]]:
--- a/src/burdockgap/platform/fields.py
+++ b/src/burdockgap/platform/fields.py
@@ -2,9 +2,29 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+import json
+import math
+from typing import Any, NoReturn, TypeVar
+
+from burdockgap.wire.checks import MAX_INTEGER, check_integer, check_port
 
 T = TypeVar("T")
+_PORT_DIGITS = 5
+
+
+def decode_json(data: bytes) -> Any:
+    """
+    Decode JSON that another process wrote.
+
+    :raises ValueError: if the data is not JSON, is nested too deeply or
+        has a number that is not finite.
+    """
+    try:
+        return json.loads(
+            data, parse_float=_finite, parse_constant=_reject_constant
+        )
+    except RecursionError as exc:
+        raise ValueError("JSON is nested too deeply") from exc
 
 
 def require_field(
@@ -30,13 +50,49 @@
     return value  # type: ignore[return-value]
 
 
+def require_integer(
+    source: Any, name: str, *, least: int = 0, most: int = MAX_INTEGER
+) -> int:
+    """
+    Return a required integer of an object.
+
+    :raises ValueError: if the source is not an object, or the field is
+        missing, has the wrong type or is out of range.
+    """
+    return check_integer(
+        require_field(source, name, int),
+        f"field {name!r}",
+        least=least,
+        most=most,
+    )
+
+
 def parse_address(value: Any) -> tuple[str, int]:
     """
     Return host and port of an address such as ``10.0.0.1:80``.
 
-    :raises ValueError: if the value has no port in decimal digits.
+    :raises ValueError: if the value has no host, or no port from 1 to
+        65,535 in decimal digits.
     """
-    host, colon, port = str(value).rpartition(":")
-    if not colon or not port.isdigit():
-        raise ValueError(f"{value!r} is not an address such as 10.0.0.1:80")
-    return host, int(port)
+    host, _, port = str(value).rpartition(":")
+    if (
+        not host
+        or not str(value).isascii()
+        or not port.isdigit()
+        or len(port) > _PORT_DIGITS
+    ):
+        raise ValueError(
+            f"{value!r:.80} is not an address such as 10.0.0.1:80"
+        )
+    return host, check_port(int(port), f"port of {value!r:.80}")
+
+
+def _finite(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"{text:.40} is not a finite number")
+    return number
+
+
+def _reject_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name} is not a finite number")
--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import json
 import struct
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -19,7 +18,7 @@
     WriteConflict,
 )
 from burdockgap.metadata.store_generation import StoreGeneration
-from burdockgap.platform.fields import T, require_field
+from burdockgap.platform.fields import T, decode_json, require_field
 from burdockgap.platform.names import STORE_GENERATION
 
 if TYPE_CHECKING:
@@ -97,9 +96,8 @@
             end = page_end if end is None else end
             items = _require_field(body, "items", list)
             for item in items:
-                values[_require_field(item, "key", str)] = base64.b64decode(
-                    _require_field(item, "value", str)
-                )
+                key = _require_field(item, "key", str)
+                values[key] = _decode_value(item)
             if not body.get("has-more") or not items:
                 return TopicSnapshot(values, end, generation)
             query["after"] = items[-1]["key"]
@@ -199,7 +197,7 @@
 
 def _decode_json(response: Response) -> dict[str, Any]:
     try:
-        body = json.loads(response.body)
+        body = decode_json(response.body)
     except ValueError as exc:
         raise StoreError(f"store response is not JSON: {exc}") from exc
     if not isinstance(body, dict):
@@ -207,6 +205,13 @@
     return body
 
 
+def _decode_value(item: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(_require_field(item, "value", str))
+    except ValueError as exc:
+        raise StoreError(f"value in the store response: {exc}") from exc
+
+
 def _decode_records(data: bytes) -> list[tuple[str, bytes | None]]:
     if len(data) < _OFFSETS_STRUCT.size:
         raise StoreError("store response is too short for its offsets")
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -19,6 +19,7 @@
 _MISDIRECTED_STATUS = 421
 _SLOWNESS_INDEX = 3
 _PER_CENT = 100
+_MAX_SLOWNESS = 1000
 _JSON_HEADERS = [("host", "target"), ("content-type", "application/json")]
 
 
@@ -77,9 +78,13 @@
         load_fields = (response.header(names.LOAD) or "").split(",")
         if len(load_fields) <= _SLOWNESS_INDEX:
             return 1.0
-        slowness_field = load_fields[_SLOWNESS_INDEX].strip()
-        per_cent = int(slowness_field) if slowness_field.isdigit() else 0
-        return per_cent / _PER_CENT if per_cent else 1.0
+        try:
+            per_cent = float(load_fields[_SLOWNESS_INDEX])
+        except ValueError:
+            return 1.0
+        if not 0 < per_cent <= _MAX_SLOWNESS * _PER_CENT:
+            return 1.0
+        return per_cent / _PER_CENT
 
     def notice(self, call: Call, response: Response) -> TargetNotice | None:
         """
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -68,6 +68,20 @@
         pytest.param({"born": True}, id="born-bool"),
         pytest.param({"address": "nowhere"}, id="no-port"),
         pytest.param({"cold-remaining": 5}, id="cold-number"),
+        pytest.param({"cold-remaining": "1e999s"}, id="cold-endless"),
+        pytest.param({"cold-remaining": "nans"}, id="cold-nan"),
+        pytest.param({"cold-remaining": "-5s"}, id="cold-negative"),
+        pytest.param({"cold-remaining": "1e300s"}, id="cold-too-long"),
+        pytest.param({"address": "10.0.0.9:99999"}, id="port-too-large"),
+        pytest.param({"address": "10.0.0.9:0"}, id="port-zero"),
+        pytest.param({"address": "10.0.0.9:\u00b2"}, id="port-superscript"),
+        pytest.param({"address": "10.0.0.9:" + "9" * 5000}, id="port-long"),
+        pytest.param({"address": ":8080"}, id="no-host"),
+        pytest.param({"address": "\ud800:8080"}, id="host-surrogate"),
+        pytest.param({"slots": 10**30}, id="slots-too-many"),
+        pytest.param({"born": 10**30}, id="born-too-large"),
+        pytest.param({"born": -1}, id="born-negative"),
+        pytest.param({"sequence": 10**30}, id="sequence-too-large"),
         pytest.param({"sequence": None}, id="no-sequence"),
     ],
 )
@@ -82,7 +96,13 @@
 
 @pytest.mark.parametrize(
     "body",
-    [pytest.param(b"\xff{", id="bytes"), pytest.param(b"[]", id="list")],
+    [
+        pytest.param(b"\xff{", id="bytes"),
+        pytest.param(b"[]", id="list"),
+        pytest.param(b"[" * 100_000, id="deeply-nested"),
+        pytest.param(b'{"slots":' * 100_000, id="deeply-nested-objects"),
+        pytest.param(b'{"slots":' + b"9" * 5000 + b"}", id="long-number"),
+    ],
 )
 async def test_heartbeat_without_json_object_is_refused(body):
     recorder = RecordingApi()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -32,6 +32,34 @@
         pytest.param(
             [make_route("x", "a", kind=5)], "field 'kind'", id="no-kind"
         ),
+        pytest.param(
+            [make_route("x", "a", priority="urgent")],
+            "field 'priority'",
+            id="priority-text",
+        ),
+        pytest.param(
+            [make_route("x", "a", **{"max-attempts": [2]})],
+            "field 'max-attempts'",
+            id="attempts-list",
+        ),
+        pytest.param(
+            [make_route("x", "a", **{"allowed-regions": [{}]})],
+            "allowed-regions",
+            id="region-object",
+        ),
+        pytest.param(
+            [{**make_route("x", "a"), "metadata": 5}],
+            "field 'metadata'",
+            id="metadata-number",
+        ),
+        pytest.param(
+            [make_route("x", "a", timeout="infs")], "not a time", id="endless"
+        ),
+        pytest.param(
+            [make_service("b", **{"cold-per-s": float("nan")})],
+            "not a finite number",
+            id="rate-nan",
+        ),
     ],
 )
 def test_invalid_config_error_names_the_cause(resources, why):
@@ -39,6 +67,11 @@
         decode_config(make_config(*resources, make_service("a")))
 
 
+def test_deeply_nested_config_is_invalid():
+    with pytest.raises(ValueError, match="nested"):
+        decode_config(b'{"resources":' + b"[" * 100_000)
+
+
 @pytest.mark.parametrize(
     ("kind", "idempotent", "large"),
     [
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -4,10 +4,11 @@
 
 import asyncio
 
+import msgpack
 import pytest
 
 from standins.sidecar.documents import make_site_config
-from tests.sidecar.builders import Machine, open_site
+from tests.sidecar.builders import HOST, Machine, open_site
 
 pytestmark = pytest.mark.anyio
 
@@ -469,3 +470,26 @@
         calls = site.store.calls["/api/log-read"]
         await asyncio.sleep(5.5)
         assert site.store.calls["/api/log-read"] - calls >= 2
+
+
+# LOST: an entry of another writer, with a port out of range, stopped
+# the announcements of all daemons that read it.
+async def test_odd_entry_among_the_members_does_not_stop_announcements():
+    async with open_site("dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        values = site.machines[0].node.roster.own.values()
+        values[0], values[3] = "odd", [HOST, 99_999]
+        site.store.put(MEMBERS, "odd", msgpack.packb(values))
+        newcomer = Machine(site, 9, "dispatch")
+        site.machines.append(newcomer)
+        await newcomer.start_app()
+        await newcomer.start()
+        await site.wait_until(lambda: newcomer.node.is_ready)
+        await asyncio.sleep(4.0)
+        assert len(newcomer.node.roster.live()) == 3
+        assert all(
+            machine.node.roster.is_alive(newcomer.name)
+            for machine in site.machines
+        )
+        for machine in site.machines:
+            assert b"component_failed" not in machine.node.metrics.expose()
