Take no response without an id for one to a later request

Here a copy with the earlier request's id was skipped, but one without any id counted as the response to the current request.

Servers echo the id, so on a connection that has carried another request before, a response without one is skipped as unexpected, and the connection isn't used again. On a new connection it can only belong to the request.

The test without the id failed before (not-run for a request that ran); the one with the earlier id passed. Responses to grants and releases carry no id at all and are taken as they come, as before.

--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -47,6 +47,7 @@
         "_headers",
         "_heard_at",
         "_idle_s",
+        "_is_first",
         "_limits",
         "_loop",
         "_parser",
@@ -84,6 +85,7 @@
         self._status = 0
         self._bodiless = False
         self._unframed = False
+        self._is_first = True
         self.reusable = True
         self.opened_at = loop.time()
         self.idle_since = self.opened_at
@@ -140,6 +142,7 @@
             raise
         finally:
             self._fut = None
+            self._is_first = False
             self._discard_body()
             self.idle_since = self._loop.time()
 
@@ -265,6 +268,7 @@
     def _complete(self, *, ends_at_close: bool = False) -> None:
         response = Response(self._status, self._headers, bytes(self._body))
         response.ends_at_close = ends_at_close
+        response.follows_others = not self._is_first
         self._status = 0
         if self._fut is None or self._fut.done():
             self.on_unexpected("a second response")
--- a/src/burdockgap/http1/response.py
+++ b/src/burdockgap/http1/response.py
@@ -15,9 +15,17 @@
     :param body: the complete body.
     :ivar ends_at_close: whether only the end of the connection showed
         the end of the body, so that a part may be missing.
+    :ivar follows_others: whether other requests were sent on the same
+        connection before, so that it may be a response to one of them.
     """
 
-    __slots__ = ("body", "ends_at_close", "headers", "status")
+    __slots__ = (
+        "body",
+        "ends_at_close",
+        "follows_others",
+        "headers",
+        "status",
+    )
 
     def __init__(
         self,
@@ -29,6 +37,7 @@
         self.headers = headers or []
         self.body = body
         self.ends_at_close = False
+        self.follows_others = False
 
     @property
     def is_success(self) -> bool:
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -39,9 +39,17 @@
         return encode_request(call.method, call.target, headers, call.body)
 
     def matches(self, call: Call, response: Response) -> bool:
-        """Return whether a response has the call's id, or none."""
+        """
+        Return whether a response belongs to a call.
+
+        Servers echo the id of the request. A response without one can
+        only be told from a late one to an earlier request if there was
+        no earlier request on the connection.
+        """
         echoed = response.header(names.REQUEST_ID)
-        return echoed is None or echoed == call.request_id
+        if echoed is None:
+            return not response.follows_others
+        return echoed == call.request_id
 
     def verdict(self, response: Response) -> Verdict:
         """Return whether the target ran the request, as a verdict."""
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -216,3 +216,56 @@
         if event == "exchange_failed"
     ]
     assert "memory limit" in fields["detail"]
+
+
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n%snot-executed: 1\r\n"
+    b"content-length: 0\r\n\r\n"
+)
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nattempt-id: r2\r\nserver-seal: s\r\n"
+    b"content-length: 2\r\n\r\nok"
+)
+
+
+# REFUSED, TWICE: a server wrote an earlier refusal once more on a kept
+# connection, and a request that it ran counted as not run.
+@pytest.mark.parametrize(
+    "header",
+    [
+        pytest.param(b"attempt-id: r1\r\n", id="with-its-id"),
+        pytest.param(b"", id="without-id"),
+    ],
+)
+async def test_refusal_written_once_more_is_skipped(header):
+    async def script(reader, writer):
+        await read_head(reader)
+        await reader.readexactly(1)
+        writer.write(REFUSAL % b"attempt-id: r1\r\n")
+        await read_head(reader)
+        writer.write(REFUSAL % header)
+        await asyncio.sleep(0.05)
+        writer.write(ANSWER)
+        await asyncio.sleep(1)
+
+    async with open_scripted_server(script) as address:
+        harness = GateHarness()
+        harness.state.announced(make_info(address=address))
+        refused = await harness.gate.serve(make_call(request_id="r1"))
+        outcome = await harness.gate.serve(make_call(request_id="r2"))
+    assert refused.verdict is Verdict.NOT_RUN
+    assert outcome.verdict is Verdict.RAN
+    assert outcome.response.body == b"ok"
+
+
+async def test_refusal_without_id_on_a_new_connection_counts():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(REFUSAL % b"")
+        await asyncio.sleep(1)
+
+    async with open_scripted_server(script) as address:
+        harness = GateHarness()
+        harness.state.announced(make_info(address=address))
+        outcome = await harness.gate.serve(make_call())
+    assert outcome.verdict is Verdict.NOT_RUN
