Test heads and replies that are cut anywhere

Report of another operator: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body. It can't happen here: every cut of five heads, on new and kept connections, for GET and HEAD, and of a reply between daemons ends in an error. No behaviour changes.

--- a/tests/hop/test_peer_connection.py
+++ b/tests/hop/test_peer_connection.py
@@ -303,3 +303,21 @@
         await asyncio.sleep(0.2)
         assert not is_busy()
         writer.close()
+
+
+# MIXED: an answer of which a peer sent only a part must not arrive.
+async def test_reply_that_is_cut_anywhere_fails():
+    reply = encode_frame(REPLY, 1, ["ran", None, 200, [], b"body"])
+    cuts = iter(range(len(reply)))
+
+    async def script(reader, writer):
+        await reader.read(1000)
+        writer.write(reply[: next(cuts)])
+
+    async with open_scripted_server(script) as address:
+        for cut in range(len(reply)):
+            peer_connections = PeerConnections()
+            with pytest.raises(PeerCallError) as caught:
+                await peer_connections.call(address[:2], 1, None)
+            assert caught.value.sent, reply[:cut]
+            peer_connections.close()
--- a/tests/http1/test_client_pool.py
+++ b/tests/http1/test_client_pool.py
@@ -221,3 +221,39 @@
         ):
             await pool.exchange(REQUEST, read_timeout_s=0.2)
         pool.close()
+
+
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nid: new\r\ncontent-length: 0\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "no-length": b"HTTP/1.1 200 OK\r\nid: new\r\n\r\n",
+    "no-content": b"HTTP/1.1 204 No Content\r\nid: new\r\n\r\n",
+    "interim": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+}
+
+
+# MIXED, ORDER: a server that stops within the head of its answer and
+# closes must not look like one that answered without a body.
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize("kept", [False, True], ids=["new", "kept"])
+@pytest.mark.parametrize("name", HEADS)
+async def test_head_that_is_cut_anywhere_fails(name, kept, method):
+    head = HEADS[name]
+    cuts = iter(range(len(head)))
+
+    async def script(reader, writer):
+        if kept:
+            await read_head(reader)
+            writer.write(RESPONSE % b"old")
+        await read_head(reader)
+        writer.write(head[: next(cuts)])
+
+    async with open_scripted_server(script) as address:
+        for cut in range(len(head)):
+            pool = make_pool(address)
+            if kept:
+                assert (await pool.exchange(REQUEST)).status == 200
+            with pytest.raises(ExchangeError) as caught:
+                await pool.exchange(REQUEST, bodiless=method == "HEAD")
+            assert caught.value.sent, head[:cut]
+            assert pool.opened == 1
