Let servers of the soak name limits and their stop in responses

With a generator of their own, so that the other faults of a seed stay the same. Two promises are checked: no server gets more in 4 s than it named from 3 s on, and none gets requests 2 s after it said that it leaves. Both checks have a test that shows them fail.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from soak.restored_store import RestoredStore
+from soak.target_notices import TargetNotices
 from standins.relay.links import LOG
 
 if TYPE_CHECKING:
@@ -37,6 +38,8 @@
     :param target_rng: the same for targets that send without end; it is
         separate, so that the other faults of a seed stay the same.
     :param store_rng: the same for a store that returns from copies.
+    :param notice_rng: the same for servers that name a limit or their
+        stop in their responses.
     :param log: called with a description when a fault begins.
     """
 
@@ -47,12 +50,14 @@
         *,
         target_rng: random.Random,
         store_rng: random.Random,
+        notice_rng: random.Random,
         log: Callable[[str], None],
     ) -> None:
         self._site = site
         self._rng = rng
         self._target_rng = target_rng
         self._restored_store = RestoredStore(site, store_rng, log)
+        self._target_notices = TargetNotices(site, notice_rng, log)
         self._evacuates = False
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
@@ -84,7 +89,8 @@
         weights = [weight for weight, _ in self._weighted_faults]
         endless = loop.create_task(self._send_endlessly(deadline))
         restores = loop.create_task(self._restored_store.run(deadline))
-        self._tasks |= {endless, restores}
+        notices = loop.create_task(self._target_notices.run(deadline))
+        self._tasks |= {endless, restores, notices}
         while loop.time() < deadline:
             _, fault = self._rng.choices(self._weighted_faults, weights)[0]
             task = loop.create_task(fault())
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -9,6 +9,11 @@
 UNDISTURBED_S = 3.0
 """Time bounds that the users' site files require. They are checked only
 for a machine without a fault in the last ``UNDISTURBED_S``."""
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
+"""A server that names a limit per second gets at most ``LIMIT_OVERAGE``
+times that in each ``LIMIT_WINDOW_S``, and ``LIMIT_SLACK`` requests."""
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -48,6 +53,7 @@
         self._unsafe: set[str] = set()
         self._refused: set[str] = set()
         self._versions: dict[str, int] = {}
+        self._limited: dict[str, list[float]] = {}
 
     def record_grant(
         self,
@@ -188,6 +194,34 @@
                 f"DRAIN {incarnation} got a request {after_s:.2f} s after it",
             )
 
+    def record_limited_request(
+        self,
+        incarnation: str,
+        *,
+        limit_per_s: float,
+        named_s: float,
+        now: float,
+    ) -> None:
+        """
+        Record a request at a server that names a limit.
+
+        :param limit_per_s: requests per second that it names.
+        :param named_s: time since it first named it.
+        """
+        if named_s < UNDISTURBED_S:
+            self._limited.pop(incarnation, None)
+            return
+        times = self._limited.setdefault(incarnation, [])
+        times.append(now)
+        times[:] = [time for time in times if time > now - LIMIT_WINDOW_S]
+        allowed = LIMIT_OVERAGE * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        if len(times) > allowed:
+            self._add_violation(
+                now,
+                f"LIMIT {incarnation} got {len(times)} requests in "
+                f"{LIMIT_WINDOW_S} s, {allowed:.0f} are allowed",
+            )
+
     def record_version(
         self,
         process: str,
--- a/soak/run.py
+++ b/soak/run.py
@@ -71,6 +71,7 @@
             random.Random(f"{seed} faults"),
             target_rng=random.Random(f"{seed} endless"),
             store_rng=random.Random(f"{seed} restored"),
+            notice_rng=random.Random(f"{seed} notices"),
             log=log,
         )
         await faults_of_seed.run(seconds)
--- a/soak/server.py
+++ b/soak/server.py
@@ -77,9 +77,21 @@
         self._grants: list[tuple[int, int, int, float]] = []
         self._in_flight = 0
         self._draining_since: float | None = None
+        self._leaving_since: float | None = None
+        self._limit_since: float | None = None
+        self.limit: float | None = None
+        self.says_leaving = False
         self._is_endless = False
         self.is_up = False
 
+    def name_limit(self, limit_per_s: float | None) -> None:
+        """
+        Name a limit in all responses from now on.
+
+        :param limit_per_s: requests per second; ``None`` for no limit.
+        """
+        self.limit, self._limit_since = limit_per_s, None
+
     @property
     def incarnation(self) -> str:
         """Identifies the server and its incarnation."""
@@ -91,6 +103,8 @@
             return
         self._start_count += 1
         self._sequence, self._draining_since = 0, None
+        self._leaving_since = self._limit_since = None
+        self.says_leaving = False
         self._grants = []
         await self._stack.enter_async_context(
             open_server(Server(self._answer), self._host, PORT)
@@ -217,6 +231,8 @@
         if req.header("expected-instance") != self._name:
             return Response(421, headers)
         now = self._loop.time()
+        self._check_notices(now)
+        headers += self._notices(now)
         text = req.header("shard-key") if self.service == "records" else None
         key = int(text) if text else None
         if key is not None and not any(
@@ -241,6 +257,36 @@
         headers.append(("Server-Seal", incarnation))
         return Response(200, headers, request_id.encode())
 
+    def _notices(self, now: float) -> list[tuple[str, str]]:
+        notices = []
+        if self.limit is not None:
+            notices.append(("Server-Limit", f"{self.limit:.2f}"))
+            if self._limit_since is None:
+                self._limit_since = now
+        if self.says_leaving:
+            notices.append(("Server-Leaving", "1"))
+            if self._leaving_since is None:
+                self._leaving_since = now
+        return notices
+
+    def _check_notices(self, now: float) -> None:
+        if self._undisturbed_s() < UNDISTURBED_S:
+            return
+        if self._leaving_since is not None:
+            self._checker.record_request_while_draining(
+                self.incarnation,
+                bound_s=DRAIN_S,
+                after_s=now - self._leaving_since - _REQUEST_DURATION_S,
+                now=now,
+            )
+        if self.limit is not None and self._limit_since is not None:
+            self._checker.record_limited_request(
+                self.incarnation,
+                limit_per_s=self.limit,
+                named_s=now - self._limit_since,
+                now=now,
+            )
+
     def _check_drain_bounds(self, now: float) -> None:
         if self._undisturbed_s() < UNDISTURBED_S:
             return
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -73,6 +73,20 @@
     )
 
 
+def limited(checker, *, count, limit_per_s=2.0, named_s=3.0):
+    for number in range(count):
+        checker.record_limited_request(
+            "a/1",
+            limit_per_s=limit_per_s,
+            named_s=named_s,
+            now=number * 0.1,
+        )
+
+
+def over_the_limit(checker):
+    limited(checker, count=18)
+
+
 def version_reverted(checker):
     checker.record_version("m1#1", 5, served=True, due=False, now=1.0)
     checker.record_version("m1#1", 5, served=False, due=False, now=2.0)
@@ -99,6 +113,7 @@
         pytest.param(run_after_refusal, "REFUSED", id="runs-later"),
         pytest.param(wrong_answer, "MIXED", id="answer-of-another"),
         pytest.param(sent_after_draining, "DRAIN", id="draining"),
+        pytest.param(over_the_limit, "LIMIT", id="over-the-limit"),
         pytest.param(version_reverted, "CONFIG", id="version-back"),
         pytest.param(version_not_applied, "CONFIG", id="version-late"),
         pytest.param(not_recovered, "RECOVER", id="not-served-again"),
@@ -127,4 +142,6 @@
     checker.record_request_while_draining(
         "a/1", bound_s=2.0, after_s=1.9, now=9.0
     )
+    limited(checker, count=17)
+    limited(checker, count=99, named_s=2.9)
     assert checker.violations == []
