Remember beyond a daemon's start that its target left

Report of operators of similar systems: after a restart of one of the system's processes, a server that had left was in use again.

What other daemons know of a target's notices contains deregistrations and drains told by heartbeats now, not only what responses said, and is taken over also if a response came first; the drain time counts from the first of them.

--- a/src/burdockgap/forward/known_notice.py
+++ b/src/burdockgap/forward/known_notice.py
@@ -1,4 +1,4 @@
-"""What daemons pass on of a target's notices."""
+"""What daemons tell each other of a target's notices."""
 
 from __future__ import annotations
 
@@ -9,17 +9,18 @@
 
 class KnownNotice:
     """
-    The latest notice of one target process.
+    The latest notices of one target process.
 
-    Its daemon tells it with each outcome, and callers' daemons return
-    it with each call: a daemon that has started again then knows it
-    before its target's next response.
+    Its daemon tells them with each outcome and announcement, and
+    callers' daemons return them with each call: a daemon that has
+    started again then knows what the target said before.
 
     :param born: start time of the target process.
     :param rate_limit: requests per second that it takes from all
         daemons together, ``None`` if it names no limit.
     :param leaving_s: time since it first said that it is about to stop,
-        in seconds; ``None`` if it did not.
+        in a response, an announcement or by deregistering, in seconds;
+        ``None`` if it did not.
     """
 
     __slots__ = ("born", "leaving_s", "rate_limit")
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -196,7 +196,7 @@
             self._has_notice = False
             self._leaving_at = None
         if info.draining:
-            self.drain_deadline = min(self.drain_deadline, now + self._drain_s)
+            self._note_leaving(now)
         self._extend_cold_period(info, now)
         if changed:
             self._log(
@@ -214,8 +214,7 @@
             return
         if not self.left:
             self.left = True
-            now = self._loop.time()
-            self.drain_deadline = min(self.drain_deadline, now + self._drain_s)
+            self._note_leaving(self._loop.time())
             self._log("target", state="left")
             self._on_change()
 
@@ -230,7 +229,7 @@
         self._has_notice = True
         self._change_limit(notice.rate_limit)
         if notice.leaving:
-            self._begin_leaving(0.0)
+            self._drain(0.0)
 
     def adopt_notice(self, notice: KnownNotice) -> None:
         """
@@ -238,21 +237,20 @@
 
         Responses that this daemon has received itself are newer.
         """
-        if (
-            self.info is None
-            or self.info.born != notice.born
-            or self._has_notice
-        ):
+        if self.info is None or self.info.born != notice.born:
             return
-        self._has_notice = True
-        self._change_limit(notice.rate_limit)
+        if not self._has_notice:
+            self._has_notice = True
+            self._change_limit(notice.rate_limit)
         if notice.leaving_s is not None:
-            self._begin_leaving(notice.leaving_s)
+            self._drain(notice.leaving_s)
 
     @property
     def known_notice(self) -> KnownNotice | None:
         """What is known of the target's notices, if anything."""
-        if self.info is None or not self._has_notice:
+        if self.info is None:
+            return None
+        if self._leaving_at is None and not self._has_notice:
             return None
         leaving_s = None
         if self._leaving_at is not None:
@@ -326,19 +324,20 @@
             self._log("target_limit", rate_limit=rate)
             self._on_change()
 
-    def _begin_leaving(self, since_s: float) -> None:
-        """Drain the target, which first said so some seconds ago."""
-        if self._leaving_at is not None or self.info is None:
-            return
-        self._leaving_at = self._loop.time() - since_s
-        self.drain_deadline = min(
-            self.drain_deadline, self._leaving_at + self._drain_s
-        )
-        if not self.info.draining:
+    def _drain(self, since_s: float) -> None:
+        """Drain the target, which said so some seconds ago."""
+        self._note_leaving(self._loop.time() - since_s)
+        if self.info is not None and self.takes_work:
             self.info.draining = True
             self._log("target", state="draining", why="its response")
             self._on_change()
 
+    def _note_leaving(self, since: float) -> None:
+        """Note that the target said it leaves; the first time counts."""
+        if self._leaving_at is None or since < self._leaving_at:
+            self._leaving_at = since
+            self.drain_deadline = since + self._drain_s
+
     def _extend_cold_period(self, info: TargetInfo, now: float) -> None:
         if info.cold_s <= 0:
             return
--- a/tests/sidecar/test_target_notices.py
+++ b/tests/sidecar/test_target_notices.py
@@ -190,3 +190,26 @@
     ]
     late = answers[-CALLS_PER_S:]
     assert all(answer.status == 200 for answer in late)
+
+
+# DRAIN: a server that had deregistered was in use again once its daemon
+# had started again and a late heartbeat of it arrived.
+@pytest.mark.parametrize("says_so", ["deregisters", "drains"])
+async def test_server_that_left_is_not_used_after_a_restart(says_so):
+    async with open_site("dispatch", "alerts") as site:
+        left, caller = site.machines
+        await site.wait_until_ready()
+        if says_so == "deregisters":
+            left.node.target.leaving(left.app.target_id)
+        else:
+            left.send_heartbeat(draining=True)
+        await asyncio.sleep(0.3)
+        await left.kill()
+        await asyncio.sleep(0.1)
+        # Its heartbeats say that it is ready, as earlier ones did.
+        await left.start()
+        began = asyncio.get_running_loop().time()
+        async with under_load([caller], "/crew/1") as answers:
+            await asyncio.sleep(DRAIN_S + 2.0)
+    assert not [time for time in left.app.arrivals if time > began + DRAIN_S]
+    assert {answer.status for answer in answers} == {503}
