--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -333,7 +333,7 @@
             self._on_change()
 
     def _note_leaving(self, since: float) -> None:
-        """Note that the target said it leaves; the first time counts."""
+        """Note that the target said so; the first time counts."""
         if self._leaving_at is None or since < self._leaving_at:
             self._leaving_at = since
             self.drain_deadline = since + self._drain_s
