Let no untold daemon hide a limit from one that has started again

A daemon that had started again took the first notice that a call brought. One from a daemon that had not heard of the limit yet said there was none, and the ones that named it were ignored until the target's first response. The lowest limit counts until then now; only own responses say that there is none.

Found by reading. The new test fails on the code before (None in place of the limit of 2) and passes now.

--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -229,32 +229,35 @@
         self._has_notice = True
         self._change_limit(notice.rate_limit)
         if notice.leaving:
-            self._drain(0.0)
+            self._drain(0.0, why="its response")
 
     def adopt_notice(self, notice: KnownNotice) -> None:
         """
         Apply what another daemon knows from before this one's start.
 
-        Responses that this daemon has received itself are newer.
+        Responses that this daemon has received itself are newer. Of
+        several limits the lowest counts until then.
         """
         if self.info is None or self.info.born != notice.born:
             return
-        if not self._has_notice:
-            self._has_notice = True
-            self._change_limit(notice.rate_limit)
+        rate, known = notice.rate_limit, self.limit.named_rate
+        is_lower = rate is not None and (known is None or rate < known)
+        if is_lower and not self._has_notice:
+            self._change_limit(rate)
         if notice.leaving_s is not None:
-            self._drain(notice.leaving_s)
+            self._drain(notice.leaving_s, why="what other daemons know")
 
     @property
     def known_notice(self) -> KnownNotice | None:
         """What is known of the target's notices, if anything."""
         if self.info is None:
             return None
-        if self._leaving_at is None and not self._has_notice:
-            return None
         leaving_s = None
         if self._leaving_at is not None:
             leaving_s = self._loop.time() - self._leaving_at
+        is_known = self._has_notice or self.limit.rate is not None
+        if leaving_s is None and not is_known:
+            return None
         return KnownNotice(
             born=self.info.born,
             rate_limit=self.limit.named_rate,
@@ -324,12 +327,12 @@
             self._log("target_limit", rate_limit=rate)
             self._on_change()
 
-    def _drain(self, since_s: float) -> None:
+    def _drain(self, since_s: float, why: str) -> None:
         """Drain the target, which said so some seconds ago."""
         self._note_leaving(self._loop.time() - since_s)
         if self.info is not None and self.takes_work:
             self.info.draining = True
-            self._log("target", state="draining", why="its response")
+            self._log("target", state="draining", why=why)
             self._on_change()
 
     def _note_leaving(self, since: float) -> None:
--- a/tests/forward/test_rate_limit.py
+++ b/tests/forward/test_rate_limit.py
@@ -140,6 +140,18 @@
     assert harness.state.limit.rate is None
 
 
+async def test_lowest_limit_of_other_daemons_counts():
+    harness = GateHarness()
+    harness.state.announced(make_info())
+    for rate_limit in (None, 4.0, 2.0, 3.0, None):
+        harness.state.adopt_notice(
+            KnownNotice(born=1000, rate_limit=rate_limit)
+        )
+    assert harness.state.limit.rate == 2.0
+    harness.state.note_notice(TargetNotice(rate_limit=9.0), 1000)
+    assert harness.state.limit.rate == 9.0
+
+
 async def test_limit_known_to_a_caller_binds_before_the_first_response():
     harness = GateHarness()
     harness.state.announced(make_info())
