Bound versions and offsets; keep a notice from the first announcement

Found by reading the diff. The notice in the first announcement heard of a member was dropped until the next one.

--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -60,8 +60,9 @@
         self.heard_at = heard_at
         self.load = member.load
         self.load_at = heard_at or 0.0
-        self.notice: KnownNotice | None = None
-        self.notice_at = 0.0
+        # The age of a stored notice is not known.
+        self.notice = member.notice if heard_at is not None else None
+        self.notice_at = heard_at or 0.0
         self.unreported_calls = 0
         self.ejected_until = 0.0
 
--- a/src/burdockgap/platform/documents.py
+++ b/src/burdockgap/platform/documents.py
@@ -16,6 +16,7 @@
 from burdockgap.routing.route import Route
 from burdockgap.routing.routing_config import RoutingConfig
 from burdockgap.routing.service_policy import ServicePolicy
+from burdockgap.wire.checks import check_integer
 
 _NUMBER_TYPES = (int, float)
 _VERSION_BASE = 16
@@ -70,7 +71,10 @@
             limits = _decode_limits(spec)
     _validate(routes, services)
     return RoutingConfig(
-        version=int(require_field(source, "version", str), _VERSION_BASE),
+        version=check_integer(
+            int(require_field(source, "version", str), _VERSION_BASE),
+            "field 'version'",
+        ),
         routes=routes,
         services=services,
         limits=limits,
--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -18,7 +18,12 @@
     WriteConflict,
 )
 from burdockgap.metadata.store_generation import StoreGeneration
-from burdockgap.platform.fields import T, decode_json, require_field
+from burdockgap.platform.fields import (
+    T,
+    decode_json,
+    require_field,
+    require_integer,
+)
 from burdockgap.platform.names import STORE_GENERATION
 
 if TYPE_CHECKING:
@@ -92,7 +97,7 @@
                     f"{_MAX_TOPIC_BYTES} bytes"
                 )
             body = _decode_json(response)
-            page_end = _require_field(body, "end-offset", int)
+            page_end = _require_offset(body, "end-offset")
             end = page_end if end is None else end
             items = _require_field(body, "items", list)
             for item in items:
@@ -135,8 +140,8 @@
         response = await self._exchange(data, _READ_TIMEOUT_S)
         if response.status in _CONFLICT_STATUSES:
             raise WriteConflict(_describe_response(response))
-        return _require_field(
-            _decode_json(_require_ok(response)), "end-offset", int
+        return _require_offset(
+            _decode_json(_require_ok(response)), "end-offset"
         )
 
     async def remove(self, topic: str, key: str) -> None:
@@ -182,6 +187,13 @@
         raise StoreError(f"store response is invalid: {exc}") from exc
 
 
+def _require_offset(source: Any, name: str) -> int:
+    try:
+        return require_integer(source, name)
+    except ValueError as exc:
+        raise StoreError(f"store response is invalid: {exc}") from exc
+
+
 def _require_ok(response: Response) -> Response:
     if response.status == _HISTORY_LOST_STATUS:
         raise OffsetOutOfRange(_describe_response(response))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -67,6 +67,11 @@
         decode_config(make_config(*resources, make_service("a")))
 
 
+def test_version_out_of_range_is_invalid():
+    with pytest.raises(ValueError, match="version"):
+        decode_config(make_config(make_service("a"), version="f" * 20))
+
+
 def test_deeply_nested_config_is_invalid():
     with pytest.raises(ValueError, match="nested"):
         decode_config(b'{"resources":' + b"[" * 100_000)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -107,6 +107,15 @@
         pytest.param(b"[]", id="list"),
         pytest.param(b'{"items": 5}', id="items-number"),
         pytest.param(b'{"items": [{"key": 5}]}', id="key-number"),
+        pytest.param(b"[" * 100_000, id="deeply-nested"),
+        pytest.param(
+            b'{"items": [], "end-offset": 1' + b"0" * 30 + b"}",
+            id="offset-too-large",
+        ),
+        pytest.param(
+            b'{"items": [{"key": "k", "value": "x"}], "end-offset": 1}',
+            id="value-not-base64",
+        ),
     ],
 )
 async def test_invalid_response_is_a_store_error(body):
