Take the time that a call was on its way off its deadline

A call carries the time that is left, and the receiver counted it from its arrival. On a link with a queue calls arrived 1.3 to 1.6 s after they were sent, with 0.77 s to go; the cancellation was in the queue behind them.

The receiver compares the sender's and its own time with the fastest message of the last one to two minutes and takes the excess off the deadline and the patience. The window bounds what the clocks' drift adds; both clocks count while a machine is suspended. It also covers calls that a frozen process reads late. Ruled out: a lost cancellation (it follows the call on the connection) and the retry (all were first attempts).

The test fails without the deduction and passes with it. Large requests are still not paced, which is what fills the links' queues.

--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -27,6 +27,8 @@
         slot before it is sent to the target, in seconds.
     :param notice: what the caller's daemon knows of the target's
         notices, if anything.
+    :param sender: incarnation of the caller's daemon.
+    :param sent_at: when it was sent, in seconds of its clock.
     :param attempt: 1 for the first target that is tried.
     """
 
@@ -44,6 +46,8 @@
         "origin",
         "priority",
         "request_id",
+        "sender",
+        "sent_at",
         "service",
         "target",
     )
@@ -65,6 +69,8 @@
         deadline_s: float,
         patience_s: float,
         notice: KnownNotice | None = None,
+        sender: int = 0,
+        sent_at: float = 0.0,
         attempt: int = 1,
     ) -> None:
         self.request_id = request_id
@@ -81,8 +87,15 @@
         self.deadline_s = deadline_s
         self.patience_s = patience_s
         self.notice = notice
+        self.sender = sender
+        self.sent_at = sent_at
         self.attempt = attempt
 
+    def shorten(self, seconds: float) -> None:
+        """Deduct the time that the call was on its way."""
+        self.deadline_s -= seconds
+        self.patience_s = max(self.patience_s - seconds, 0.0)
+
     def encode(self) -> list[Any]:
         """Return the fields as the list that ``decode`` reads."""
         return [
@@ -100,6 +113,8 @@
             self.deadline_s,
             self.patience_s,
             self.notice.encode() if self.notice else None,
+            self.sender,
+            self.sent_at,
             self.attempt,
         ]
 
@@ -126,6 +141,8 @@
             deadline_s,
             patience_s,
             notice,
+            sender,
+            sent_at,
             attempt,
         ) = values
         return cls(
@@ -143,5 +160,7 @@
             deadline_s=deadline_s,
             patience_s=patience_s,
             notice=KnownNotice.decode(notice) if notice else None,
+            sender=sender,
+            sent_at=sent_at,
             attempt=attempt,
         )
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockgap.clock import Clock
     from burdockgap.fleet.member import Member
     from burdockgap.fleet.roster import Roster
     from burdockgap.forward.caller_request import CallerRequest
@@ -85,6 +86,7 @@
     :param view: owners of keys.
     :param gate: admission control for this daemon's target.
     :param peer_connections: connections to other daemons.
+    :param clock: keeps counting while the machine is suspended.
     :param budget_ratio: retries per request that all daemons together
         may make.
     :param budget_extra: additional retries that all daemons together
@@ -106,6 +108,7 @@
         "_budget_window_s",
         "_budgets",
         "_chooser",
+        "_clock",
         "_documents",
         "_gate",
         "_peer_connections",
@@ -127,6 +130,7 @@
         view: ControlView,
         gate: TargetGate,
         peer_connections: PeerConnections,
+        clock: Clock,
         budget_ratio: float,
         budget_extra: float,
         budget_window_s: float,
@@ -141,6 +145,7 @@
         self._chooser = Chooser(roster=roster, documents=documents, view=view)
         self._gate = gate
         self._peer_connections = peer_connections
+        self._clock = clock
         self._budget_ratio = budget_ratio * _BUDGET_RATIO_SHARE
         self._budget_extra = budget_extra * _BUDGET_EXTRA_SHARE
         self._budget_window_s = budget_window_s
@@ -223,6 +228,7 @@
             priority=route.priority,
             deadline_s=deadline - req.arrived_at,
             patience_s=0.0,
+            sender=self._roster.own.incarnation,
         )
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
         give_up_at = min(
@@ -301,6 +307,7 @@
     async def _call_member(self, member: Member, call: Call) -> Outcome:
         self._roster.note_call(member.name)
         call.notice = self._roster.notice(member.name)
+        call.sent_at = self._clock.now()
         reply_deadline = self._loop.time() + call.deadline_s + _REPLY_GRACE_S
         try:
             async with asyncio.timeout_at(reply_deadline):
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -197,6 +197,7 @@
             view=self.view,
             gate=self.gate,
             peer_connections=self.peer_connections,
+            clock=self.clock,
             budget_ratio=self.cfg.budget_ratio,
             budget_extra=self.cfg.budget_extra,
             budget_window_s=self.cfg.budget_window_s,
--- a/src/burdockgap/sidecar/peer_call_handlers.py
+++ b/src/burdockgap/sidecar/peer_call_handlers.py
@@ -12,6 +12,7 @@
     GET_OUTCOME,
     RELEASE,
 )
+from burdockgap.hop.transit_clock import TransitClock
 
 if TYPE_CHECKING:
     from burdockgap.sidecar.node import Node
@@ -24,10 +25,11 @@
     :param node: the components of this daemon.
     """
 
-    __slots__ = ("_node",)
+    __slots__ = ("_node", "_transit_clock")
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        self._transit_clock = TransitClock()
 
     def handlers(self) -> dict[int, Any]:
         """Return the handlers by kind of call."""
@@ -41,6 +43,11 @@
 
     async def _forward(self, payload: Any) -> Any:
         call = Call.decode(payload)
+        call.shorten(
+            self._transit_clock.delay_s(
+                call.sender, call.sent_at, self._node.clock.now()
+            )
+        )
         return (await self._node.gate.serve(call)).encode()
 
     async def _outcome(self, payload: Any) -> Any:
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -7,7 +7,12 @@
 import msgpack
 import pytest
 
+from burdockgap.forward.outcome import Outcome
+from burdockgap.hop.call_kinds import FORWARD
+from burdockgap.sidecar.peer_call_handlers import PeerCallHandlers
+from burdockgap.verdict import Reason, Verdict
 from standins.sidecar.documents import make_site_config
+from tests.forward.builders import make_call
 from tests.sidecar.builders import HOST, Machine, open_site
 
 pytestmark = pytest.mark.anyio
@@ -493,3 +498,30 @@
         )
         for machine in site.machines:
             assert b"component_failed" not in machine.node.metrics.expose()
+
+
+# GONE, BUDGET: a call that had been in a link's queue for longer than
+# its deadline was run, though its caller had left.
+async def test_call_that_arrives_after_its_deadline_is_not_run():
+    async with open_site("dispatch") as site:
+        await site.wait_until_ready()
+        (machine,) = site.machines
+        forward = PeerCallHandlers(machine.node).handlers()[FORWARD]
+        now = machine.node.clock.now()
+        outcomes = [
+            Outcome.decode(
+                await forward(
+                    make_call(
+                        request_id=f"r{number}",
+                        deadline_s=0.9,
+                        sender=5,
+                        sent_at=now - in_transit_s,
+                    ).encode()
+                )
+            )
+            for number, in_transit_s in enumerate((0.0, 1.5))
+        ]
+    assert outcomes[0].verdict is Verdict.RAN
+    assert outcomes[1].verdict is Verdict.NOT_RUN
+    assert outcomes[1].reason is Reason.DEADLINE
+    assert machine.app.runs == ["r0"]
