Don't blame the rate for a wait that is over

A request that came with no patience left to a full target without a limit was refused as rate-limited, not after a wait in the queue: a wait of 0 s for the rate exceeds one below 0. Callers saw the same status; logs and metrics named the wrong reason. The test failed before with rate-limited.

--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -87,7 +87,7 @@
             self.in_flight += 1
             return
         ahead = sum(waiter.rank[0] <= priority for waiter in self._queue)
-        if self._limit.wait_s(now, ahead) > wait_s:
+        if self._limit.wait_s(now, ahead) > max(wait_s, 0.0):
             raise Refusal(Verdict.NOT_RUN, Reason.RATE_LIMITED, _NO_ROOM)
         waiter = self._enqueue(priority)
         self._admit()
--- a/tests/forward/test_slots.py
+++ b/tests/forward/test_slots.py
@@ -63,6 +63,13 @@
     assert slots.waiting == 0
 
 
+async def test_wait_that_is_over_is_no_matter_of_the_rate():
+    slots, order = Slots(size=1, queue_size=1), []
+    await slots.acquire(priority=1, wait_s=1.0)
+    await record_admission(slots, order, "late", wait_s=-0.01)
+    assert order == [("late", Verdict.NOT_RUN, Reason.QUEUE_TIMEOUT)]
+
+
 async def test_cancelled_wait_frees_slot_and_queue():
     slots = Slots(size=1, queue_size=1)
     await slots.acquire(priority=1, wait_s=1.0)
