--- a/src/burdockgap/metadata/keyed_store.py
+++ b/src/burdockgap/metadata/keyed_store.py
@@ -17,7 +17,8 @@
     The newest values of a topic.
 
     :param values: newest value by key.
-    :param end: offset after the topic's last record.
+    :param end: offset after the last record that the values certainly
+        include; later ones may be included as well.
     :param generation: the store's generation, in which the offset is
         valid.
     """
