Give each server of a test a port of its own

Cause: free_port asked the kernel for a port and closed it again. A site of three daemons does so ten times before it binds the first one, and the kernel may return the same port twice: in 75 of 20,000 draws of ten ports here. The port that was lost is odd: on Linux port 0 is answered with odd ports and outgoing connections take even ones, so a connection of another daemon is ruled out as its cause.

--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -10,7 +10,7 @@
 
 from burdockgap.fleet.datagrams import BEACON, SUSPECTS, open_datagrams
 from tests.http1.sockets import HOST
-from tests.sidecar.builders import free_port
+from tests.ports import free_port
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -11,7 +11,8 @@
 from standins.sidecar.app_server import AppServer
 from tests.forward.builders import GateHarness, make_call
 from tests.http1.sockets import HOST, open_scripted_server, read_head
-from tests.sidecar.builders import free_port, make_info
+from tests.ports import free_port
+from tests.sidecar.builders import make_info
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/hop/test_peer_connection.py
+++ b/tests/hop/test_peer_connection.py
@@ -21,7 +21,7 @@
 from burdockgap.hop.peer_connection import PeerConnections
 from burdockgap.http1.byte_budget import ByteBudget
 from tests.http1.sockets import HOST, open_scripted_server
-from tests.sidecar.builders import free_port
+from tests.ports import free_port
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -18,7 +18,7 @@
 from burdockgap.platform.store_client import StoreClient
 from standins.sidecar.keyed_topics import KeyedTopics
 from tests.http1.sockets import HOST, open_scripted_server, read_head
-from tests.sidecar.builders import free_port
+from tests.ports import free_port
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/shards/test_grant_client.py
+++ b/tests/shards/test_grant_client.py
@@ -12,8 +12,9 @@
 from burdockgap.shards.grant_client import GrantClient
 from tests.forward.builders import GateHarness
 from tests.http1.sockets import HOST
+from tests.ports import free_port
 from tests.shards.test_shard_holder import make_shard
-from tests.sidecar.builders import free_port, make_info
+from tests.sidecar.builders import make_info
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/shards/test_shard_holder.py
+++ b/tests/shards/test_shard_holder.py
@@ -19,8 +19,9 @@
 from burdockgap.verdict import Reason, Refusal
 from tests.forward.builders import GateHarness
 from tests.http1.sockets import HOST
+from tests.ports import free_port
 from tests.shards.builders import SERVICE
-from tests.sidecar.builders import free_port, make_info
+from tests.sidecar.builders import make_info
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/shards/test_target_watch.py
+++ b/tests/shards/test_target_watch.py
@@ -11,7 +11,8 @@
 from burdockgap.shards.target_watch import TargetWatch
 from tests.forward.builders import GateHarness
 from tests.http1.sockets import HOST
-from tests.sidecar.builders import free_port, make_info
+from tests.ports import free_port
+from tests.sidecar.builders import make_info
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from burdockgap.fleet.datagrams import open_datagrams
@@ -22,15 +21,7 @@
 from standins.sidecar.app_server import AppServer
 from standins.sidecar.documents import make_site_config
 from standins.sidecar.keyed_topics import KeyedTopics
-
-HOST = "127.0.0.1"
-
-
-def free_port():
-    """Return a port that is free for TCP and UDP."""
-    with socket.socket() as tcp:
-        tcp.bind((HOST, 0))
-        return tcp.getsockname()[1]
+from tests.ports import HOST, free_port
 
 
 def make_info(**fields):
--- a/tests/sidecar/test_shutdown.py
+++ b/tests/sidecar/test_shutdown.py
@@ -15,7 +15,8 @@
     make_service,
 )
 from tests.http1.sockets import read_head
-from tests.sidecar.builders import HOST, open_site
+from tests.ports import HOST
+from tests.sidecar.builders import open_site
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/sidecar/test_site.py
+++ b/tests/sidecar/test_site.py
@@ -13,7 +13,8 @@
 from burdockgap.verdict import Reason, Verdict
 from standins.sidecar.documents import make_site_config
 from tests.forward.builders import make_call
-from tests.sidecar.builders import HOST, Machine, open_site
+from tests.ports import HOST
+from tests.sidecar.builders import Machine, open_site
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -9,7 +9,7 @@
 from burdockgap.hop.listener import open_listener
 from burdockgap.hop.peer_connection import PeerConnections
 from burdockgap.uplink import Uplink
-from tests.sidecar.builders import HOST, free_port
+from tests.ports import HOST, free_port
 
 pytestmark = pytest.mark.anyio
 
