Send changes of the control state in one packet

Cause: the coordinator's link is full of its own announcements. Each carries the names of all voters and long names in each range, about 6.7 KB for 222 members, and goes to each of them up to four times a second: 48 Mbit/s by arithmetic, on links of 10 to 100 Mbit/s. Leases and calls to the store are lost behind them.

Change: voters are sent only when they change, and the message is compressed, as is the whole state when a peer asks for it. Both share a limit for what is decompressed. The state in the store is as before.

Ruled out: that coordinators are killed (no "started" between 7 and 30 s) and that the configuration is late.

--- a/src/burdockgap/shards/control_changes.py
+++ b/src/burdockgap/shards/control_changes.py
@@ -7,6 +7,7 @@
 import msgpack
 
 from burdockgap.shards.shard import KEY_COUNT, Shard
+from burdockgap.wire.compression import compress, decompress
 
 if TYPE_CHECKING:
     from burdockgap.shards.control_state import ControlState
@@ -25,7 +26,7 @@
     :param revision: the new revision.
     :param coordinator: name of the new coordinator.
     :param incarnation: incarnation of the coordinator's process.
-    :param voters: names of the new voters.
+    :param voters: names of the new voters, ``None`` if they stay.
     :param next_fence: higher than every fencing token used so far.
     :param shards: new and changed ranges by keyed service.
     :param generation: the store's generation in which it was written.
@@ -51,7 +52,7 @@
         revision: int,
         coordinator: str,
         incarnation: int,
-        voters: tuple[str, ...],
+        voters: tuple[str, ...] | None,
         next_fence: int,
         shards: dict[str, list[Shard]],
         generation: int,
@@ -77,7 +78,7 @@
             revision=after.revision,
             coordinator=after.coordinator,
             incarnation=after.incarnation,
-            voters=after.voters,
+            voters=after.voters if after.voters != before.voters else None,
             next_fence=after.next_fence,
             shards={
                 service: _changed_rows(before.shards.get(service, []), rows)
@@ -99,7 +100,8 @@
         after.term, after.revision = self.term, self.revision
         after.coordinator = self.coordinator
         after.incarnation = self.incarnation
-        after.voters = self.voters
+        if self.voters is not None:
+            after.voters = self.voters
         after.next_fence = self.next_fence
         after.generation = self.generation
         for service, changed in self.shards.items():
@@ -118,7 +120,7 @@
                 self.revision,
                 self.coordinator,
                 self.incarnation,
-                list(self.voters),
+                None if self.voters is None else list(self.voters),
                 self.next_fence,
                 {
                     service: [row.values() for row in rows]
@@ -127,7 +129,7 @@
                 self.generation,
             ]
         )
-        return data
+        return compress(data)
 
     @classmethod
     def decode(cls, data: bytes) -> ControlChanges:
@@ -147,14 +149,14 @@
                 next_fence,
                 shards,
                 generation,
-            ) = msgpack.unpackb(data)
+            ) = msgpack.unpackb(decompress(data))
             return cls(
                 base=(base_term, base_revision),
                 term=term,
                 revision=revision,
                 coordinator=coordinator,
                 incarnation=incarnation,
-                voters=tuple(voters),
+                voters=None if voters is None else tuple(voters),
                 next_fence=next_fence,
                 shards={
                     service: [Shard.from_values(row) for row in rows]
--- a/src/burdockgap/sidecar/peer_call_handlers.py
+++ b/src/burdockgap/sidecar/peer_call_handlers.py
@@ -13,6 +13,7 @@
     RELEASE,
 )
 from burdockgap.hop.transit_clock import TransitClock
+from burdockgap.wire.compression import compress
 
 if TYPE_CHECKING:
     from burdockgap.sidecar.node import Node
@@ -57,7 +58,7 @@
         return (await self._node.gate.settle(request_id, attempt)).encode()
 
     async def _control_state(self, _payload: Any) -> bytes:
-        return self._node.view.state.encode()
+        return compress(self._node.view.state.encode())
 
     async def _documents(self, _payload: Any) -> Any:
         documents = self._node.documents
--- a/src/burdockgap/sidecar/peer_fetcher.py
+++ b/src/burdockgap/sidecar/peer_fetcher.py
@@ -9,6 +9,7 @@
 from burdockgap.hop.call_kinds import GET_CONTROL_STATE, GET_DOCUMENTS
 from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.shards.control_state import ControlState
+from burdockgap.wire.compression import decompress
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -121,7 +122,7 @@
             data = await self._peer_connections.call(
                 member.address, GET_CONTROL_STATE, None
             )
-        self._view.adopt(ControlState.decode(data))
+        self._view.adopt(ControlState.decode(decompress(data)))
 
     async def _fetch_documents(self, member: Member) -> None:
         if self._documents.config is not None:
--- a/tests/shards/test_control_changes.py
+++ b/tests/shards/test_control_changes.py
@@ -12,6 +12,7 @@
 from burdockgap.shards.control_changes import ControlChanges
 from burdockgap.shards.control_state import ControlState
 from burdockgap.shards.shard import KEY_COUNT, Shard, merge_adjacent
+from burdockgap.wire.compression import compress
 from tests.shards.builders import SERVICE
 from tests.shards.fakes import FakeStore
 from tests.shards.test_coordinator import NAMES, CoordinatorHarness
@@ -102,12 +103,24 @@
     assert changes.apply_to(before) is None
 
 
+@pytest.mark.parametrize("pack", [bytes, compress])
 @pytest.mark.parametrize(
     "data", [b"", b"\xc1", b"\x90", b"\x95\x01\x01\x90\x01\x05"]
 )
-def test_changes_malformed_data_is_rejected(data):
+def test_changes_malformed_data_is_rejected(data, pack):
     with pytest.raises(ValueError, match="malformed control changes"):
-        ControlChanges.decode(data)
+        ControlChanges.decode(pack(data))
+
+
+@pytest.mark.parametrize("voters", [(), ("a", "b"), ("a", "b", "c")])
+def test_changes_lead_to_the_same_voters(voters):
+    before = make_state([100])
+    before.voters = ("a", "b")
+    after = before.successor()
+    after.voters = voters
+    changes = ControlChanges.between(before, after)
+    result = ControlChanges.decode(changes.encode()).apply_to(before)
+    assert result.voters == voters
 
 
 @pytest.mark.anyio
