--- a/src/burdockgap/shards/lease.py
+++ b/src/burdockgap/shards/lease.py
@@ -15,8 +15,8 @@
 REPORT_INTERVAL_S = 0.3
 """A fifth of a lease, so that four successive reports may be lost."""
 MAX_LAG_S = 3.0
-"""How long a member may extend its lease without a new revision of the
-assignment that takes nothing from it but by its release."""
+"""Age above which each member has to know a revision of the assignment
+to extend its lease, whether or not the revision concerns it."""
 CLOCK_RATE = 1.02
 """A target's clock may run 2 % slow."""
 MARGIN_S = 0.03
