--- a/src/burdockgap/wire/checks.py
+++ b/src/burdockgap/wire/checks.py
@@ -14,10 +14,10 @@
 
 def check_text(value: Any, name: str) -> str:
     """
-    Return a string.
+    Return the value, which has to be a string.
 
-    :raises ValueError: if the value is none, or has characters that
-        cannot be encoded.
+    :raises ValueError: if it is not one, or has characters that cannot
+        be encoded.
     """
     if not isinstance(value, str):
         raise ValueError(f"{name} is {value!r:.40}, which is no string")
@@ -27,9 +27,9 @@
 
 def check_flag(value: Any, name: str) -> bool:
     """
-    Return a truth value.
+    Return the value, which has to be true or false.
 
-    :raises ValueError: if the value is none.
+    :raises ValueError: if it is neither.
     """
     if not isinstance(value, bool):
         raise ValueError(
@@ -42,9 +42,9 @@
     value: Any, name: str, *, least: int = 0, most: int = MAX_INTEGER
 ) -> int:
     """
-    Return an integer.
+    Return the value, which has to be an integer.
 
-    :raises ValueError: if the value is none or is out of range.
+    :raises ValueError: if it is not one, or is out of range.
     """
     if not isinstance(value, int) or isinstance(value, bool):
         raise ValueError(f"{name} is {value!r:.40}, which is no integer")
@@ -55,9 +55,9 @@
 
 def check_number(value: Any, name: str) -> float:
     """
-    Return a finite number that is not negative.
+    Return the value, which has to be a finite number from 0 on.
 
-    :raises ValueError: if the value is none.
+    :raises ValueError: if it is not one.
     """
     if not isinstance(value, (int, float)) or isinstance(value, bool):
         raise ValueError(f"{name} is {value!r:.40}, which is no number")
@@ -68,18 +68,18 @@
 
 def check_port(value: Any, name: str) -> int:
     """
-    Return a port.
+    Return the value, which has to be a port.
 
-    :raises ValueError: if the value is no integer from 1 to 65,535.
+    :raises ValueError: if it is not an integer from 1 to 65,535.
     """
     return check_integer(value, name, least=1, most=_MAX_PORT)
 
 
 def check_address(value: Any, name: str) -> tuple[str, int]:
     """
-    Return IP address and port of a pair.
+    Return the value, a pair of IP address and port, as a tuple.
 
-    :raises ValueError: if the value is no such pair.
+    :raises ValueError: if it is not such a pair.
     """
     if not isinstance(value, (list, tuple)) or len(value) != 2:
         raise ValueError(f"{name} is {value!r:.40}, not a host and a port")
