--- a/tests/shards/test_announcement_size.py
+++ b/tests/shards/test_announcement_size.py
@@ -28,9 +28,15 @@
 def make_busy_service():
     """Return a state, its servers and rates that change its balance."""
     rng = random.Random(7)
-    zones = ("tanta", "mansoura", "zagazig", "damanhour", "kafr-elsheikh")
+    data_centres = (
+        "tanta",
+        "mansoura",
+        "zagazig",
+        "damanhour",
+        "kafr-elsheikh",
+    )
     names = [
-        f"sidecar-{zones[number % 5]}-{number // 5 + 1}"
+        f"sidecar-{data_centres[number % 5]}-{number // 5 + 1}"
         for number in range(MEMBER_COUNT)
     ]
     servers = {
--- a/tests/shards/test_required_revisions.py
+++ b/tests/shards/test_required_revisions.py
@@ -66,7 +66,7 @@
     needed = {}
     for name in NAMES:
         harness.report(name)
-        _address, _kind, values = harness.datagrams.sent[-1]
-        needed[name] = values[3]
+        _address, _kind, lease = harness.datagrams.sent[-1]
+        _incarnation, _term, _newest, needed[name], *_times = lease
     assert needed["a"] <= assigned
     assert needed["c"] > assigned
