Show two holders of a key while a machine is cut off

Review case 1 (OWNER). A machine that is cut off from all others, but not from the store, makes itself the only voter after 5 s; the coordinator of the others learns of it only with its next write, up to 10 s later.

--- /dev/null
+++ b/review/1/__init__.py
@@ -0,0 +1,1 @@
+"""Two coordinators act while a machine is cut off."""
--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,118 @@
+"""Cuts one machine off for 12 s and looks for keys with two holders."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+from typing import TYPE_CHECKING
+
+from burdockgap.http1.client_pool import ClientPool
+from review.common.play import BROKEN, HELD, NOT_RUN, run_case
+from review.common.site import Machine, Site, ask, open_site
+
+if TYPE_CHECKING:
+    from review.common.record import Record
+
+_PLAN = [
+    (f"sidecar-{zone}-{number}", zone, service)
+    for zone in ("mansoura", "tanta", "zagazig")
+    for number, service in ((1, "records"), (2, "records"), (3, "dispatch"))
+]
+_CUT_MACHINE = "sidecar-zagazig-1"
+_CALM_S = 4.0
+_CUT_S = 12.0
+_AFTER_S = 4.0
+_KEYS = [65536 * number // 32 + 7 for number in range(32)]
+_INTERVAL_S = 0.05
+_THAW_SLACK_S = 0.3
+_MAX_OVERLAP_S = 0.5
+
+
+async def _send_requests(machine: Machine, record: Record) -> None:
+    pool = ClientPool(machine.callers, connect_timeout_s=0.5, idle_s=5.0)
+    for number in itertools.count():
+        key = _KEYS[number % len(_KEYS)]
+        request_id = f"{machine.name}-{number}"
+        await ask(pool, request_id, "/history/x", record, key=key)
+        await asyncio.sleep(_INTERVAL_S)
+
+
+def _violations(site: Site, healed: list[float]) -> list[str]:
+    """Return the pairs of servers that held the same keys at once."""
+    found = []
+    keyed = [item.server for item in site.machines if item.server.keyed]
+    for one, other in itertools.combinations(keyed, 2):
+        for mine, theirs in itertools.product(one.holds, other.holds):
+            first = max(mine.first, theirs.first)
+            last = min(mine.last, theirs.last)
+            since = max(mine.since, theirs.since)
+            until = min(mine.until, theirs.until)
+            if first > last or since >= until:
+                continue
+            if any(0 <= since - at < _THAW_SLACK_S for at in healed):
+                continue
+            begun = [
+                sum(
+                    run.key is not None
+                    and first <= run.key <= last
+                    and since <= run.at < until
+                    for run in server.runs
+                )
+                for server in (one, other)
+            ]
+            if all(begun) or until - since > _MAX_OVERLAP_S:
+                found.append(
+                    f"{one.name} (fence {mine.fence}) and {other.name} "
+                    f"(fence {theirs.fence}) both hold {first}-{last} for "
+                    f"{until - since:.3f} s and begin {begun[0]} and "
+                    f"{begun[1]} requests on these keys meanwhile"
+                )
+    return found
+
+
+async def _cut_off(site: Site, record: Record) -> float:
+    """Cut one machine off; return the time at which it was healed."""
+    rest = [item.name for item in site.machines if item.name != _CUT_MACHINE]
+    record.write(f"links between {_CUT_MACHINE} and {rest} are cut")
+    site.links.cut([_CUT_MACHINE], rest)
+    site.links.cut(rest, [_CUT_MACHINE])
+    await asyncio.sleep(_CUT_S)
+    site.links.heal()
+    record.write("links are healed")
+    return asyncio.get_running_loop().time()
+
+
+async def _play(record: Record, trouble: bool) -> int:
+    async with open_site(_PLAN, record) as site:
+        if not await site.wait_until_ready():
+            record.result("the site did not become ready")
+            return NOT_RUN
+        clients = [
+            asyncio.create_task(_send_requests(item, record))
+            for item in site.machines
+            if item.service == "dispatch" or item.name == _CUT_MACHINE
+        ]
+        await asyncio.sleep(_CALM_S)
+        healed = []
+        if trouble:
+            healed.append(await _cut_off(site, record))
+        else:
+            await asyncio.sleep(_CUT_S)
+        await asyncio.sleep(_AFTER_S)
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+        served = sum(len(item.server.runs) for item in site.machines)
+        if not served:
+            record.result("no request was served")
+            return NOT_RUN
+        found = _violations(site, healed)
+    for text in found:
+        record.result(f"OWNER: {text}")
+    record.result(f"{served} requests run, {len(found)} violations")
+    return BROKEN if found else HELD
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(__file__, _play))
--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that the scripts of the review share."""
--- /dev/null
+++ b/review/common/play.py
@@ -0,0 +1,39 @@
+"""The entry point of a script."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from review.common.record import Record
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+HELD = 0
+BROKEN = 1
+NOT_RUN = 2
+
+
+def run_case(
+    case_file: str, play: Callable[[Record, bool], Awaitable[int]]
+) -> int:
+    """
+    Run a case and return its exit code.
+
+    :param case_file: a file in the folder of the case.
+    :param play: gets the record and whether to cause the disruption;
+        returns the exit code.
+    """
+    record = Record(Path(case_file).with_name("record.txt"))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run() -> int:
+        return await play(record, trouble)
+
+    try:
+        return asyncio.run(run())
+    finally:
+        record.close()
