--- /dev/null
+++ b/review/3/__init__.py
@@ -0,0 +1,1 @@
+"""A late second answer to a rejected request."""
