Show the lasting split also with the store cut off; order the cases

Case 1 is now the split that outlasts its cause: a region that loses the other and the store for 65 s. Case 2 is the shorter cut, now of a region, with the store in reach.

--- a/review/1/__init__.py
+++ b/review/1/__init__.py
@@ -1,1 +1,1 @@
-"""Two coordinators act while a machine is cut off."""
+"""Two parts of a site never find each other again."""
--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Cuts one machine off for 12 s and looks for keys with two holders."""
+"""Two regions lose each other for a minute; looks at what follows."""
 
 from __future__ import annotations
 
@@ -11,21 +11,24 @@
 from review.common.owner_rule import find_double_holds
 from review.common.play import BROKEN, HELD, NOT_RUN, run_case
 from review.common.site import Machine, Site, ask, open_site
+from standins.relay.links import LOG
 
 if TYPE_CHECKING:
     from review.common.record import Record
 
+_REGIONS = {"mansoura": "delta", "tanta": "delta", "zagazig": "fayoum"}
 _PLAN = [
     (f"sidecar-{zone}-{number}", zone, service)
-    for zone in ("mansoura", "tanta", "zagazig")
+    for zone in _REGIONS
     for number, service in ((1, "records"), (2, "records"), (3, "dispatch"))
 ]
-_CUT_MACHINE = "sidecar-zagazig-1"
-_CALM_S = 4.0
-_CUT_S = 12.0
-_AFTER_S = 4.0
+_CALM_S = 3.0
+_CUT_S = 65.0
+_AFTER_S = 25.0
+_SETTLED_S = 15.0
+"""The longest bound of the rules, from the end of the disruption."""
 _KEYS = [65536 * number // 32 + 7 for number in range(32)]
-_INTERVAL_S = 0.05
+_INTERVAL_S = 0.1
 
 
 async def _send_requests(machine: Machine, record: Record) -> None:
@@ -37,12 +40,20 @@
         await asyncio.sleep(_INTERVAL_S)
 
 
-async def _cut_off(site: Site, record: Record) -> float:
-    """Cut one machine off; return the time at which it was healed."""
-    rest = [item.name for item in site.machines if item.name != _CUT_MACHINE]
-    record.write(f"links between {_CUT_MACHINE} and {rest} are cut")
-    site.links.cut([_CUT_MACHINE], rest)
-    site.links.cut(rest, [_CUT_MACHINE])
+async def _cut(site: Site, record: Record) -> float:
+    """Cut a region off; return the time at which it was healed."""
+    by_region = {
+        region: [
+            item.name
+            for item in site.machines
+            if _REGIONS[item.zone] == region
+        ]
+        for region in _REGIONS.values()
+    }
+    record.write(f"of {by_region}, fayoum loses delta and the store")
+    others = [*by_region["delta"], LOG]
+    site.links.cut(others, by_region["fayoum"])
+    site.links.cut(by_region["fayoum"], others)
     await asyncio.sleep(_CUT_S)
     site.links.heal()
     record.write("links are healed")
@@ -50,21 +61,21 @@
 
 
 async def _play(record: Record, trouble: bool) -> int:
-    async with open_site(_PLAN, record) as site:
+    async with open_site(_PLAN, record, regions=_REGIONS) as site:
         if not await site.wait_until_ready():
             record.result("the site did not become ready")
             return NOT_RUN
         clients = [
             asyncio.create_task(_send_requests(item, record))
             for item in site.machines
-            if item.service == "dispatch" or item.name == _CUT_MACHINE
+            if item.service == "dispatch"
         ]
         await asyncio.sleep(_CALM_S)
-        healed = []
         if trouble:
-            healed.append(await _cut_off(site, record))
+            healed_at = await _cut(site, record)
         else:
             await asyncio.sleep(_CUT_S)
+            healed_at = asyncio.get_running_loop().time()
         await asyncio.sleep(_AFTER_S)
         for client in clients:
             client.cancel()
@@ -73,7 +84,9 @@
         if not served:
             record.result("no request was served")
             return NOT_RUN
-        found = find_double_holds(site, healed=healed)
+        found = find_double_holds(
+            site, healed=[healed_at], since_s=healed_at + _SETTLED_S
+        )
     for text in found:
         record.result(f"OWNER: {text}")
     record.result(f"{served} requests run, {len(found)} violations")
--- a/review/2/__init__.py
+++ b/review/2/__init__.py
@@ -1,1 +1,1 @@
-"""Two parts of a site never find each other again."""
+"""Two coordinators act while regions lose each other."""
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Two regions lose each other for a minute; looks at what follows."""
+"""Two regions lose each other for 12 s; looks for two holders."""
 
 from __future__ import annotations
 
@@ -21,13 +21,11 @@
     for zone in _REGIONS
     for number, service in ((1, "records"), (2, "records"), (3, "dispatch"))
 ]
-_CALM_S = 3.0
-_CUT_S = 65.0
-_AFTER_S = 25.0
-_SETTLED_S = 15.0
-"""The longest bound of the rules, from the end of the disruption."""
+_CALM_S = 4.0
+_CUT_S = 12.0
+_AFTER_S = 4.0
 _KEYS = [65536 * number // 32 + 7 for number in range(32)]
-_INTERVAL_S = 0.1
+_INTERVAL_S = 0.05
 
 
 async def _send_requests(machine: Machine, record: Record) -> None:
@@ -40,18 +38,14 @@
 
 
 async def _cut(site: Site, record: Record) -> float:
-    """Cut a region off; return the time at which it was healed."""
-    by_region = {
-        region: [
-            item.name
-            for item in site.machines
-            if _REGIONS[item.zone] == region
-        ]
-        for region in _REGIONS.values()
-    }
-    record.write(f"the regions {by_region} lose each other")
-    site.links.cut(by_region["delta"], by_region["fayoum"])
-    site.links.cut(by_region["fayoum"], by_region["delta"])
+    """Cut the regions from each other; return when it was healed."""
+    delta, fayoum = (
+        [item.name for item in site.machines if _REGIONS[item.zone] == region]
+        for region in ("delta", "fayoum")
+    )
+    record.write(f"links between {delta} and {fayoum} are cut")
+    site.links.cut(delta, fayoum)
+    site.links.cut(fayoum, delta)
     await asyncio.sleep(_CUT_S)
     site.links.heal()
     record.write("links are healed")
@@ -69,11 +63,11 @@
             if item.service == "dispatch"
         ]
         await asyncio.sleep(_CALM_S)
+        healed = []
         if trouble:
-            healed_at = await _cut(site, record)
+            healed.append(await _cut(site, record))
         else:
             await asyncio.sleep(_CUT_S)
-            healed_at = asyncio.get_running_loop().time()
         await asyncio.sleep(_AFTER_S)
         for client in clients:
             client.cancel()
@@ -82,9 +76,7 @@
         if not served:
             record.result("no request was served")
             return NOT_RUN
-        found = find_double_holds(
-            site, healed=[healed_at], since_s=healed_at + _SETTLED_S
-        )
+        found = find_double_holds(site, healed=healed)
     for text in found:
         record.result(f"OWNER: {text}")
     record.result(f"{served} requests run, {len(found)} violations")
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -78,6 +78,7 @@
     :param keyed: whether it runs requests only on keys that it holds.
     :param work_s: duration of a request, in seconds.
     :param slots: requests that it runs at once; one more waits in turn.
+    :ivar padding: bytes at the end of each answer's body.
     :ivar holds: all holds so far, oldest first.
     :ivar runs: all requests that were begun, oldest first.
     """
@@ -102,6 +103,7 @@
         self.keyed = keyed
         self.work_s = work_s
         self.slots = slots
+        self.padding = b""
         self.born = 1_700_000_000_000
         self.holds: list[Hold] = []
         self.runs: list[Run] = []
@@ -229,7 +231,8 @@
             finally:
                 self._in_flight -= 1
         headers.append(("Server-Seal", f"seal.{request_id}"))
-        return Response(200, headers, request_id.encode())
+        body = request_id.encode() + self.padding
+        return Response(200, headers, body)
 
     def _note(self, what: str, first: int, last: int, fence: int) -> None:
         self._record.write(f"{self.name} {what} {first}-{last} fence={fence}")
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -85,7 +85,7 @@
 cpu-cores = 1
 memory-mb = {memory_mb}
 file-descriptors = 4100
-link-mbps = 1000.0
+link-mbps = {link_mbps}
 disk-mb = 0
 [fault-tolerance]
 machines = 2
@@ -136,8 +136,10 @@
         make_route("visit", "dispatch", kind="unsafe", timeout="5000ms"),
         make_route("entry", "records", kind="unsafe"),
         make_route("roster", "dispatch"),
+        make_route("manual", "library", kind="download", timeout="3850ms"),
         make_service("records", sharding=True),
         make_service("dispatch"),
+        make_service("library"),
         make_limits(**{"max-body-bytes": MAX_BODY_BYTES}),
     )
 
@@ -183,6 +185,7 @@
         work_s: float,
         regions: dict[str, str],
         server_type: type[AppServer],
+        link_mbps: float,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -200,6 +203,7 @@
                 real=self.real,
                 zone=zone,
                 memory_mb=MEMORY_MB,
+                link_mbps=link_mbps,
                 region=regions[zone],
                 zones="\n".join(
                     f'{name} = "{region}"' for name, region in regions.items()
@@ -286,6 +290,7 @@
 
     :ivar links: cuts the links between machines and to the store.
     :ivar store: the platform's store.
+    :ivar relay_in_use: the relay, once the site runs.
     """
 
     def __init__(
@@ -297,10 +302,12 @@
         work_s: float,
         regions: dict[str, str],
         server_type: type[AppServer],
+        link_mbps: float,
     ) -> None:
         self.net = _free_net()
         self.links = Links()
         self.store = KeyedTopics()
+        self.relay_in_use: Relay | None = None
         self.machines = [
             Machine(
                 name,
@@ -314,13 +321,14 @@
                 work_s=work_s,
                 regions=regions,
                 server_type=server_type,
+                link_mbps=link_mbps,
             )
             for index, (name, zone, service) in enumerate(plan, start=1)
         ]
 
-    def relay(self) -> Relay:
+    def relay(self, relay_type: type[Relay]) -> Relay:
         """Return the relay between the daemons and to the store."""
-        return Relay(
+        return relay_type(
             routes=[
                 Route(
                     name=item.name,
@@ -370,6 +378,8 @@
     work_s: float = 0.02,
     regions: dict[str, str] | None = None,
     server_type: type[AppServer] = AppServer,
+    link_mbps: float = 1000.0,
+    relay_type: type[Relay] = Relay,
 ) -> AsyncIterator[Site]:
     """
     Run a site; leaving the context ends all its processes.
@@ -379,6 +389,9 @@
     :param work_s: duration of a request, in seconds.
     :param regions: region of each zone; one region by default.
     :param server_type: the type of the servers.
+    :param link_mbps: bandwidth of each machine's link, as the daemons'
+        settings name it.
+    :param relay_type: the type of the relay between the machines.
     """
     async with AsyncExitStack() as stack:
         folder = Path(
@@ -391,6 +404,7 @@
             work_s=work_s,
             regions=regions or {zone: "delta" for _, zone, _ in plan},
             server_type=server_type,
+            link_mbps=link_mbps,
         )
         site.store.put("keyed.op", "config", make_site_config())
         await stack.enter_async_context(
@@ -400,7 +414,9 @@
         )
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
-        await tasks.start(site.relay().run)
+        relay = site.relay(relay_type)
+        site.relay_in_use = relay
+        await tasks.start(relay.run)
         for item in site.machines:
             stack.callback(item.end)
             await item.server.start()
