--- a/review/common/play.py
+++ b/review/common/play.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -31,9 +32,17 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # Cancelled, the case still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         return await play(record, trouble)
 
     try:
         return asyncio.run(run())
+    except asyncio.CancelledError:
+        return NOT_RUN
     finally:
         record.close()
