--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 from typing import TYPE_CHECKING
 
@@ -94,4 +95,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(__file__, _play))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(__file__, _play, trouble=trouble))
--- a/review/common/play.py
+++ b/review/common/play.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -19,7 +18,10 @@
 
 
 def run_case(
-    case_file: str, play: Callable[[Record, bool], Awaitable[int]]
+    case_file: str,
+    play: Callable[[Record, bool], Awaitable[int]],
+    *,
+    trouble: bool,
 ) -> int:
     """
     Run a case and return its exit code.
@@ -27,9 +29,9 @@
     :param case_file: a file in the folder of the case.
     :param play: gets the record and whether to cause the disruption;
         returns the exit code.
+    :param trouble: whether to cause the disruption.
     """
     record = Record(Path(case_file).with_name("record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
         task = asyncio.current_task()
