--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from burdockgap.http1.client_pool import ClientPool
+from review.common.owner_rule import find_double_holds
 from review.common.play import BROKEN, HELD, NOT_RUN, run_case
 from review.common.site import Machine, Site, ask, open_site
 
@@ -25,8 +26,6 @@
 _AFTER_S = 4.0
 _KEYS = [65536 * number // 32 + 7 for number in range(32)]
 _INTERVAL_S = 0.05
-_THAW_SLACK_S = 0.3
-_MAX_OVERLAP_S = 0.5
 
 
 async def _send_requests(machine: Machine, record: Record) -> None:
@@ -38,39 +37,6 @@
         await asyncio.sleep(_INTERVAL_S)
 
 
-def _violations(site: Site, healed: list[float]) -> list[str]:
-    """Return the pairs of servers that held the same keys at once."""
-    found = []
-    keyed = [item.server for item in site.machines if item.server.keyed]
-    for one, other in itertools.combinations(keyed, 2):
-        for mine, theirs in itertools.product(one.holds, other.holds):
-            first = max(mine.first, theirs.first)
-            last = min(mine.last, theirs.last)
-            since = max(mine.since, theirs.since)
-            until = min(mine.until, theirs.until)
-            if first > last or since >= until:
-                continue
-            if any(0 <= since - at < _THAW_SLACK_S for at in healed):
-                continue
-            begun = [
-                sum(
-                    run.key is not None
-                    and first <= run.key <= last
-                    and since <= run.at < until
-                    for run in server.runs
-                )
-                for server in (one, other)
-            ]
-            if all(begun) or until - since > _MAX_OVERLAP_S:
-                found.append(
-                    f"{one.name} (fence {mine.fence}) and {other.name} "
-                    f"(fence {theirs.fence}) both hold {first}-{last} for "
-                    f"{until - since:.3f} s and begin {begun[0]} and "
-                    f"{begun[1]} requests on these keys meanwhile"
-                )
-    return found
-
-
 async def _cut_off(site: Site, record: Record) -> float:
     """Cut one machine off; return the time at which it was healed."""
     rest = [item.name for item in site.machines if item.name != _CUT_MACHINE]
@@ -107,7 +73,7 @@
         if not served:
             record.result("no request was served")
             return NOT_RUN
-        found = _violations(site, healed)
+        found = find_double_holds(site, healed=healed)
     for text in found:
         record.result(f"OWNER: {text}")
     record.result(f"{served} requests run, {len(found)} violations")
--- /dev/null
+++ b/review/2/__init__.py
@@ -0,0 +1,1 @@
+"""Two parts of a site never find each other again."""
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -6,6 +6,7 @@
 import os
 import random
 import shlex
+import socket
 import subprocess
 import sys
 import tempfile
@@ -40,6 +41,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS_PORT = 8304
+MAX_BODY_BYTES = 67_108_864
+"""As in the example of a configuration (fleetbench wire)."""
+MEMORY_MB = 300
 _PEER_PORT = 7620
 _APP_PORT = 8301
 _READY_PORT = 8302
@@ -58,7 +62,7 @@
 serves = ["sidecar"]
 ip-address = "{advertised}"
 zone = "{zone}"
-region = "delta"
+region = "{region}"
 internal-port-range = [7620,7635]
 seed-addresses = []
 bootstrap = true
@@ -70,9 +74,7 @@
 application-address = "{app}"
 service = "{service}"
 [zones]
-tanta = "delta"
-mansoura = "delta"
-zagazig = "delta"
+{zones}
 [listen-addresses]
 inbound = "{real}:8300"
 outbound = "{real}:8304"
@@ -81,7 +83,7 @@
 [limits]
 cpu-share = 0.86
 cpu-cores = 1
-memory-mb = 300
+memory-mb = {memory_mb}
 file-descriptors = 4100
 link-mbps = 1000.0
 disk-mb = 0
@@ -131,14 +133,29 @@
     """Return the operator's configuration."""
     return make_config(
         make_route("history", "records", **{"target-latency": "200ms"}),
-        make_route("visit", "dispatch", kind="unsafe"),
+        make_route("visit", "dispatch", kind="unsafe", timeout="5000ms"),
+        make_route("entry", "records", kind="unsafe"),
         make_route("roster", "dispatch"),
         make_service("records", sharding=True),
         make_service("dispatch"),
-        make_limits(),
+        make_limits(**{"max-body-bytes": MAX_BODY_BYTES}),
     )
 
 
+def _free_net() -> str:
+    """Return the first two octets of addresses that are not in use."""
+    octets = list(range(32, 224))
+    random.shuffle(octets)
+    for octet in octets:
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{octet}.3.1", _STORE_PORT))
+            except OSError:
+                continue
+        return f"127.{octet}"
+    raise RuntimeError("all loopback addresses are in use")
+
+
 class Machine:
     """
     A daemon process and the server beside it.
@@ -164,6 +181,8 @@
         record: Record,
         keyed: bool,
         work_s: float,
+        regions: dict[str, str],
+        server_type: type[AppServer],
     ) -> None:
         self.name = name
         self.zone = zone
@@ -180,12 +199,17 @@
                 advertised=self.advertised,
                 real=self.real,
                 zone=zone,
+                memory_mb=MEMORY_MB,
+                region=regions[zone],
+                zones="\n".join(
+                    f'{name} = "{region}"' for name, region in regions.items()
+                ),
                 service=service,
                 app=f"{app[0]}:{app[1]}",
                 store=f"{self.advertised}:{_STORE_PORT}",
             )
         )
-        self.server = AppServer(
+        self.server = server_type(
             f"i-{name}",
             service=service,
             address=app,
@@ -271,8 +295,10 @@
         folder: Path,
         record: Record,
         work_s: float,
+        regions: dict[str, str],
+        server_type: type[AppServer],
     ) -> None:
-        self.net = f"127.{random.randrange(64, 200)}"
+        self.net = _free_net()
         self.links = Links()
         self.store = KeyedTopics()
         self.machines = [
@@ -286,6 +312,8 @@
                 record=record,
                 keyed=service == "records",
                 work_s=work_s,
+                regions=regions,
+                server_type=server_type,
             )
             for index, (name, zone, service) in enumerate(plan, start=1)
         ]
@@ -340,6 +368,8 @@
     record: Record,
     *,
     work_s: float = 0.02,
+    regions: dict[str, str] | None = None,
+    server_type: type[AppServer] = AppServer,
 ) -> AsyncIterator[Site]:
     """
     Run a site; leaving the context ends all its processes.
@@ -347,12 +377,21 @@
     :param plan: name, zone and service of each machine.
     :param record: receives the events.
     :param work_s: duration of a request, in seconds.
+    :param regions: region of each zone; one region by default.
+    :param server_type: the type of the servers.
     """
     async with AsyncExitStack() as stack:
         folder = Path(
             stack.enter_context(tempfile.TemporaryDirectory(prefix="case-"))
         )
-        site = Site(plan, folder=folder, record=record, work_s=work_s)
+        site = Site(
+            plan,
+            folder=folder,
+            record=record,
+            work_s=work_s,
+            regions=regions or {zone: "delta" for _, zone, _ in plan},
+            server_type=server_type,
+        )
         site.store.put("keyed.op", "config", make_site_config())
         await stack.enter_async_context(
             open_server(
@@ -383,6 +422,7 @@
     method: str = "GET",
     key: int | None = None,
     deadline_ms: int = 800,
+    body: bytes = b"",
 ) -> int:
     """Send a client's request; return its status, 0 for no answer."""
     headers = [
@@ -397,7 +437,7 @@
     with suppress(ExchangeError, TimeoutError):
         async with asyncio.timeout(deadline_ms / 1000 + 0.2):
             response = await pool.exchange(
-                encode_request(method, path, headers)
+                encode_request(method, path, headers, body)
             )
             status = response.status
     record.write(f"client gets {status} for {request_id}")
