Let a coordinator act only while no minority can have replaced it

Cause: a claimant without a majority of the voters made those that still reported the voters after 5 s. The old coordinator kept its majority, had nothing to write and so never learned of it.

Change: a member claims the role only if it hears a majority of the voters, or after 10.5 s in which the recorded coordinator neither answered it nor wrote (120 s if it is no voter). A coordinator whose voters don't all vote acts only up to 10 s after a write that took effect, and writes every 3 s for that.

test_voters_shrink_once_after_loss_of_the_majority waits 6 s instead of 4: the old code counted its 5 s from the claim and so replaced the voters as soon as the authority had ended, before a majority on the other side could claim. Tests that cleared the roster before a claim remove the coordinator only, as a claim needs a majority that is heard.

Ruled out: a read of the store by the coordinator instead of the write, which leaves no trace for the member that waits; a shorter wait, which would end all leases during an outage of the store of 10 s with one silent voter.

--- a/src/burdockgap/shards/authority.py
+++ b/src/burdockgap/shards/authority.py
@@ -2,29 +2,47 @@
 
 from __future__ import annotations
 
-from burdockgap.shards.lease import AUTHORITY_S, CLOCK_RATE, MARGIN_S
+from burdockgap.shards.lease import (
+    AUTHORITY_S,
+    CLOCK_RATE,
+    CONFIRMATION_S,
+    MARGIN_S,
+)
+
+_CONFIRM_INTERVAL_S = 3.0
+"""Interval of writes while a voter is silent; two may fail before the
+authority ends."""
+_IDLE_CONFIRM_INTERVAL_S = 60.0
+"""Half of the time after which a member that is no voter may replace
+the voters."""
 
 
 class Authority:
     """
-    Counts the members' votes for one term of the coordinator.
+    Decides until when the coordinator may act in one term.
 
     A member votes with each report of the term; the vote counts from
     the coordinator's time that the report echoes. A member that follows
-    a later term never votes for this one again, so another coordinator
-    can act without this one's knowledge only :data:`AUTHORITY_S` after
-    a majority has stopped voting.
+    a later term never votes for this one again. So a coordinator that
+    needs the same voters can act only :data:`AUTHORITY_S` after a
+    majority has stopped voting.
+
+    A voter without a majority may replace the voters after a time in
+    which the stored state did not change (:class:`TakeoverWait`). So
+    unless all voters vote, this coordinator may act only for
+    :data:`CONFIRMATION_S` after a write that took effect.
 
     :param now: when the term was claimed, in seconds.
-    :param is_first: whether this is the first term of all.
+    :param is_first: whether no lease of an earlier term can be valid.
     :ivar safe_at: when all leases of earlier coordinators have expired,
         in seconds; ``None`` until a majority has voted.
     """
 
-    __slots__ = ("_votes", "safe_at")
+    __slots__ = ("_confirmed_at", "_votes", "safe_at")
 
     def __init__(self, now: float, *, is_first: bool) -> None:
         self._votes: dict[str, float] = {}
+        self._confirmed_at = 0.0
         self.safe_at: float | None = now if is_first else None
 
     def vote(self, name: str, echo: float) -> None:
@@ -36,10 +54,35 @@
         """
         self._votes[name] = max(self._votes.get(name, 0.0), echo)
 
+    def confirm(self, sent_at: float) -> None:
+        """
+        Note a write to the store that took effect.
+
+        :param sent_at: when it was sent, in seconds.
+        """
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+
     def voters(self) -> set[str]:
         """Return the members that have voted in this term."""
         return set(self._votes)
 
+    def majority_voted_at(self, voters: tuple[str, ...]) -> float:
+        """
+        Return the latest time at which a majority voted.
+
+        :param voters: names of the members that form the quorum.
+        :return: in seconds, 0 if none did.
+        """
+        if not voters:
+            return 0.0
+        return self._vote_times(voters)[len(voters) // 2]
+
+    def has_majority(self, now: float, voters: tuple[str, ...]) -> bool:
+        """Return whether a majority votes for this term."""
+        return (
+            bool(voters) and self.majority_voted_at(voters) + AUTHORITY_S > now
+        )
+
     def until(self, voters: tuple[str, ...]) -> float:
         """
         Return the time until which the coordinator may act.
@@ -49,10 +92,17 @@
         """
         if not voters:
             return 0.0
-        times = sorted(
-            (self._votes.get(name, 0.0) for name in voters), reverse=True
+        return min(
+            self.majority_voted_at(voters) + AUTHORITY_S,
+            self._certain_at(voters) + CONFIRMATION_S,
+        )
+
+    def needs_confirmation(self, now: float, voters: tuple[str, ...]) -> bool:
+        """Return whether the state should be written once more."""
+        return (
+            now - self._certain_at(voters) > _CONFIRM_INTERVAL_S
+            or now - self._confirmed_at > _IDLE_CONFIRM_INTERVAL_S
         )
-        return times[len(voters) // 2] + AUTHORITY_S
 
     def are_earlier_leases_expired(self, now: float) -> bool:
         """Return whether all leases of earlier coordinators expired."""
@@ -62,3 +112,12 @@
         """Start the wait for earlier leases once a majority voted."""
         if self.safe_at is None and self.until(voters) > now:
             self.safe_at = now + AUTHORITY_S * CLOCK_RATE
+
+    def _certain_at(self, voters: tuple[str, ...]) -> float:
+        """Return the last time at which no other can have acted."""
+        return max(self._confirmed_at, self._vote_times(voters)[-1])
+
+    def _vote_times(self, voters: tuple[str, ...]) -> list[float]:
+        return sorted(
+            (self._votes.get(name, 0.0) for name in voters), reverse=True
+        )
--- a/src/burdockgap/shards/control_store.py
+++ b/src/burdockgap/shards/control_store.py
@@ -8,7 +8,7 @@
 from burdockgap.shards.control_state import ControlState
 
 if TYPE_CHECKING:
-    from burdockgap.metadata.keyed_store import KeyedStore
+    from burdockgap.metadata.keyed_store import KeyedStore, Position
 
 _TOPIC = "keyed.burdockgap-control"
 _KEY = "state"
@@ -38,6 +38,18 @@
         """The store's generation at the last read."""
         return self._generation
 
+    @property
+    def position(self) -> Position:
+        """
+        The end of the stored state after the last read or write.
+
+        :raises WriteConflict: if the outcome of the last write is
+            unknown.
+        """
+        if self._end is None:
+            raise WriteConflict("the end of the control state is unknown")
+        return self._generation, self._end
+
     def has_lost(self, state: ControlState | None) -> bool:
         """
         Return whether the store may have lost a state, or later ones.
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -19,6 +19,7 @@
 from burdockgap.shards.lease import LEASE_S
 from burdockgap.shards.reports import Report
 from burdockgap.shards.required_revisions import RequiredRevisions
+from burdockgap.shards.takeover import TakeoverWait
 from burdockgap.shards.term_start import TermStart
 
 if TYPE_CHECKING:
@@ -34,7 +35,11 @@
 
 _NO_MAJORITY_TIMEOUT_S = 5.0
 """After this time without a majority, the members that still report
-become the voters."""
+become the voters. Before that, a majority that is only cut off from
+this member can elect another coordinator."""
+_HEARD_WITHIN_S = 1.25
+"""Age of a voter's last beacon above which it is not counted on to
+vote; slightly more than the interval of beacons."""
 _VOTER_TIMEOUT_S = 10.0
 _VOTER_SETTLE_S = 0.6
 """Time for other members to report before the voters change."""
@@ -75,6 +80,7 @@
         "_on_event",
         "_roster",
         "_store",
+        "_takeover_wait",
         "_view",
         "_lease_denied_names",
         "_pending_voters",
@@ -107,6 +113,7 @@
         self._on_event = on_event
         self._claimed_start = TermStart.SUCCESSION
         self._incumbent_wait = (0, 0.0)
+        self._takeover_wait = TakeoverWait()
         self._reset(term=0, start=TermStart.SUCCESSION)
         datagrams.handlers[REPORT] = self._handle_report
 
@@ -130,14 +137,23 @@
             and state.incarnation == own.incarnation
         )
 
-    async def claim(self) -> bool:
+    async def claim(self, answered_at: float) -> bool:
         """
         Claim the role of coordinator for the next term.
 
+        A member that does not hear a majority of the voters claims it
+        only after :class:`TakeoverWait`, with the members that it hears
+        as the new voters.
+
+        :param answered_at: when the coordinator last answered a report
+            of this member, in seconds.
         :return: whether the claim is known to have taken effect.
         """
+        if self._must_wait():
+            return False
         try:
             stored = await self._store.read() or ControlState()
+            self._note_position(stored)
             if self._is_own_claim(stored):
                 # An earlier claim took effect, but its reply was lost.
                 self._begin(stored, self._claimed_start)
@@ -150,16 +166,16 @@
             base = max(
                 stored, self._view.state, key=lambda state: state.version
             )
-            start = self._start_from(base)
-            if start is TermStart.RECOVERY and self._is_incumbent_awaited():
+            if (plan := self._plan_claim(base, answered_at)) is None:
                 return False
-            claimed = self._claimed_state(base, start)
-            self._claimed_start = start
+            claimed, self._claimed_start = plan
+            sent_at = self._clock.now()
             await self._store.write(claimed)
         except StoreError as exc:
             self._on_event("claim_failed", {"why": str(exc)})
             return False
-        self._begin(claimed, start)
+        self._begin(claimed, self._claimed_start)
+        self._note_write(claimed, sent_at)
         if base.term:
             self._broadcast_changes(base, claimed)
         return True
@@ -174,6 +190,63 @@
             await asyncio.sleep(_TICK_INTERVAL_S)
             await self._tick()
 
+    def _plan_claim(
+        self, base: ControlState, answered_at: float
+    ) -> tuple[ControlState, TermStart] | None:
+        """Return a claim of the next term, ``None`` if too early."""
+        start = self._start_from(base)
+        if start is TermStart.RECOVERY and self._is_incumbent_awaited():
+            return None
+        claimed = self._claimed_state(base, start)
+        if not self._hears_majority(claimed.voters):
+            if not self._may_take_over(base, answered_at):
+                return None
+            start = TermStart.REPLACEMENT
+            claimed.voters = tuple(sorted(self._heard_names()))
+        return claimed, start
+
+    def _must_wait(self) -> bool:
+        """Return whether a claim is known to be too early."""
+        return self._takeover_wait.is_known_to_last(
+            self._clock.now()
+        ) and not self._hears_majority(self._view.state.voters)
+
+    def _heard_names(self) -> set[str]:
+        """Return the names of the members that were just heard."""
+        return {member.name for member in self._roster.live(_HEARD_WITHIN_S)}
+
+    def _hears_majority(self, voters: tuple[str, ...]) -> bool:
+        heard_names = self._heard_names()
+        heard_count = sum(name in heard_names for name in voters)
+        return heard_count > len(voters) // 2
+
+    def _may_take_over(self, state: ControlState, answered_at: float) -> bool:
+        """Return whether this member may replace a state's voters."""
+        return self._takeover_wait.is_over(
+            self._clock.now(),
+            answered_at=answered_at,
+            # A copy of the store may name voters that were dropped
+            # since.
+            is_voter=self._roster.own.name in state.voters
+            and not self._has_lost(state),
+        )
+
+    def _note_write(self, state: ControlState, sent_at: float) -> None:
+        """Note a write of this term that took effect."""
+        self._authority.confirm(sent_at)
+        self._note_position(state)
+
+    def _note_position(self, state: ControlState) -> None:
+        # A state may have been known for long, but newer ones be lost.
+        version = None if self._has_lost(state) else state.version
+        self._takeover_wait.note_position(
+            self._store.position, version, self._clock.now()
+        )
+
+    def _has_lost(self, state: ControlState) -> bool:
+        """Return whether the store may lack states after this one."""
+        return self._store.has_lost(state if state.term else None)
+
     def _is_own_claim(self, state: ControlState) -> bool:
         own = self._roster.own
         return (
@@ -184,7 +257,7 @@
         )
 
     def _start_from(self, base: ControlState) -> TermStart:
-        if self._store.has_lost(base if base.term else None):
+        if self._has_lost(base):
             return TermStart.RECOVERY
         return TermStart.SUCCESSION if base.term else TermStart.FIRST
 
@@ -248,7 +321,9 @@
         now = self._clock.now()
         self.term = term
         self._start = start
-        self._authority = Authority(now, is_first=start is TermStart.FIRST)
+        self._authority = Authority(
+            now, is_first=start in (TermStart.FIRST, TermStart.REPLACEMENT)
+        )
         self._reports = LatestReports(
             authority=self._authority, since=now, term=term
         )
@@ -309,12 +384,14 @@
         return until
 
     async def _tick(self) -> None:
+        now = self._clock.now()
+        self._takeover_wait.note_version(self._view.version, now)
         if not self.is_active:
             return
-        now = self._clock.now()
         self._authority.note_majority(now, self._view.state.voters)
         has_authority = self._authority_until() > now
         before = self._view.state
+        has_majority = self._authority.has_majority(now, before.voters)
         state = before.successor()
         reasons: list[str] = []
         dropped_names: set[str] = set()
@@ -323,8 +400,12 @@
                 self._give_up_unless_recent(now)
                 return
             reasons.append("restored")
-        if self._update_voters(state, now, has_authority=has_authority):
+        if self._update_voters(state, now, has_majority=has_majority):
             reasons.append("voters")
+        if has_majority and self._authority.needs_confirmation(
+            now, before.voters
+        ):
+            reasons.append("confirmed")
         if has_authority:
             planned, dropped_names = self._assigner.plan(state, now)
             reasons += planned
@@ -358,6 +439,7 @@
         self, before: ControlState, state: ControlState, reasons: list[str]
     ) -> None:
         while True:
+            sent_at = self._clock.now()
             try:
                 await self._store.write(state)
             except StoreError as exc:
@@ -376,6 +458,7 @@
                 await asyncio.sleep(_TICK_INTERVAL_S)
                 continue
             self._failing_since = None
+            self._note_write(state, sent_at)
             self._broadcast_changes(before, state)
             self._view.adopt(state)
             self._on_event(
@@ -437,30 +520,44 @@
         return self._view.state.term != self.term
 
     def _update_voters(
-        self, state: ControlState, now: float, *, has_authority: bool
+        self, state: ControlState, now: float, *, has_majority: bool
     ) -> bool:
         """
         Update the voters to the members that report.
 
-        With authority, a silent member stays a voter for
+        With a majority, a silent member stays a voter for
         :data:`_VOTER_TIMEOUT_S`.
 
         :param state: changed in place.
         :return: whether the voters changed.
         """
-        acting_s = now - self._reports.since
-        if acting_s < _VOTER_SETTLE_S:
+        if now - self._reports.since < _VOTER_SETTLE_S:
             return False
         voters = set(self._reports.fresh(now))
-        if has_authority:
+        if has_majority:
             voters |= {
                 name
                 for name in state.voters
                 if self._reports.silent_s(name, now) < _VOTER_TIMEOUT_S
             }
-        elif acting_s < _NO_MAJORITY_TIMEOUT_S:
+        elif not self._may_replace_voters(state, now):
             return False
         if not voters or set(state.voters) == voters:
             return False
         state.voters = tuple(sorted(voters))
         return True
+
+    def _may_replace_voters(self, state: ControlState, now: float) -> bool:
+        """
+        Return whether those that report may become the only voters.
+
+        Once leases of earlier terms are ruled out, only a claim in the
+        store can make another member act, and the write would fail.
+        """
+        if self._authority.safe_at is None:
+            return self._may_take_over(state, answered_at=0.0)
+        lost_at = max(
+            self._authority.majority_voted_at(state.voters),
+            self._reports.since,
+        )
+        return now - lost_at >= _NO_MAJORITY_TIMEOUT_S
--- a/src/burdockgap/shards/lease.py
+++ b/src/burdockgap/shards/lease.py
@@ -12,6 +12,10 @@
 served again."""
 AUTHORITY_S = 2.0
 """How long a coordinator may act after a majority's last reports."""
+CONFIRMATION_S = 10.0
+"""How long a coordinator may act after its last write to the store, or
+after the last time at which all voters reported. Bounds an outage of
+the store that it bears while a voter is silent."""
 REPORT_INTERVAL_S = 0.3
 """A fifth of a lease, so that four successive reports may be lost."""
 MAX_LAG_S = 3.0
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -58,7 +58,8 @@
         if there is none.
     :param load: returns the target's load.
     :param is_active: returns whether this member acts as coordinator.
-    :param claim: tries to become coordinator; returns whether it did.
+    :param claim: tries to become coordinator; gets the time of the last
+        answered report in seconds, and returns whether it did.
     :param pull: fetches the control state from a member that knows a
         given term and revision.
     :param on_event: logs state changes.
@@ -101,7 +102,7 @@
         holder: Callable[[], ShardHolder | None],
         load: Callable[[], Load],
         is_active: Callable[[], bool],
-        claim: Callable[[], Awaitable[bool]],
+        claim: Callable[[float], Awaitable[bool]],
         pull: Callable[[Member, tuple[int, int]], None],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
@@ -258,7 +259,7 @@
         if now < self._claim_at:
             return self._claim_at - now
         self._claim_at = None
-        if not await self._claim():
+        if not await self._claim(self._answered_at):
             pause_s = _CLAIM_BACKOFF_S * random.uniform(1, 2)
             self._claim_not_before = self._clock.now() + pause_s
         return REPORT_INTERVAL_S
--- a/src/burdockgap/shards/term_start.py
+++ b/src/burdockgap/shards/term_start.py
@@ -15,3 +15,6 @@
     RECOVERY = "recovery"
     """The store may have lost states, so unknown members may hold some;
     nothing may be leased before all have expired."""
+    REPLACEMENT = "replacement"
+    """A majority of the voters is gone, and all earlier leases have
+    expired."""
--- a/tests/shards/test_authority.py
+++ b/tests/shards/test_authority.py
@@ -5,13 +5,14 @@
 import pytest
 
 from burdockgap.shards.authority import Authority
-from burdockgap.shards.lease import AUTHORITY_S
+from burdockgap.shards.lease import AUTHORITY_S, CONFIRMATION_S
 
 VOTERS = ("a", "b", "c", "d", "e")
 
 
-def make_authority(votes, *, is_first=False):
+def make_authority(votes, *, is_first=False, confirmed_at=99.0):
     authority = Authority(0.0, is_first=is_first)
+    authority.confirm(confirmed_at)
     for name, echo in votes.items():
         authority.vote(name, echo)
     return authority
@@ -53,3 +54,29 @@
 
 def test_safe_at_is_immediate_in_the_first_term():
     assert make_authority({}, is_first=True).safe_at == 0.0
+
+
+# OWNER: a coordinator with a majority went on while a silent voter had
+# replaced the voters in the store.
+@pytest.mark.parametrize(
+    ("silent_since", "until"),
+    [
+        pytest.param(50.0, 50.0 + CONFIRMATION_S, id="silent-after-write"),
+        pytest.param(30.0, 40.0 + CONFIRMATION_S, id="silent-before-write"),
+        pytest.param(99.0, 99.0 + AUTHORITY_S, id="all-vote"),
+    ],
+)
+def test_until_without_a_vote_depends_on_the_last_write(silent_since, until):
+    votes = {**dict.fromkeys(VOTERS, 99.0), "e": silent_since}
+    assert make_authority(votes, confirmed_at=40.0).until(VOTERS) == until
+
+
+def test_confirmation_is_needed_only_while_a_voter_is_silent():
+    votes = dict.fromkeys(VOTERS, 50.0)
+    assert not make_authority(votes, confirmed_at=5.0).needs_confirmation(
+        50.5, VOTERS
+    )
+    votes["e"] = 40.0
+    assert make_authority(votes, confirmed_at=5.0).needs_confirmation(
+        50.5, VOTERS
+    )
--- a/tests/shards/test_control_changes.py
+++ b/tests/shards/test_control_changes.py
@@ -127,7 +127,7 @@
 @pytest.mark.parametrize("anyio_backend", ["asyncio"])
 async def test_coordinator_broadcasts_changes():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     before = harness.view.state
     await harness.advance(1.0, *NAMES)
     sent = [
@@ -148,11 +148,11 @@
     """Otherwise each member would fetch the whole state."""
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     await old.advance(1.0, *NAMES)
     before = old.view.state
-    await new.coordinator.claim()
-    assert await new.coordinator.claim()
+    await new.coordinator.claim(0.0)
+    assert await new.coordinator.claim(0.0)
     sent = [
         values[0]
         for _address, kind, values in new.datagrams.sent
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -80,7 +80,7 @@
 
 async def test_claim_and_first_assignment():
     harness = CoordinatorHarness()
-    assert await harness.coordinator.claim()
+    assert await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     assert harness.owners() == set(NAMES)
     assert harness.store.state.revision == harness.view.state.revision
@@ -92,8 +92,8 @@
         CoordinatorHarness(store),
         CoordinatorHarness(store, own="b"),
     )
-    assert await first.coordinator.claim()
-    assert not await second.coordinator.claim()
+    assert await first.coordinator.claim(0.0)
+    assert not await second.coordinator.claim(0.0)
     assert second.view.state.coordinator == "a"
     assert not second.coordinator.is_active
 
@@ -101,19 +101,19 @@
 async def test_claim_with_lost_reply_succeeds_on_retry():
     harness = CoordinatorHarness()
     harness.store.drops_replies = True
-    assert not await harness.coordinator.claim()
+    assert not await harness.coordinator.claim(0.0)
     harness.store.drops_replies = False
-    assert await harness.coordinator.claim()
+    assert await harness.coordinator.claim(0.0)
     assert harness.view.state.term == 1
 
 
 async def test_deposed_coordinator_cannot_write():
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     await old.advance(1.0, *NAMES)
-    await new.coordinator.claim()
-    assert await new.coordinator.claim()
+    await new.coordinator.claim(0.0)
+    assert await new.coordinator.claim(0.0)
     revision = store.state.revision
     old.born["c"] = 7
     await old.advance(0.3, *NAMES)
@@ -123,7 +123,7 @@
 
 async def test_lease_needs_a_majority():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     assert 0 < harness.lease_s() <= LEASE_S
     harness.clock.seconds += AUTHORITY_S + 0.1
@@ -134,7 +134,7 @@
 
 async def test_silent_owner_keeps_keys_until_lease_expires():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     assert "c" in harness.owners()
     await harness.advance(LEASE_S - 0.1, "a", "b")
@@ -147,10 +147,10 @@
 async def test_new_coordinator_waits_for_leases_of_the_earlier_one():
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     await old.advance(1.0, *NAMES)
-    await new.coordinator.claim()
-    assert await new.coordinator.claim()
+    await new.coordinator.claim(0.0)
+    assert await new.coordinator.claim(0.0)
     await new.advance(AUTHORITY_S, "a", "b")
     assert "c" in new.owners()
     await new.advance(1.0, "a", "b")
@@ -159,7 +159,7 @@
 
 async def test_restarted_target_holds_nothing():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     fences = {row.fence for row in harness.view.state.shards[SERVICE]}
     harness.born["c"] = 9
@@ -172,7 +172,7 @@
 
 async def test_leaving_target_is_asked_to_release():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     harness.report("c", takes_work=False)
     await harness.coordinator._tick()
@@ -184,7 +184,7 @@
 
 async def test_data_centre_out_keeps_keys_at_last_servers():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     before = harness.view.state.revision
     harness.out = {"dc1"}
@@ -194,7 +194,7 @@
 
 async def test_coordinator_resigns_if_the_store_refuses_writes():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     assert not harness.coordinator.is_resigning
     harness.store.fails = True
@@ -214,7 +214,7 @@
 
 async def test_restarted_daemon_without_known_target_keeps_keys():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     revision = harness.view.state.revision
     harness.born["c"] = TARGET_UNKNOWN
@@ -227,10 +227,10 @@
 
 async def test_voters_shrink_once_after_loss_of_the_majority():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(6.0, *NAMES)
     revision = harness.view.state.revision
-    await harness.advance(4.0, "a")
+    await harness.advance(6.0, "a")
     assert harness.view.state.voters == ("a",)
     changes = harness.view.state.revision - revision
     assert changes <= 3
@@ -240,7 +240,7 @@
 
 async def test_range_with_rejected_token_gets_a_higher_one():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     rows = harness.view.state.shards[SERVICE]
     low = next(row for row in rows if row.owner == "b")
@@ -259,7 +259,7 @@
 
 async def test_first_assignment_waits_for_known_targets():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, "a", "b")
     assert harness.owners() == set()
     await harness.advance(0.3, *NAMES)
@@ -268,7 +268,7 @@
 
 async def test_first_assignment_waits_for_a_limited_time():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     harness.born["c"] = 0
     await harness.advance(4.0, *NAMES)
     assert harness.owners() == {"a", "b"}
@@ -289,12 +289,12 @@
 async def test_tokens_after_a_restore_exceed_those_that_the_store_lost():
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     await old.advance(1.0, *NAMES)
     copy, highest = await lose_moves(old)
     store.restore(copy)
-    new.coordinator._roster._entries.clear()
-    while not await new.coordinator.claim():
+    del new.coordinator._roster._entries["a"]
+    while not await new.coordinator.claim(0.0):
         assert new.view.state.term <= old.view.state.term
     rows = new.view.state.shards[SERVICE]
     assert min(row.fence for row in rows) > highest
@@ -309,17 +309,17 @@
 ):
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     await old.advance(1.0, *NAMES)
     copy, _ = await lose_moves(old)
     store.restore(copy)
-    new.coordinator._roster._entries.clear()
-    assert not await new.coordinator.claim()  # learns the stored state
+    del new.coordinator._roster._entries["a"]
+    assert not await new.coordinator.claim(0.0)  # learns the stored state
     store.drops_replies = drops_reply
-    await new.coordinator.claim()
+    await new.coordinator.claim(0.0)
     store.drops_replies = False
     if drops_reply:
-        assert await new.coordinator.claim()
+        assert await new.coordinator.claim(0.0)
     for name in NAMES:
         new.coordinator._roster.record_announcement(make_member(name))
     await new.advance(AUTHORITY_S - 0.1, "a", "b")
@@ -332,7 +332,7 @@
 
 async def test_coordinator_writes_its_state_again_to_a_restored_store():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     copy, _ = await lose_moves(harness)
     known = harness.view.state
@@ -351,21 +351,21 @@
 async def test_claim_after_a_restore_waits_for_the_coordinator():
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     await old.advance(1.0, *NAMES)
     new.view.adopt(old.view.state)
     store.restore(store.copy())
-    assert not await new.coordinator.claim()
+    assert not await new.coordinator.claim(0.0)
     assert store.state.coordinator == "a"
     new.clock.seconds += 1.1
-    assert await new.coordinator.claim()
+    assert await new.coordinator.claim(0.0)
 
 
 async def test_all_state_lost_is_not_a_first_start():
     store = FakeStore()
     store.restore(store.copy())
     harness = CoordinatorHarness(store)
-    assert await harness.coordinator.claim()
+    assert await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     assert harness.lease_s() == 0.0
     await harness.advance(1.4, *NAMES)
@@ -375,7 +375,7 @@
 
 async def test_late_write_does_not_meet_its_condition_by_chance():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     store = ControlStore(harness.store)
     state = await store.read()
     harness.store.restore(harness.store.copy())
@@ -398,12 +398,12 @@
     """
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     await old.advance(1.0, *NAMES)
     copy = store.copy()
     new.view.adopt(old.view.state)
     new.clock.seconds = old.clock.seconds
-    await new.coordinator.claim()
+    await new.coordinator.claim(0.0)
     await new.advance(2.5, "b", "c")
     old.clock.seconds = new.clock.seconds
     store.restore(copy)
@@ -426,7 +426,7 @@
     old, _ = await depose_and_lose_claim()
     await old.advance(8.0, "a")
     assert not old.coordinator.is_active
-    assert await old.coordinator.claim()
+    assert await old.coordinator.claim(0.0)
     assert old.view.state.lineage == 1
 
 
@@ -443,13 +443,13 @@
 async def test_voters_after_a_recovery_include_all_known_members():
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
-    await old.coordinator.claim()
+    await old.coordinator.claim(0.0)
     state = store.state
     state.voters = ("b",)
     new.view.adopt(state)
     store.restore((state.encode(), store.end))
     new.clock.seconds += 5.0
-    while not await new.coordinator.claim():
+    while not await new.coordinator.claim(0.0):
         new.clock.seconds += 1.1
     assert set(new.view.state.voters) == set(NAMES)
     await new.advance(AUTHORITY_S + 1.0, "b")
--- a/tests/shards/test_reporter.py
+++ b/tests/shards/test_reporter.py
@@ -96,7 +96,7 @@
     datagrams = FakeDatagrams()
     claims = []
 
-    async def claim():
+    async def claim(_answered_at):
         claims.append(asyncio.get_running_loop().time())
         return False
 
--- a/tests/shards/test_required_revisions.py
+++ b/tests/shards/test_required_revisions.py
@@ -57,7 +57,7 @@
 @pytest.mark.anyio
 async def test_coordinator_requires_the_revision_that_reassigns_a_range():
     harness = CoordinatorHarness()
-    await harness.coordinator.claim()
+    await harness.coordinator.claim(0.0)
     await harness.advance(1.0, *NAMES)
     assigned = harness.view.state.revision
     harness.born["c"] = 7
