Keep silent members known, so that parts of a site meet again

Cause: the roster removed a member after 60 s of silence, beacons go to its members only, and nobody told of third members. So two parts that had removed each other never met again.

What used the roster of the last 60 s (broadcasts, the voters after a restore) still does.

Ruled out: reading the entries in the store again at intervals, which costs calls of the store in calm times and finds nobody while the store is away.

--- a/src/burdockgap/fleet/beacons.py
+++ b/src/burdockgap/fleet/beacons.py
@@ -17,6 +17,9 @@
 
 _BEACON_INTERVAL_S = 1.0
 """A third of the silence after which a member counts as failed."""
+_PROBE_INTERVAL_S = 3.0
+"""Interval of beacons to silent members. Two parts of a site find each
+other within it after a cut; dead members cost a third of live ones."""
 _REPEAT_DELAY_S = 0.15
 """Delay before a change is sent again, since datagrams may be lost."""
 
@@ -35,6 +38,8 @@
     __slots__ = (
         "_changed",
         "_datagrams",
+        "_loop",
+        "_next_probe_at",
         "_on_member",
         "_refresh",
         "_roster",
@@ -53,6 +58,8 @@
         self._refresh = refresh
         self._on_member = on_member
         self._changed = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._next_probe_at = 0.0
         datagrams.handlers[BEACON] = self._handle_beacon
 
     def changed(self) -> None:
@@ -65,6 +72,7 @@
         """Announce the own entry periodically until cancelled."""
         while True:
             self._broadcast_own_entry()
+            self._probe_silent_members()
             try:
                 async with asyncio.timeout(
                     _BEACON_INTERVAL_S * random.uniform(0.9, 1.1)
@@ -84,13 +92,28 @@
         self._refresh()
         self.broadcast(BEACON, self._roster.own.values(), False)
 
+    def _probe_silent_members(self) -> None:
+        now = self._loop.time()
+        if now < self._next_probe_at:
+            return
+        self._next_probe_at = now + _PROBE_INTERVAL_S
+        for entry in self._roster.silent_entries():
+            self._datagrams.send(
+                entry.member.address, BEACON, self._roster.own.values(), False
+            )
+
     def _handle_beacon(self, values: list[Any]) -> None:
         member = Member.from_values(values[0])
         if member.name == self._roster.own.name:
             return
         is_reply = bool(values[1])
         known = self._roster.member(member.name)
-        is_new = known is None or known.incarnation != member.incarnation
+        is_new = (
+            known is None
+            or known.incarnation != member.incarnation
+            # Otherwise a member that was cut off waits for a probe.
+            or not self._roster.is_alive(member.name)
+        )
         if self._roster.record_announcement(member) is None:
             return
         if is_new and not is_reply:
--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -22,7 +22,10 @@
 _CONTENTION_SHARE = 0.5
 """Relative increase of the service time when all slots of a target are
 in use."""
-_ENTRY_EXPIRY_S = 60.0
+_SILENT_AFTER_S = 60.0
+_FORGET_AFTER_S = 24 * 3600.0
+"""Longer than regions are cut off from each other. A member that has
+forgotten all others is found again only by a start of its daemon."""
 
 
 class RosterEntry:
@@ -47,6 +50,7 @@
     __slots__ = (
         "ejected_until",
         "heard_at",
+        "known_at",
         "load",
         "load_at",
         "member",
@@ -55,9 +59,12 @@
         "unreported_calls",
     )
 
-    def __init__(self, member: Member, heard_at: float | None) -> None:
+    def __init__(
+        self, member: Member, heard_at: float | None, known_at: float
+    ) -> None:
         self.member = member
         self.heard_at = heard_at
+        self.known_at = known_at
         self.load = member.load
         self.load_at = heard_at or 0.0
         # The age of a stored notice is not known.
@@ -104,7 +111,7 @@
         now = self._loop.time()
         entry = self._entries.get(member.name)
         if entry is None:
-            entry = self._entries[member.name] = RosterEntry(member, now)
+            entry = self._entries[member.name] = RosterEntry(member, now, now)
             self._log(member, "heard")
             return entry
         known = entry.member
@@ -120,7 +127,7 @@
         ):
             self._log(member, "changed")
         entry.member = member
-        entry.heard_at = now
+        entry.heard_at = entry.known_at = now
         entry.load, entry.unreported_calls, entry.load_at = member.load, 0, now
         if member.notice is not None:
             # A daemon that has started again may not know it any more.
@@ -131,7 +138,9 @@
         """Add an unknown member from the store; it may be outdated."""
         is_own = member.name == self.own.name
         if not is_own and member.name not in self._entries:
-            self._entries[member.name] = RosterEntry(member, None)
+            self._entries[member.name] = RosterEntry(
+                member, None, self._loop.time()
+            )
 
     def entry(self, name: str) -> RosterEntry | None:
         """Return a member's entry, ``None`` if there is none."""
@@ -141,14 +150,27 @@
         """
         Return all other members' entries, even if never heard from.
 
-        Removes entries that are silent for :data:`_ENTRY_EXPIRY_S`.
+        Those that are silent for :data:`_SILENT_AFTER_S` are left out.
+        """
+        now = self._loop.time()
+        for entry in self._entries.values():
+            if now - entry.known_at <= _SILENT_AFTER_S:
+                yield entry
+
+    def silent_entries(self) -> Iterator[RosterEntry]:
+        """
+        Return the entries that :meth:`entries` leaves out.
+
+        Such a member may be on the other side of a cut. Removes entries
+        that are silent for :data:`_FORGET_AFTER_S`.
         """
         now = self._loop.time()
         for name, entry in list(self._entries.items()):
-            if entry.heard_at and now - entry.heard_at > _ENTRY_EXPIRY_S:
+            silence_s = now - entry.known_at
+            if silence_s > _FORGET_AFTER_S:
                 del self._entries[name]
-                continue
-            yield entry
+            elif silence_s > _SILENT_AFTER_S:
+                yield entry
 
     def is_alive(self, name: str, within_s: float = MEMBER_TIMEOUT_S) -> bool:
         """
