Send a repeated request over another connection to the target

Cause: a rejected request with a key is sent to the same target again under its id, mostly on the connection of the rejection. A late second copy of the rejection arrives where the answer to the repeat is due and has its id, so the gate took the repeat as not run.

Change: a connection remembers the ids that it carried for 10 s; the pool passes it over for these ids.

--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -310,6 +310,7 @@
                     max_idle_s=None
                     if call.idempotent
                     else _NON_IDEMPOTENT_IDLE_S,
+                    request_id=call.request_id,
                 )
         except ExchangeError as exc:
             return self._failure_outcome(call, exc, info.born)
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -8,6 +8,7 @@
 import httptools
 
 from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.http1.recent_ids import RecentIds
 from burdockgap.http1.response import Response
 from burdockgap.http1.response_limits import ResponseLimits
 
@@ -33,6 +34,7 @@
     :param limits: limits of a response, defaults of
         :class:`ResponseLimits` if ``None``.
     :ivar reusable: whether another request may be sent.
+    :ivar sent_ids: ids of the requests that were sent lately.
     :ivar idle_since: when the last exchange ended, in seconds of the
         event loop's clock.
     """
@@ -56,6 +58,7 @@
         "idle_since",
         "on_unexpected",
         "reusable",
+        "sent_ids",
     )
 
     def __init__(
@@ -84,6 +87,7 @@
         self._unframed = False
         self._is_first = True
         self.reusable = True
+        self.sent_ids = RecentIds()
         self.idle_since = self._heard_at = loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -102,6 +106,7 @@
         accepts: Callable[[Response], bool] | None = None,
         bodiless: bool = False,
         read_timeout_s: float | None = None,
+        request_id: str | None = None,
     ) -> Response:
         """
         Send a request and return its response.
@@ -116,6 +121,7 @@
             ``HEAD``.
         :param read_timeout_s: seconds without a received byte after
             which the exchange fails, ``None`` for no limit.
+        :param request_id: the request's id, if it has one.
         :raises ExchangeError: if the connection ends before the
             response is complete, the read timeout expires, or the
             response exceeds its limits.
@@ -126,6 +132,8 @@
         self._bodiless = bodiless
         self._received_bytes = 0
         self._fut = self._loop.create_future()
+        if request_id is not None:
+            self.sent_ids.add(request_id, self._loop.time())
         self._transport.write(data)
         if read_timeout_s is not None:
             self._heard_at = self._loop.time()
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -82,6 +82,7 @@
         bodiless: bool = False,
         max_idle_s: float | None = None,
         read_timeout_s: float | None = None,
+        request_id: str | None = None,
     ) -> Response:
         """
         Send a request over an idle or a new connection.
@@ -95,15 +96,20 @@
             have been idle, ``None`` for the pool's limit alone.
         :param read_timeout_s: seconds without a received byte after
             which the exchange fails, ``None`` for no limit.
+        :param request_id: the request's id, if it has one. A request
+            that is repeated does not use a connection that carried it
+            before, where a late second copy of its first response
+            could not be told from the response to the repeat.
         :raises ExchangeError: if connecting fails or no complete
             response is received.
         """
-        conn = self._take_idle(max_idle_s) or await self._connect()
+        conn = self._take_idle(max_idle_s, request_id) or await self._connect()
         response = await conn.exchange(
             data,
             accepts=accepts,
             bodiless=bodiless,
             read_timeout_s=read_timeout_s,
+            request_id=request_id,
         )
         if conn.reusable:
             self._idle.append(conn)
@@ -117,15 +123,23 @@
             conn.close()
         self._idle.clear()
 
-    def _take_idle(self, max_idle_s: float | None) -> ClientConnection | None:
+    def _take_idle(
+        self, max_idle_s: float | None, request_id: str | None
+    ) -> ClientConnection | None:
         now = self._loop.time()
-        while self._idle:
+        passed_over: list[ClientConnection] = []
+        taken = None
+        while self._idle and taken is None:
             conn = self._idle.pop()
             recent = max_idle_s is None or now - conn.idle_since < max_idle_s
-            if recent and conn.is_usable(now):
-                return conn
-            conn.close()
-        return None
+            if not recent or not conn.is_usable(now):
+                conn.close()
+            elif request_id is not None and request_id in conn.sent_ids:
+                passed_over.append(conn)
+            else:
+                taken = conn
+        self._idle += reversed(passed_over)
+        return taken
 
     async def _connect(self) -> ClientConnection:
         self.opened += 1
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -270,3 +270,37 @@
         harness.state.announced(make_info(address=address))
         outcome = await harness.gate.serve(make_call())
     assert outcome.verdict is Verdict.NOT_RUN
+
+
+# TWICE, REFUSED: the late second copy of a rejection was taken for the
+# answer to the repeat of the same request on that connection, which the
+# target ran. It was run again, or its caller was told that it had not.
+async def test_repeat_is_not_answered_by_a_copy_of_the_first_response():
+    rejection = (
+        b"HTTP/1.1 503 Full\r\nattempt-id: r1\r\nnot-executed: 1\r\n"
+        b"content-length: 0\r\n\r\n"
+    )
+    success = (
+        b"HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n"
+        b"content-length: 2\r\n\r\nok"
+    )
+    received = []
+
+    async def script(reader, writer):
+        is_first_connection = not received
+        received.append(await read_head(reader))
+        if not is_first_connection:
+            writer.write(success)
+            return
+        writer.write(rejection)
+        received.append(await read_head(reader))
+        writer.write(rejection + success)
+
+    async with open_scripted_server(script) as address:
+        harness = GateHarness()
+        harness.state.announced(make_info(address=address[:2]))
+        first = await harness.gate.serve(make_call())
+        assert first.verdict is Verdict.NOT_RUN
+        repeat = await harness.gate.serve(make_call(attempt=2))
+        assert repeat.verdict is Verdict.RAN
+        assert repeat.response.body == b"ok"
--- a/tests/http1/test_client_pool.py
+++ b/tests/http1/test_client_pool.py
@@ -11,6 +11,7 @@
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.encode import encode_request
 from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.http1.recent_ids import RecentIds
 from tests.http1.sockets import HOST, open_scripted_server, read_head
 
 pytestmark = pytest.mark.anyio
@@ -257,3 +258,28 @@
                 await pool.exchange(REQUEST, bodiless=method == "HEAD")
             assert caught.value.sent, head[:cut]
             assert pool.opened == 1
+
+
+async def test_repeated_request_uses_another_connection():
+    async def script(reader, writer):
+        while True:
+            await read_head(reader)
+            writer.write(RESPONSE % b"1")
+
+    async with open_scripted_server(script) as address:
+        pool = make_pool(address)
+        for request_id in ("r1", "r2", "r1", "r3"):
+            await pool.exchange(REQUEST, request_id=request_id)
+        assert pool.opened == 2
+        assert len(pool._idle) == 2
+        pool.close()
+
+
+def test_ids_are_remembered_for_a_limited_time():
+    ids = RecentIds()
+    for number in range(1000):
+        ids.add(f"r{number}", float(number))
+    assert "r999" in ids
+    assert "r990" in ids
+    assert "r980" not in ids
+    assert len(ids._added_at) < 20
