Keep a new configuration in time while open connections are silent

Callers got 404 on a route that had been confirmed, on whole zones at once (users' runs of real processes).

Cause: with open connections silent for good, to the store and between daemons, each way to a configuration waited until a connection was proved dead: a read 1 s beyond its wait, then a fetch from a peer 0.9 s, then the next fetch over another silent connection.

Change: a late read is repeated on a new connection after 0.3 s while the first one goes on, idle connections to the store are closed when a read was late or a peer was first, and peers are asked over a connection of their own. The relay of the tests can silence open connections.

--- a/soak/site.py
+++ b/soak/site.py
@@ -36,6 +36,7 @@
     :param net: first two octets of all addresses, such as ``127.20``.
     :param folder: where settings and outputs are written.
     :param size: number of machines; every second one owns keys.
+    :ivar relay: the relay between the daemons and to the store.
     :ivar store_fault_ended_at: when the last store fault ended.
     """
 
@@ -64,6 +65,7 @@
             )
             for index in range(size)
         ]
+        self.relay = self._make_relay()
 
     def check_memory(self) -> None:
         """Record the daemons whose peak memory exceeds the limit."""
@@ -110,8 +112,7 @@
             return 0.0
         return self._loop.time() - began
 
-    def relay(self) -> Relay:
-        """Create the relay between the daemons and to the store."""
+    def _make_relay(self) -> Relay:
         return Relay(
             routes=[
                 Route(
@@ -145,7 +146,7 @@
         )
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
-        await tasks.start(site.relay().run)
+        await tasks.start(site.relay.run)
         site.operators.change_configuration()
         for item in site.machines:
             stack.callback(_kill_process, item)
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -239,6 +239,22 @@
             conn = await self._open(address)
         return await conn.call(kind, payload)
 
+    async def call_once(
+        self, address: tuple[str, int], kind: int, payload: Any
+    ) -> Any:
+        """
+        Call a peer over a connection of its own.
+
+        For rare calls that must not wait until an open connection that
+        has fallen silent is noticed. Parameters and errors are those of
+        :meth:`call`.
+        """
+        conn = await self._connect(address)
+        try:
+            return await conn.call(kind, payload)
+        finally:
+            conn.close()
+
     def close(self) -> None:
         """Close all connections."""
         for conn in self._connections.values():
@@ -250,16 +266,20 @@
             conn = self._connections.get(address)
             if conn is not None and not conn.lost:
                 return conn
-            try:
-                async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                    _, conn = await self._loop.create_connection(
-                        lambda: PeerConnection(
-                            self._loop, self._uplink, self._budget
-                        ),
-                        *address,
-                    )
-            except (OSError, TimeoutError) as exc:
-                detail = f"connecting to the peer failed: {exc!r}"
-                raise PeerCallError(detail, sent=False) from exc
+            conn = await self._connect(address)
             self._connections[address] = conn
             return conn
+
+    async def _connect(self, address: tuple[str, int]) -> PeerConnection:
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, conn = await self._loop.create_connection(
+                    lambda: PeerConnection(
+                        self._loop, self._uplink, self._budget
+                    ),
+                    *address,
+                )
+        except (OSError, TimeoutError) as exc:
+            detail = f"connecting to the peer failed: {exc!r}"
+            raise PeerCallError(detail, sent=False) from exc
+        return conn
--- a/src/burdockgap/metadata/keyed_store.py
+++ b/src/burdockgap/metadata/keyed_store.py
@@ -118,3 +118,11 @@
             outcome is unknown.
         """
         ...
+
+    def close_idle(self) -> None:
+        """
+        Use new connections for later calls.
+
+        Idle connections may have fallen silent without notice.
+        """
+        ...
--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -148,6 +148,10 @@
         """Remove a key by appending an empty value."""
         await self.put(topic, key, b"")
 
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
     async def _get(
         self, path: str, query: dict[str, str], *, wait_s: float = 0.0
     ) -> Response:
--- a/src/burdockgap/routing/document_follower.py
+++ b/src/burdockgap/routing/document_follower.py
@@ -21,6 +21,10 @@
 _COORDINATOR_POLL_TIMEOUT_S = 1.5
 """Bounds how long all members miss a change if a connection to the
 store is stalled."""
+_LATE_AFTER_S = 0.3
+"""Delay of an answer after which the read is repeated on a new
+connection: the first one may have fallen silent for good. A slow store
+may need that long, so the first read goes on as well."""
 
 
 class DocumentFollower:
@@ -146,18 +150,36 @@
     async def _poll(self, start: int) -> Changes | None:
         """Return the changes; ``None`` if the read became outdated."""
         self._outdated.clear()
-        read = asyncio.ensure_future(
-            self._store.changes(self._topic, start, self._poll_timeout_s())
-        )
+        wait_s = self._poll_timeout_s()
         outdated = asyncio.ensure_future(self._outdated.wait())
+        reads = [self._begin_read(start, wait_s)]
         try:
-            await asyncio.wait(
-                (read, outdated), return_when=asyncio.FIRST_COMPLETED
+            done, _ = await asyncio.wait(
+                (*reads, outdated),
+                timeout=wait_s + _LATE_AFTER_S,
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            return read.result() if read.done() else None
+            if not done:
+                self._store.close_idle()
+                reads.append(self._begin_read(start, 0.0))
+                await asyncio.wait(
+                    (*reads, outdated), return_when=asyncio.FIRST_COMPLETED
+                )
+            for read in reads:
+                if read.done():
+                    return read.result()
+            # Others know of a change that this read should have told.
+            self._store.close_idle()
+            return None
         finally:
-            read.cancel()
             outdated.cancel()
+            for read in reads:
+                read.cancel()
+
+    def _begin_read(self, start: int, wait_s: float) -> asyncio.Task[Changes]:
+        return asyncio.ensure_future(
+            self._store.changes(self._topic, start, wait_s)
+        )
 
     def _poll_timeout_s(self) -> float:
         if self.lost:
--- a/src/burdockgap/sidecar/peer_fetcher.py
+++ b/src/burdockgap/sidecar/peer_fetcher.py
@@ -119,7 +119,7 @@
         if version <= self._view.version:
             return
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
-            data = await self._peer_connections.call(
+            data = await self._peer_connections.call_once(
                 member.address, GET_CONTROL_STATE, None
             )
         self._view.adopt(ControlState.decode(decompress(data)))
@@ -132,7 +132,7 @@
         if not self._has_newer_documents(member):
             return
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
-            values, position = await self._peer_connections.call(
+            values, position = await self._peer_connections.call_once(
                 member.address, GET_DOCUMENTS, None
             )
         self._documents.replace(values, tuple(position), member.name)
--- a/standins/relay/relay.py
+++ b/standins/relay/relay.py
@@ -11,8 +11,10 @@
 
 from standins.relay.links import LOG
 from standins.relay.port_owner import find_port_owner
+from standins.relay.relayed_stream import RelayedStream
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable, Mapping, Sequence
 
     from anyio.abc import SocketStream, TaskGroup
@@ -50,6 +52,7 @@
         "_pids",
         "_routes",
         "_sockets_by_name",
+        "_streams",
         "_exit_stack",
         "_tasks",
     )
@@ -74,6 +77,7 @@
         self._pids = pids
         self._names_by_ip: dict[str, str] = {}
         self._sockets_by_name: dict[str, socket.socket] = {}
+        self._streams: set[RelayedStream] = set()
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """
@@ -101,6 +105,21 @@
         self._routes.append(route)
         await self._open_listeners(self._exit_stack, self._tasks, route)
 
+    def silence(
+        self, rng: random.Random, *, store_share: float, peer_share: float
+    ) -> None:
+        """
+        Let open connections fall silent for good; new ones work.
+
+        :param rng: chooses the connections.
+        :param store_share: share of the connections to the log.
+        :param peer_share: share of those between daemons.
+        """
+        for stream in self._streams:
+            share = store_share if stream.target == LOG else peer_share
+            if rng.random() < share:
+                stream.is_silent = True
+
     async def _open_listeners(
         self, stack: AsyncExitStack, tasks: TaskGroup, route: Route
     ) -> None:
@@ -187,22 +206,34 @@
             upstream = await anyio.connect_tcp(host, port)
         except OSError:
             return
-        async with upstream, anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                _copy_bytes, stream, upstream, forward_link, tasks
-            )
-            tasks.start_soon(_copy_bytes, upstream, stream, return_link, tasks)
+        state = RelayedStream(target)
+        self._streams.add(state)
+        try:
+            async with upstream, anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    _copy_bytes, stream, upstream, forward_link, state, tasks
+                )
+                tasks.start_soon(
+                    _copy_bytes, upstream, stream, return_link, state, tasks
+                )
+        finally:
+            self._streams.discard(state)
 
 
 async def _copy_bytes(
-    source: SocketStream, target: SocketStream, link: Link, tasks: TaskGroup
+    source: SocketStream,
+    target: SocketStream,
+    link: Link,
+    state: RelayedStream,
+    tasks: TaskGroup,
 ) -> None:
     """Copy bytes until either side closes, then cancel the tasks."""
     try:
         while True:
             data = await source.receive(_CHUNK_BYTES)
             await link.wait_open()
-            await target.send(data)
+            if not state.is_silent:
+                await target.send(data)
     except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
         # A cut link delays the end of the connection as well.
         await link.wait_open()
--- a/tests/hop/test_peer_connection.py
+++ b/tests/hop/test_peer_connection.py
@@ -321,3 +321,29 @@
                 await peer_connections.call(address[:2], 1, None)
             assert caught.value.sent, reply[:cut]
             peer_connections.close()
+
+
+# CONFIG: a fetch waited until an open connection that had fallen silent
+# was noticed, and the next one met another such connection.
+async def test_single_call_does_not_use_an_open_connection():
+    connections = 0
+
+    async def count(reader, writer):
+        nonlocal connections
+        connections += 1
+        if connections > 1:
+            writer.write(encode_frame(REPLY, 1, "new"))
+        await reader.read()
+
+    async with open_scripted_server(count) as address:
+        peer_connections = PeerConnections()
+        silent = asyncio.create_task(
+            peer_connections.call(address[:2], 1, None)
+        )
+        await asyncio.sleep(0.05)
+        started_at = asyncio.get_running_loop().time()
+        assert await peer_connections.call_once(address[:2], 1, None) == "new"
+        assert asyncio.get_running_loop().time() - started_at < 0.3
+        assert not silent.done()
+        silent.cancel()
+        peer_connections.close()
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -22,6 +22,9 @@
     :ivar records: records that a read of changes returns at once.
     :ivar waits: timeout of each read of changes, in seconds.
     :ivar lists: number of lists of all documents.
+    :ivar silent_reads: how many of the next reads of changes get no
+        answer.
+    :ivar closings: how often the idle connections were closed.
     """
 
     def __init__(self):
@@ -32,6 +35,11 @@
         self.records = []
         self.waits = []
         self.lists = 0
+        self.silent_reads = 0
+        self.closings = 0
+
+    def close_idle(self):
+        self.closings += 1
 
     async def newest(self, _topic):
         self.lists += 1
@@ -42,6 +50,9 @@
 
     async def changes(self, _topic, start, wait_s):
         self.waits.append(wait_s)
+        if self.silent_reads:
+            self.silent_reads -= 1
+            await asyncio.Event().wait()
         if not self.records:
             await asyncio.sleep(wait_s)
         self.generation.note(self.stored_generation)
--- a/tests/routing/test_document_follower.py
+++ b/tests/routing/test_document_follower.py
@@ -81,3 +81,33 @@
         harness.follower.refresh()
         await harness.wait_until(lambda: len(harness.store.waits) == 3)
         assert harness.store.waits[1:] == [0.0, LONG_WAIT_S]
+
+
+# CONFIG: a read on a connection that had fallen silent was given up
+# after another second, and all members waited for it.
+async def test_late_read_is_repeated_on_a_new_connection():
+    async with following() as harness:
+        store = harness.store
+        harness.is_coordinator = True
+        store.silent_reads = 1
+        harness.follower.refresh()
+        await harness.wait_until(lambda: len(store.waits) == 2)
+        closings = store.closings
+        store.records = [("config", make_site_config("00000004"))]
+        started_at = asyncio.get_running_loop().time()
+        async with asyncio.timeout(5.0):
+            while harness.documents.config_version != 4:
+                await asyncio.sleep(0.02)
+        assert asyncio.get_running_loop().time() - started_at < 2.0
+        assert store.closings > closings
+        assert not harness.follower.lost
+
+
+# CONFIG: a change that a peer tells first shows that the own read may
+# be on a silent connection; so may the idle ones.
+async def test_idle_connections_are_closed_if_a_peer_was_first():
+    async with following() as harness:
+        values = {"config": make_site_config("00000004")}
+        harness.documents.replace(values, (1, 7), "m2")
+        await harness.wait_until(lambda: len(harness.store.waits) == 2)
+        assert harness.store.closings == 1
