Keep the start of a claim whose reply was lost

Found by reading the change of the voters again, not reported: a claim without a reply, repeated by other means, was taken for the later attempt when the first one had taken effect. A coordinator could then take the leases of its predecessor as expired (OWNER).

Change: of the attempts without a reply, the one that assumes least of earlier leases counts. Besides: the first claim of all needs no majority, and a member that waits does so for the voters of the claim that it planned, not for those that it knew; either could have delayed a claim by two minutes.

--- a/src/burdockgap/shards/authority.py
+++ b/src/burdockgap/shards/authority.py
@@ -92,15 +92,17 @@
         """
         if not voters:
             return 0.0
+        times = self._vote_times(voters)
+        certain_at = max(self._confirmed_at, times[-1])
         return min(
-            self.majority_voted_at(voters) + AUTHORITY_S,
-            self._certain_at(voters) + CONFIRMATION_S,
+            times[len(voters) // 2] + AUTHORITY_S, certain_at + CONFIRMATION_S
         )
 
     def needs_confirmation(self, now: float, voters: tuple[str, ...]) -> bool:
         """Return whether the state should be written once more."""
+        certain_at = max(self._confirmed_at, self._vote_times(voters)[-1])
         return (
-            now - self._certain_at(voters) > _CONFIRM_INTERVAL_S
+            now - certain_at > _CONFIRM_INTERVAL_S
             or now - self._confirmed_at > _IDLE_CONFIRM_INTERVAL_S
         )
 
@@ -113,10 +115,6 @@
         if self.safe_at is None and self.until(voters) > now:
             self.safe_at = now + AUTHORITY_S * CLOCK_RATE
 
-    def _certain_at(self, voters: tuple[str, ...]) -> float:
-        """Return the last time at which no other can have acted."""
-        return max(self._confirmed_at, self._vote_times(voters)[-1])
-
     def _vote_times(self, voters: tuple[str, ...]) -> list[float]:
         return sorted(
             (self._votes.get(name, 0.0) for name in voters), reverse=True
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -20,7 +20,7 @@
 from burdockgap.shards.reports import Report
 from burdockgap.shards.required_revisions import RequiredRevisions
 from burdockgap.shards.takeover import TakeoverWait
-from burdockgap.shards.term_start import TermStart
+from burdockgap.shards.term_start import TermStart, most_cautious
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -86,6 +86,7 @@
         "_pending_voters",
         "_data_centres_out",
         "_incumbent_wait",
+        "_awaited_voters",
         "_claimed_start",
         "_start",
         "term",
@@ -111,7 +112,8 @@
         self._keyed_services = keyed_services
         self._data_centres_out = data_centres_out
         self._on_event = on_event
-        self._claimed_start = TermStart.SUCCESSION
+        self._claimed_start: TermStart | None = None
+        self._awaited_voters: tuple[str, ...] = ()
         self._incumbent_wait = (0, 0.0)
         self._takeover_wait = TakeoverWait()
         self._reset(term=0, start=TermStart.SUCCESSION)
@@ -156,11 +158,12 @@
             self._note_position(stored)
             if self._is_own_claim(stored):
                 # An earlier claim took effect, but its reply was lost.
-                self._begin(stored, self._claimed_start)
+                self._begin(stored, self._claimed_start or TermStart.RECOVERY)
                 return True
             if stored.term > self._view.state.term:
                 # Another member's claim came first.
                 self._view.adopt(stored)
+                self._claimed_start = None
                 return False
             # The store may have lost states that members still know.
             base = max(
@@ -168,13 +171,15 @@
             )
             if (plan := self._plan_claim(base, answered_at)) is None:
                 return False
-            claimed, self._claimed_start = plan
+            claimed, start = plan
+            # Any of the claims without a reply may have taken effect.
+            self._claimed_start = most_cautious(start, self._claimed_start)
             sent_at = self._clock.now()
             await self._store.write(claimed)
         except StoreError as exc:
             self._on_event("claim_failed", {"why": str(exc)})
             return False
-        self._begin(claimed, self._claimed_start)
+        self._begin(claimed, start)
         self._note_write(claimed, sent_at)
         if base.term:
             self._broadcast_changes(base, claimed)
@@ -198,7 +203,9 @@
         if start is TermStart.RECOVERY and self._is_incumbent_awaited():
             return None
         claimed = self._claimed_state(base, start)
-        if not self._hears_majority(claimed.voters):
+        is_first = start is TermStart.FIRST
+        if not is_first and not self._hears_majority(claimed.voters):
+            self._awaited_voters = claimed.voters
             if not self._may_take_over(base, answered_at):
                 return None
             start = TermStart.REPLACEMENT
@@ -209,7 +216,7 @@
         """Return whether a claim is known to be too early."""
         return self._takeover_wait.is_known_to_last(
             self._clock.now()
-        ) and not self._hears_majority(self._view.state.voters)
+        ) and not self._hears_majority(self._awaited_voters)
 
     def _heard_names(self) -> set[str]:
         """Return the names of the members that were just heard."""
@@ -225,10 +232,7 @@
         return self._takeover_wait.is_over(
             self._clock.now(),
             answered_at=answered_at,
-            # A copy of the store may name voters that were dropped
-            # since.
-            is_voter=self._roster.own.name in state.voters
-            and not self._has_lost(state),
+            is_voter=self._roster.own.name in state.voters,
         )
 
     def _note_write(self, state: ControlState, sent_at: float) -> None:
@@ -319,6 +323,7 @@
 
     def _reset(self, *, term: int, start: TermStart) -> None:
         now = self._clock.now()
+        self._claimed_start = None
         self.term = term
         self._start = start
         self._authority = Authority(
--- a/src/burdockgap/shards/term_start.py
+++ b/src/burdockgap/shards/term_start.py
@@ -18,3 +18,16 @@
     REPLACEMENT = "replacement"
     """A majority of the voters is gone, and all earlier leases have
     expired."""
+
+
+def most_cautious(one: TermStart, other: TermStart | None) -> TermStart:
+    """Return the start that assumes less about earlier leases."""
+    if other is None:
+        return one
+    order = (
+        TermStart.FIRST,
+        TermStart.REPLACEMENT,
+        TermStart.SUCCESSION,
+        TermStart.RECOVERY,
+    )
+    return max(one, other, key=order.index)
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -107,6 +107,33 @@
     assert harness.view.state.term == 1
 
 
+# OWNER: a later attempt by other means said nothing of earlier leases,
+# though the first one had taken effect.
+async def test_claim_with_lost_reply_keeps_its_start():
+    store = FakeStore()
+    old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
+    await old.coordinator.claim(0.0)
+    await old.advance(1.0, *NAMES)
+    new.view.adopt(old.view.state)
+    new.clock.seconds = old.clock.seconds
+    value, end = store.copy()
+    store.drops_replies = True
+    assert not await new.coordinator.claim(0.0)
+    late, late_end = store.copy()
+    # The claim takes effect only after another one was planned.
+    store.value, store.end = value, end
+    for entry in new.coordinator._roster._entries.values():
+        entry.heard_at -= 60.0
+    new.coordinator._takeover_wait._unchanged_since = 0.0
+    assert not await new.coordinator.claim(0.0)
+    store.value, store.end = late, late_end
+    store.drops_replies = False
+    assert await new.coordinator.claim(0.0)
+    assert not new.coordinator._authority.are_earlier_leases_expired(
+        new.clock.now() + 0.1
+    )
+
+
 async def test_deposed_coordinator_cannot_write():
     store = FakeStore()
     old, new = CoordinatorHarness(store), CoordinatorHarness(store, own="b")
