Poll often while a claim is deferred, and log that it is

A change told over a silent connection would have been late.

Change: a member whose claim is deferred polls like the coordinator, and logs claim_deferred.

--- a/src/burdockgap/routing/document_follower.py
+++ b/src/burdockgap/routing/document_follower.py
@@ -18,7 +18,7 @@
 _POLL_TIMEOUT_S = 10.0
 """Long, as each call to the store has a cost; peers report changes in
 the meantime."""
-_COORDINATOR_POLL_TIMEOUT_S = 1.5
+_OFTEN_POLL_TIMEOUT_S = 1.5
 """Bounds how long all members miss a change if a connection to the
 store is stalled."""
 _LATE_AFTER_S = 0.3
@@ -34,8 +34,8 @@
     :param store: the platform's store.
     :param topic: the topic that operators write.
     :param documents: receives the documents that are read.
-    :param is_coordinator: returns whether this member is the
-        coordinator, which polls with a shorter timeout.
+    :param polls_often: returns whether others rely on this member to
+        learn of changes; it then polls with a shorter timeout.
     :param on_event: logs loss and recovery of the store.
     :ivar lost: whether the last call to the store failed.
     """
@@ -43,7 +43,7 @@
     __slots__ = (
         "_answered_at",
         "_documents",
-        "_is_coordinator",
+        "_polls_often",
         "_outdated",
         "_on_event",
         "_store",
@@ -57,13 +57,13 @@
         store: KeyedStore,
         topic: str,
         documents: Documents,
-        is_coordinator: Callable[[], bool],
+        polls_often: Callable[[], bool],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
         self._store = store
         self._topic = topic
         self._documents = documents
-        self._is_coordinator = is_coordinator
+        self._polls_often = polls_often
         self._on_event = on_event
         self._outdated = asyncio.Event()
         self._answered_at = asyncio.get_running_loop().time()
@@ -186,8 +186,8 @@
         if self.lost:
             # Only a response shows whether the store was restored.
             return 0.0
-        if self._is_coordinator():
-            return _COORDINATOR_POLL_TIMEOUT_S
+        if self._polls_often():
+            return _OFTEN_POLL_TIMEOUT_S
         return _POLL_TIMEOUT_S
 
     def _note_answer(self) -> None:
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -65,6 +65,8 @@
     :param data_centres_out: returns the data centres that are taken out
         of service.
     :param on_event: logs a decision.
+    :param on_deferred: called when a claim has to wait, as no majority
+        is heard.
     :ivar term: the last term that this member claimed, 0 before that.
     """
 
@@ -77,6 +79,7 @@
         "_failing_since",
         "_datagrams",
         "_keyed_services",
+        "_on_deferred",
         "_on_event",
         "_roster",
         "_store",
@@ -103,7 +106,9 @@
         keyed_services: Callable[[], set[str]],
         data_centres_out: Callable[[], set[str]],
         on_event: Callable[[str, dict[str, object]], None],
+        on_deferred: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_deferred = on_deferred
         self._roster = roster
         self._view = view
         self._store = store
@@ -139,6 +144,11 @@
             and state.incarnation == own.incarnation
         )
 
+    @property
+    def is_claim_deferred(self) -> bool:
+        """Whether this member waits to replace the voters."""
+        return self._takeover_wait.is_known_to_last(self._clock.now())
+
     async def claim(self, answered_at: float) -> bool:
         """
         Claim the role of coordinator for the next term.
@@ -207,6 +217,10 @@
         if not is_first and not self._hears_majority(claimed.voters):
             self._awaited_voters = claimed.voters
             if not self._may_take_over(base, answered_at):
+                self._on_event(
+                    "claim_deferred", {"voters": len(claimed.voters)}
+                )
+                self._on_deferred()
                 return None
             start = TermStart.REPLACEMENT
             claimed.voters = tuple(sorted(self._heard_names()))
@@ -214,9 +228,9 @@
 
     def _must_wait(self) -> bool:
         """Return whether a claim is known to be too early."""
-        return self._takeover_wait.is_known_to_last(
-            self._clock.now()
-        ) and not self._hears_majority(self._awaited_voters)
+        return self.is_claim_deferred and not self._hears_majority(
+            self._awaited_voters
+        )
 
     def _heard_names(self) -> set[str]:
         """Return the names of the members that were just heard."""
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -222,6 +222,7 @@
             keyed_services=self._keyed_services,
             data_centres_out=lambda: set(self.documents.data_centres_out),
             on_event=self.event_log.write,
+            on_deferred=lambda: self.follower.refresh(),
         )
         self.reporter = Reporter(
             roster=self.roster,
@@ -244,7 +245,11 @@
             store=self.store,
             topic=OPERATOR_TOPIC,
             documents=self.documents,
-            is_coordinator=lambda: self.coordinator.is_active,
+            # Without a coordinator, nobody else reads changes in time.
+            polls_often=lambda: (
+                self.coordinator.is_active
+                or self.coordinator.is_claim_deferred
+            ),
             on_event=self.event_log.write,
         )
         self.discovery = Discovery(
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -81,7 +81,7 @@
             store=self.store,
             topic="keyed.op",
             documents=self.documents,
-            is_coordinator=lambda: self.is_coordinator,
+            polls_often=lambda: self.is_coordinator,
             on_event=self._log,
         )
         self.store.generation.on_restored = lambda _before, _after: (
