--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -211,6 +211,7 @@
     def leaving(self, target_id: str) -> None:
         """Apply the target's deregistration."""
         if self.info is None or self.info.target_id != target_id:
+            self._log("unknown_target_left", left=target_id)
             return
         if not self.left:
             self.left = True
