Make a server's departure durable before it is acknowledged

Callers saw: requests at a server that had left, answered 502 or cut when it ended. Cause: a departure was kept in memory only, and only if its server had been heard. A daemon that had just started acknowledged a DELETE and dropped it; a loss of all daemons lost the others. A heartbeat that arrived late then made the server a new one.

Departures are now written to the store, acknowledged when it has them, read before a daemon uses its server, and written again after a restore. While the store does not take one, the server gets 503 and asks again.

--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockgap.forward.departures import Departures
     from burdockgap.forward.target_info import TargetInfo
     from burdockgap.forward.target_notice import TargetNotice
 
@@ -38,6 +39,8 @@
         in seconds.
     :param cold_rate: returns the requests per second that a cold target
         can handle, ``None`` while no configuration is known.
+    :param departures: receives the processes that leave; what it has
+        from an earlier run of the daemon holds.
     :param on_change: called after a change that peers need to know.
     :param on_event: logs a change of state.
     :ivar info: the newest announcement, ``None`` before the first.
@@ -55,6 +58,7 @@
         "_normalized_service_s",
         "_cold_rate",
         "_cold_until",
+        "_departures",
         "_drain_s",
         "_cold_bucket",
         "_announced_at",
@@ -80,6 +84,7 @@
         *,
         drain_s: float,
         cold_rate: Callable[[], float | None],
+        departures: Departures,
         on_change: Callable[[], None],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
@@ -92,6 +97,7 @@
         self.info: TargetInfo | None = None
         self._drain_s = drain_s
         self._cold_rate = cold_rate
+        self._departures = departures
         self._cold_bucket: TokenBucket | None = None
         self._cold_until = 0.0
         self.up = False
@@ -195,6 +201,10 @@
             self.limit.change(None, now)
             self._has_notice = False
             self._leaving_at = None
+        if is_new_process and self._departures.includes(info):
+            # How long ago it said so is not known after a restart.
+            self._note_leaving(now - self._drain_s)
+            info.draining = True
         if info.draining:
             self._note_leaving(now)
         self._extend_cold_period(info, now)
@@ -211,6 +221,7 @@
     def leaving(self, target_id: str) -> None:
         """Apply the target's deregistration."""
         if self.info is None or self.info.target_id != target_id:
+            self._departures.note_unheard(target_id)
             self._log("unknown_target_left", left=target_id)
             return
         if not self.left:
@@ -219,6 +230,11 @@
             self._log("target", state="left")
             self._on_change()
 
+    def apply_departures(self) -> None:
+        """Drain a target that left in an earlier run of the daemon."""
+        if self.info is not None and self._departures.includes(self.info):
+            self._drain(self._drain_s, why="an earlier run")
+
     def note_notice(self, notice: TargetNotice, born: int) -> None:
         """
         Apply what the target said in a response.
@@ -338,6 +354,8 @@
 
     def _note_leaving(self, since: float) -> None:
         """Note that the target said so; the first time counts."""
+        if self.info is not None:
+            self._departures.note(self.info.target_id, self.info.born)
         if self._leaving_at is None or since < self._leaving_at:
             self._leaving_at = since
             self.drain_deadline = since + self._drain_s
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -12,6 +12,7 @@
 from burdockgap.fleet.member import Member
 from burdockgap.fleet.roster import Roster
 from burdockgap.forward.crash_watch import CrashWatch
+from burdockgap.forward.departures import Departures
 from burdockgap.forward.forwarder import Forwarder
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
@@ -34,6 +35,7 @@
 from burdockgap.shards.lease import Lease
 from burdockgap.shards.reporter import Reporter
 from burdockgap.shards.shard_holder import ShardHolder
+from burdockgap.sidecar.departure_store import DepartureStore
 from burdockgap.sidecar.discovery import Discovery
 from burdockgap.sidecar.gauges import add_gauges
 from burdockgap.sidecar.peer_fetcher import PeerFetcher
@@ -57,6 +59,8 @@
 _CHECK_INTERVAL_S = 0.25
 _DRAIN_MARGIN_S = 0.2
 """Time from the decision to send a request to its arrival."""
+_CONFIRM_TIMEOUT_S = 0.8
+"""Below the second within which a server expects an acknowledgement."""
 
 
 class Node:
@@ -80,7 +84,9 @@
     __slots__ = (
         "_beacons",
         "_crashes",
+        "_departure_store",
         "_is_coordinator",
+        "_pending_heartbeats",
         "buffers",
         "caller_server",
         "cfg",
@@ -128,6 +134,7 @@
         self.peer_connections = PeerConnections(self.uplink, self.buffers)
         self.peers_busy: Callable[[], bool] = lambda: False
         self._is_coordinator = False
+        self._pending_heartbeats: dict[str, TargetInfo] = {}
         self.leaving = False
         self.holder: ShardHolder | None = None
         self.caller_server: Server | None = None
@@ -162,9 +169,19 @@
             on_event=self.event_log.write,
         )
         self.view = ControlView(self._control_changed)
+        departures = Departures()
+        self._departure_store = DepartureStore(
+            store=self.store,
+            name=self.cfg.name,
+            departures=departures,
+            knows_peers=lambda: len(self.roster.live()) > 1,
+            on_event=self.event_log.write,
+            on_read=self._departures_read,
+        )
         self.target = TargetState(
             drain_s=self.cfg.drain_s - _DRAIN_MARGIN_S,
             cold_rate=self._cold_rate,
+            departures=departures,
             on_change=self._target_changed,
             on_event=self.event_log.write,
         )
@@ -286,7 +303,22 @@
                 {"target": info.target_id, "service": info.service},
             )
             return
-        self.target.announced(info)
+        if self._departure_store.loaded or info.draining:
+            self.target.announced(info)
+        else:
+            # It may be a late one of a process that has left.
+            self._pending_heartbeats[info.target_id] = info
+
+    def on_target_left(self, target_id: str) -> None:
+        """Process a server's deregistration."""
+        pending = self._pending_heartbeats.pop(target_id, None)
+        if pending is not None:
+            self.target.announced(pending)
+        self.target.leaving(target_id)
+
+    async def confirm_departures(self) -> bool:
+        """Wait until the store has all departures, within a limit."""
+        return await self._departure_store.wait_until_saved(_CONFIRM_TIMEOUT_S)
 
     async def run(self) -> None:
         """Run the tasks of all components until cancelled."""
@@ -294,6 +326,7 @@
             for run_component in (
                 self.follower.run,
                 self.discovery.run,
+                self._departure_store.run,
                 self._beacons.run,
                 self.reporter.run,
                 self.coordinator.run,
@@ -345,6 +378,12 @@
             await asyncio.sleep(_CHECK_INTERVAL_S)
         await self.holder.run()
 
+    def _departures_read(self) -> None:
+        self.target.apply_departures()
+        for info in self._pending_heartbeats.values():
+            self.target.announced(info)
+        self._pending_heartbeats.clear()
+
     def _send_suspects(self, values: list[Any]) -> None:
         self._beacons.broadcast(SUSPECTS, values)
 
@@ -358,6 +397,7 @@
 
     def _store_restored(self, before: int, after: int) -> None:
         self.follower.refresh()
+        self._departure_store.write_again()
         fields: dict[str, object] = {"from": before, "to": after}
         fields["offset"] = self.documents.position[1]
         fields["control"] = list(self.view.version)
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -84,7 +84,8 @@
 
         control_api = ControlApi(
             on_heartbeat=node.on_heartbeat,
-            on_target_left=node.target.leaving,
+            on_target_left=node.on_target_left,
+            confirm_departures=node.confirm_departures,
             is_ready=lambda: node.is_ready,
             on_event=event_log.write,
         )
--- a/tests/forward/builders.py
+++ b/tests/forward/builders.py
@@ -5,6 +5,7 @@
 from burdockgap.clock import BootClock
 from burdockgap.forward.call import Call
 from burdockgap.forward.crash_watch import CrashWatch
+from burdockgap.forward.departures import Departures
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
 from burdockgap.http1.byte_budget import ByteBudget
@@ -48,6 +49,7 @@
         self.state = TargetState(
             drain_s=drain_s,
             cold_rate=lambda: self.cold_rate,
+            departures=Departures(),
             on_change=lambda: self.gate.target_changed(),
             on_event=self._note,
         )
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -32,14 +32,18 @@
 class RecordingApi:
     def __init__(self):
         self.infos, self.left, self.events = [], [], []
-        self.ready = True
+        self.ready = self.durable = True
         self.control_api = ControlApi(
             on_heartbeat=self.infos.append,
             on_target_left=self.left.append,
+            confirm_departures=self._confirm,
             is_ready=lambda: self.ready,
             on_event=lambda event, fields: self.events.append((event, fields)),
         )
 
+    async def _confirm(self):
+        return self.durable
+
     async def send(self, method, target, body=b""):
         req = Request(method=method, target=target, headers=[], body=body)
         return await self.control_api.answer_control(req)
@@ -117,6 +121,24 @@
     assert recorder.left == ["i-1"]
 
 
+# DRAIN: a departure that was acknowledged without being durable was
+# forgotten when all daemons were lost.
+@pytest.mark.parametrize(
+    ("method", "change"),
+    [
+        pytest.param("DELETE", {}, id="deregistration"),
+        pytest.param("PUT", {"state": "draining"}, id="draining"),
+    ],
+)
+async def test_departure_is_acknowledged_only_when_durable(method, change):
+    recorder = RecordingApi()
+    recorder.durable = False
+    body = json.dumps({**HEARTBEAT, **change}).encode()
+    answer = await recorder.send(method, "/api/instances/i-1", body)
+    assert answer.status == 503
+    assert recorder.infos or recorder.left == ["i-1"]
+
+
 @pytest.mark.parametrize(
     ("ready", "target", "status"),
     [
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -53,6 +53,7 @@
         self.peer_port = free_port()
         self.sequence = 0
         self.born = 1000 + index
+        self.sends_heartbeats = True
         self.node = None
         self._stack = AsyncExitStack()
         self._app_stack = AsyncExitStack()
@@ -130,7 +131,8 @@
 
     async def _send_heartbeats(self):
         while True:
-            self.send_heartbeat()
+            if self.sends_heartbeats:
+                self.send_heartbeat()
             await asyncio.sleep(0.2)
 
     def send_heartbeat(self, **fields):
--- a/tests/sidecar/test_target_notices.py
+++ b/tests/sidecar/test_target_notices.py
@@ -213,3 +213,116 @@
             await asyncio.sleep(DRAIN_S + 2.0)
     assert not [time for time in left.app.arrivals if time > began + DRAIN_S]
     assert {answer.status for answer in answers} == {503}
+
+
+async def restart(machines):
+    """Kill all daemons of some machines and start them again."""
+    for machine in machines:
+        await machine.kill()
+    await asyncio.sleep(0.1)
+    for machine in machines:
+        await machine.start()
+
+
+async def late_arrivals(left, callers):
+    """Return the requests that reach a server after its drain time."""
+    began = asyncio.get_running_loop().time()
+    async with under_load(callers, "/crew/1") as answers:
+        await asyncio.sleep(DRAIN_S + 1.5)
+    late = [time for time in left.app.arrivals if time > began + DRAIN_S]
+    return late, answers
+
+
+# DRAIN: a daemon that had just started acknowledged a deregistration,
+# dropped it and used the server when a late heartbeat arrived.
+async def test_deregistration_before_the_first_heartbeat_holds():
+    async with open_site("dispatch", "alerts") as site:
+        left, caller = site.machines
+        await site.wait_until_ready()
+        left.sends_heartbeats = False
+        await restart([left])
+        left.node.on_target_left(left.app.target_id)
+        assert await left.node.confirm_departures()
+        await asyncio.sleep(0.5)
+        left.send_heartbeat()
+        late, answers = await late_arrivals(left, [caller])
+    assert not late
+    assert {answer.status for answer in answers} == {503}
+
+
+# DRAIN: a departure that had been acknowledged was forgotten when all
+# daemons were lost at once: a late heartbeat brought the server back.
+@pytest.mark.parametrize("says_so", ["deregisters", "unheard", "drains"])
+async def test_departure_outlives_the_loss_of_all_daemons(says_so):
+    async with open_site("dispatch", "dispatch", "alerts") as site:
+        left, other, caller = site.machines
+        await site.wait_until_ready()
+        if says_so == "unheard":
+            left.sends_heartbeats = False
+            await restart([left])
+        left.sends_heartbeats = False
+        if says_so == "drains":
+            left.send_heartbeat(draining=True)
+        else:
+            left.node.on_target_left(left.app.target_id)
+        assert await left.node.confirm_departures()
+        await restart(site.machines)
+        left.send_heartbeat()
+        await site.wait_until(
+            lambda: (
+                caller.node.is_ready and caller.node.roster.servers("dispatch")
+            )
+        )
+        late, answers = await late_arrivals(left, [caller, left])
+    assert not late
+    assert other.app.arrivals
+    assert any(answer.status == 200 for answer in answers)
+
+
+# DRAIN: a departure was lost when the store returned from an older copy
+# and all daemons were lost after it.
+async def test_departure_is_written_again_after_a_restore():
+    async with open_site("dispatch", "alerts") as site:
+        left, caller = site.machines
+        await site.wait_until_ready()
+        copy = site.store.copy()
+        left.sends_heartbeats = False
+        left.node.on_target_left(left.app.target_id)
+        assert await left.node.confirm_departures()
+        site.store.restore(copy)
+        await left.node.store.newest("keyed.op")
+        await asyncio.sleep(0.5)
+        await restart(site.machines)
+        left.send_heartbeat()
+        await site.wait_until(lambda: caller.node.is_ready)
+        late, _ = await late_arrivals(left, [caller])
+    assert not late
+
+
+# A server that starts again under its id would stay unused for good.
+async def test_new_process_under_the_id_of_one_that_left_is_used():
+    async with open_site("dispatch", "alerts") as site:
+        left, caller = site.machines
+        await site.wait_until_ready()
+        left.node.on_target_left(left.app.target_id)
+        assert await left.node.confirm_departures()
+        left.born += 1
+        left.sequence = 0
+        await restart([left])
+        await site.wait_until(lambda: caller.node.roster.servers("dispatch"))
+        assert (await caller.ask("/crew/1")).status == 200
+
+
+# While the store was away, a departure was acknowledged that nothing
+# but the memory of the daemons held.
+async def test_departure_is_not_acknowledged_without_the_store():
+    async with open_site("dispatch", "alerts") as site:
+        left, caller = site.machines
+        await site.wait_until_ready()
+        site.store.down = True
+        left.node.on_target_left(left.app.target_id)
+        assert not await left.node.confirm_departures()
+        assert (await caller.ask("/crew/1")).status == 503
+        site.store.down = False
+        await asyncio.sleep(0.6)
+        assert await left.node.confirm_departures()
