Close the watch connection of a target that sends unasked bytes

The connection that shows a restart discarded what it received and read on, up to 4 s at a time, which takes a core while a faulty target sends. The test fails on the code before: nobody closes in 2 s.

--- a/src/burdockgap/http1/request_reader.py
+++ b/src/burdockgap/http1/request_reader.py
@@ -105,7 +105,8 @@
             overhead = self._received_bytes - len(self._body)
             header_bytes = self._server.limits.header_bytes
             if (
-                overhead > header_bytes + _MAX_OVERHEAD_FACTOR * len(self._body)
+                overhead
+                > header_bytes + _MAX_OVERHEAD_FACTOR * len(self._body)
                 # The parser keeps an unfinished trailer.
                 or self._bytes_since_body > header_bytes
             ):
--- a/src/burdockgap/shards/target_watch.py
+++ b/src/burdockgap/shards/target_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 if TYPE_CHECKING:
     from burdockgap.forward.target_state import TargetState
@@ -33,10 +33,16 @@
     def __init__(self, opened_at: float) -> None:
         self.opened_at = opened_at
         self.lost = False
-        self._transport: asyncio.BaseTransport | None = None
+        self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport
+        # uvloop's transports do not derive from asyncio.Transport.
+        self._transport = cast("asyncio.Transport", transport)
+
+    def data_received(self, data: bytes) -> None:  # noqa: ARG002
+        # Reading on would take a core while the target sends.
+        if self._transport is not None:
+            self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         self.lost = True
--- a/tests/shards/test_target_watch.py
+++ b/tests/shards/test_target_watch.py
@@ -182,3 +182,25 @@
         target.port = free_port()
         target.announce()
         assert not target.watch.is_proven()
+
+
+# A target that sent without being asked, without end, kept its daemon
+# reading for as long as it wanted.
+async def test_connection_with_unasked_bytes_is_closed(target):
+    sent, closed = [], asyncio.Event()
+
+    async def send_endlessly(_reader, writer):
+        try:
+            while len(sent) < 1000:
+                writer.write(b"a" * 65_536)
+                await writer.drain()
+                sent.append(1)
+        except OSError:
+            closed.set()
+
+    server = await asyncio.start_server(send_endlessly, HOST, target.port)
+    target.announce()
+    async with asyncio.timeout(2):
+        await closed.wait()
+    assert not target.watch.is_proven()
+    server.close()
