Limit control responses and pages of the log

burdockgap daemon read them whole, whatever their size, for up to 0.5 s and the wait of a read plus 2 s. They are given up above 1 MiB, 64 KiB (appends) and 64 MiB (pages). Bodies for callers were streamed before.

--- a/src/burdockgap/logstore/http_log.py
+++ b/src/burdockgap/logstore/http_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -9,6 +10,7 @@
 import httpx
 import msgpack
 
+from burdockgap.http.limited_response import read_limited
 from burdockgap.logstore.errors import LogUnavailable, LogUncertain
 from burdockgap.logstore.metrics import APPENDS, READ_FAILURES
 from burdockgap.logstore.page import Page
@@ -19,6 +21,8 @@
 
 _READ_MARGIN_S = 2.0
 _DEFAULT_TIMEOUT_S = 2.0
+_MAX_PAGE_BYTES = 64 * 1024 * 1024
+_MAX_APPEND_REPLY_BYTES = 64 * 1024
 _CONNECT_ERRORS = (
     httpx.ConnectError,
     httpx.ConnectTimeout,
@@ -91,16 +95,21 @@
     async def _append(self, stream: str, record: bytes) -> int:
         try:
             with anyio.fail_after(self._timeout_s):
-                async with self._append_client.use() as client:
-                    reply = await client.post(
-                        f"/streams/{stream}", content=record
+                async with (
+                    self._append_client.use() as client,
+                    client.stream(
+                        "POST", f"/streams/{stream}", content=record
+                    ) as reply,
+                ):
+                    content = await read_limited(
+                        reply, _MAX_APPEND_REPLY_BYTES
                     )
         except _CONNECT_ERRORS as exc:
             raise LogUnavailable(f"cannot connect: {exc!r}") from exc
         except (httpx.HTTPError, TimeoutError) as exc:
             raise LogUncertain(f"no reply to an append: {exc!r}") from exc
         _check_append_status(reply)
-        return _parse_offset(reply)
+        return _parse_offset(content)
 
     async def _read(
         self, stream: str, from_offset: int, wait: float, limit: int
@@ -115,16 +124,14 @@
         try:
             with anyio.fail_after(wait + _READ_MARGIN_S):
                 async with read_client.use() as client:
-                    reply = await client.get(
-                        f"/streams/{stream}", params=query
+                    status, content = await _read_reply(
+                        client, f"/streams/{stream}", query
                     )
         except (httpx.HTTPError, TimeoutError) as exc:
             raise LogUnavailable(f"read from the log failed: {exc!r}") from exc
-        if reply.status_code != httpx.codes.OK:
-            raise LogUnavailable(
-                f"read from the log returned status {reply.status_code}"
-            )
-        return _parse_page(reply.content)
+        if status != httpx.codes.OK:
+            raise LogUnavailable(f"read from the log returned status {status}")
+        return _parse_page(content)
 
 
 @asynccontextmanager
@@ -149,9 +156,16 @@
     raise LogUncertain(f"the log answered an append with {status}")
 
 
-def _parse_offset(reply: httpx.Response) -> int:
+async def _read_reply(
+    client: httpx.AsyncClient, path: str, query: dict[str, Any]
+) -> tuple[int, bytes]:
+    async with client.stream("GET", path, params=query) as reply:
+        return reply.status_code, await read_limited(reply, _MAX_PAGE_BYTES)
+
+
+def _parse_offset(content: bytes) -> int:
     try:
-        return int(reply.json()["offset"])
+        return int(json.loads(content)["offset"])
     except (ValueError, KeyError, TypeError) as exc:
         raise LogUncertain(f"not an offset: {exc!r}") from exc
 
--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -11,6 +11,7 @@
 import anyio
 import httpx
 
+from burdockgap.http.limited_response import read_limited
 from burdockgap.target import http_headers
 from burdockgap.target.exchange import Exchange
 from burdockgap.target.request_body_error import RequestBodyError
@@ -30,6 +31,7 @@
 _CONTROL_PATH = "/_burdockgap"
 _CONNECT_TIMEOUT_S = 1.0
 _CONTROL_TIMEOUT_S = 0.5
+_MAX_CONTROL_BODY_BYTES = 1024 * 1024
 _KEEPALIVE_EXPIRY_S = 2.0
 _BODY_IDLE_TIMEOUT_S = 30.0
 _MS_PER_S = 1000
@@ -266,8 +268,8 @@
         with self._transports.acquire() as transport:
             resp = await transport.handle_async_request(request)
             async with _closing(resp):
-                await resp.aread()
-        return resp
+                body = await read_limited(resp, _MAX_CONTROL_BODY_BYTES)
+        return httpx.Response(resp.status_code, content=body)
 
 
 @asynccontextmanager
