--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from soak.departures import Departures
 from soak.restored_store import RestoredStore
 from soak.target_notices import TargetNotices
 from standins.relay.links import LOG
@@ -40,6 +41,7 @@
     :param store_rng: the same for a store that returns from copies.
     :param notice_rng: the same for servers that name a limit or their
         stop in their responses.
+    :param departure_rng: the same for servers that deregister.
     :param log: called with a description when a fault begins.
     """
 
@@ -51,6 +53,7 @@
         target_rng: random.Random,
         store_rng: random.Random,
         notice_rng: random.Random,
+        departure_rng: random.Random,
         log: Callable[[str], None],
     ) -> None:
         self._site = site
@@ -58,6 +61,7 @@
         self._target_rng = target_rng
         self._restored_store = RestoredStore(site, store_rng, log)
         self._target_notices = TargetNotices(site, notice_rng, log)
+        self._departures = Departures(site, departure_rng, log)
         self._evacuates = False
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
@@ -90,7 +94,8 @@
         endless = loop.create_task(self._send_endlessly(deadline))
         restores = loop.create_task(self._restored_store.run(deadline))
         notices = loop.create_task(self._target_notices.run(deadline))
-        self._tasks |= {endless, restores, notices}
+        departures = loop.create_task(self._departures.run(deadline))
+        self._tasks |= {endless, restores, notices, departures}
         while loop.time() < deadline:
             _, fault = self._rng.choices(self._weighted_faults, weights)[0]
             task = loop.create_task(fault())
--- a/soak/run.py
+++ b/soak/run.py
@@ -72,6 +72,7 @@
             target_rng=random.Random(f"{seed} endless"),
             store_rng=random.Random(f"{seed} restored"),
             notice_rng=random.Random(f"{seed} notices"),
+            departure_rng=random.Random(f"{seed} departures"),
             log=log,
         )
         await faults_of_seed.run(seconds)
--- a/soak/server.py
+++ b/soak/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,8 @@
 _REQUEST_DURATION_S = 0.02
 _SLOTS = 8
 _ACK_TIMEOUT_S = 1.0
+_DEREGISTER_TIMEOUT_S = 6.0
+_DEREGISTER_INTERVAL_S = 0.1
 
 
 class SoakServer:
@@ -73,6 +76,8 @@
         self._evacuated_for_s = evacuated_for_s
         self._stack = AsyncExitStack()
         self._start_count = 0
+        self._born = 0
+        self._left_at: float | None = None
         self._sequence = 0
         self._grants: list[tuple[int, int, int, float]] = []
         self._in_flight = 0
@@ -102,7 +107,10 @@
         if self._is_endless:
             return
         self._start_count += 1
+        # Two starts may fall into one millisecond.
+        self._born = max(time.time_ns() // 1_000_000, self._born + 1)
         self._sequence, self._draining_since = 0, None
+        self.deregisters, self._left_at = False, None
         self._leaving_since = self._limit_since = None
         self.says_leaving = False
         self._grants = []
@@ -139,7 +147,8 @@
         )
         draining = False
         while True:
-            if self.is_up or self._is_endless:
+            is_running = self.is_up or self._is_endless
+            if is_running and not self.deregisters:
                 draining = self.draining
                 acked = await self._send_heartbeat(pool, draining=draining)
                 if acked and draining and self._draining_since is None:
@@ -147,6 +156,39 @@
             await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
 
     draining = False
+    deregisters = False
+
+    async def deregister(self) -> None:
+        """
+        Deregister without a drain, and send no more heartbeats.
+
+        Gives up after some seconds without an acknowledgement.
+        """
+        self.deregisters = True
+        incarnation = self.incarnation
+        pool = ClientPool(
+            (self._control, CONTROL_PORT), connect_timeout_s=0.5, idle_s=5.0
+        )
+        data = encode_request(
+            "DELETE",
+            f"/api/instances/{self._name}",
+            [("host", self._control)],
+        )
+        deadline = self._loop.time() + _DEREGISTER_TIMEOUT_S
+        while self._loop.time() < deadline and self.incarnation == incarnation:
+            if await self._is_acknowledged(pool, data):
+                self._left_at = self._loop.time()
+                break
+            await asyncio.sleep(_DEREGISTER_INTERVAL_S)
+        pool.close()
+
+    async def send_late_heartbeat(self) -> None:
+        """Send a heartbeat as those before the server left."""
+        pool = ClientPool(
+            (self._control, CONTROL_PORT), connect_timeout_s=0.5, idle_s=5.0
+        )
+        await self._send_heartbeat(pool, draining=False)
+        pool.close()
 
     async def _send_heartbeat(
         self, pool: ClientPool, *, draining: bool
@@ -161,7 +203,7 @@
             "state": "draining" if draining else "ready",
             "cold-remaining": "0ms",
             "sequence": self._sequence,
-            "born": 1000 + self._start_count,
+            "born": self._born,
         }
         data = encode_request(
             "PUT",
@@ -169,6 +211,9 @@
             [("host", self._control)],
             json.dumps(body).encode(),
         )
+        return await self._is_acknowledged(pool, data)
+
+    async def _is_acknowledged(self, pool: ClientPool, data: bytes) -> bool:
         with suppress(ExchangeError, TimeoutError):
             async with asyncio.timeout(_ACK_TIMEOUT_S):
                 return (await pool.exchange(data)).is_success
@@ -288,6 +333,14 @@
             )
 
     def _check_drain_bounds(self, now: float) -> None:
+        # An acknowledged departure binds also after a restart.
+        if self._left_at is not None and not self._grants_may_be_late():
+            self._checker.record_request_while_draining(
+                self.incarnation,
+                bound_s=DRAIN_S,
+                after_s=now - self._left_at,
+                now=now,
+            )
         if self._undisturbed_s() < UNDISTURBED_S:
             return
         if self._draining_since is not None:
