Check again before a request is sent over a new connection

A request that waits for its connection, up to 0.5 s, was sent although its server had left meanwhile, or its key, data centre or deadline was gone. Class: a check, a wait, and no check after it. The conditions are now checked once the connection is there; the caller gets a true not run. The test fails on the code before.

--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -285,9 +285,7 @@
         if out_since is not None and now - out_since > _KEY_MIGRATION_S:
             raise _refusal(Reason.DATA_CENTRE_OUT)
 
-    async def _dispatch(self, call: Call, deadline: float) -> Outcome:
-        # Any of the conditions may have changed during the wait for the
-        # slot.
+    def _check_sendable(self, call: Call, deadline: float) -> None:
         self._check_open(call)
         if self.holder is not None and call.key is not None:
             self.holder.check(call.key)
@@ -296,6 +294,11 @@
             raise _refusal(Reason.DEADLINE)
         if now >= self._state.drain_deadline:
             raise _refusal(Reason.DRAINING)
+
+    async def _dispatch(self, call: Call, deadline: float) -> Outcome:
+        # Any of the conditions may have changed during the wait for the
+        # slot.
+        self._check_sendable(call, deadline)
         if not self._state.admit_request():
             raise _refusal(Reason.OVERLOADED)
         return await self._send(call, deadline)
@@ -318,6 +321,8 @@
                     if call.idempotent
                     else _NON_IDEMPOTENT_IDLE_S,
                     request_id=call.request_id,
+                    # Or during the wait for a connection.
+                    check=lambda: self._check_sendable(call, deadline),
                 )
         except ExchangeError as exc:
             return self._failure_outcome(call, exc, info.born)
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.server import Server, open_server
 from burdockgap.verdict import Reason, Verdict
 from standins.sidecar.app_server import AppServer
@@ -82,6 +83,27 @@
     assert not harness.app.runs
 
 
+# DRAIN: a request that waited for its connection was sent although the
+# server had left meanwhile.
+async def test_server_that_leaves_during_the_connect_gets_no_request(
+    harness, monkeypatch
+):
+    connect = ClientPool._connect
+
+    async def connect_while_the_server_leaves(pool):
+        conn = await connect(pool)
+        harness.state.leaving("i-1")
+        return conn
+
+    monkeypatch.setattr(
+        ClientPool, "_connect", connect_while_the_server_leaves
+    )
+    outcome = await harness.gate.serve(make_call())
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason is Reason.DRAINING
+    assert not harness.app.runs
+
+
 async def test_other_service_is_refused(harness):
     outcome = await harness.gate.serve(make_call(service="records"))
     assert outcome.reason is Reason.UNKNOWN_SERVICE
