--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -286,6 +286,7 @@
             raise _refusal(Reason.DATA_CENTRE_OUT)
 
     def _check_sendable(self, call: Call, deadline: float) -> None:
+        """Refuse a call whose conditions changed during a wait."""
         self._check_open(call)
         if self.holder is not None and call.key is not None:
             self.holder.check(call.key)
@@ -296,8 +297,6 @@
             raise _refusal(Reason.DRAINING)
 
     async def _dispatch(self, call: Call, deadline: float) -> Outcome:
-        # Any of the conditions may have changed during the wait for the
-        # slot.
         self._check_sendable(call, deadline)
         if not self._state.admit_request():
             raise _refusal(Reason.OVERLOADED)
@@ -321,8 +320,7 @@
                     if call.idempotent
                     else _NON_IDEMPOTENT_IDLE_S,
                     request_id=call.request_id,
-                    # Or during the wait for a connection.
-                    check=lambda: self._check_sendable(call, deadline),
+                    before_send=lambda: self._check_sendable(call, deadline),
                 )
         except ExchangeError as exc:
             return self._failure_outcome(call, exc, info.born)
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -83,7 +83,7 @@
         max_idle_s: float | None = None,
         read_timeout_s: float | None = None,
         request_id: str | None = None,
-        check: Callable[[], None] | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> Response:
         """
         Send a request over an idle or a new connection.
@@ -101,17 +101,18 @@
             that is repeated does not use a connection that carried it
             before, where a late second copy of its first response
             could not be told from the response to the repeat.
-        :param check: called before the request is sent over a new
-            connection; what it raises ends the exchange.
+        :param before_send: called before the request is sent over a new
+            connection, which may take time to open; what it raises ends
+            the exchange.
         :raises ExchangeError: if connecting fails or no complete
             response is received.
         """
         conn = self._take_idle(max_idle_s, request_id)
         if conn is None:
             conn = await self._connect()
-            if check is not None:
+            if before_send is not None:
                 try:
-                    check()
+                    before_send()
                 except Exception:
                     self._idle.append(conn)
                     raise
