Take the time of the newest departure under an id

The daemon had just started and read from the store that an earlier process under the same id had left, also unheard. It took the second DELETE for a repeat, acknowledged it at once and kept the earlier time, so the late heartbeat, of a process that began later, counted as a new one.

--- a/src/burdockgap/forward/departures.py
+++ b/src/burdockgap/forward/departures.py
@@ -69,9 +69,13 @@
         self._changed()
 
     def note_unheard(self, target_id: str) -> None:
-        """Note that a process left whose start time is not known."""
-        if target_id in self._unheard:
-            return
+        """
+        Note that a process left whose start time is not known.
+
+        One under an id that left before may have started since, so the
+        newest time counts.
+        """
+        self._unheard.pop(target_id, None)
         self._unheard[target_id] = _UnheardTarget(
             time.time_ns() // 1_000_000, self._loop.time()
         )
