--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -253,7 +253,7 @@
             response = self._final_response(last, route, progress)
             if response is not None:
                 return response
-            if is_keyed and last.reason in _FINAL_KEYED_REASONS:
+            if is_keyed and _is_final_for_key(last, route):
                 return self._failure_response(progress, last)
             if not self._may_retry(last, route, service, progress, give_up_at):
                 return self._failure_response(progress, last)
@@ -470,6 +470,13 @@
         )
 
 
+def _is_final_for_key(outcome: Outcome, route: Route) -> bool:
+    """Return whether no other attempt for the key can succeed."""
+    # The owner's daemon sends it no non-idempotent request twice.
+    is_spent = outcome.sent and not route.idempotent
+    return is_spent or outcome.reason in _FINAL_KEYED_REASONS
+
+
 def _deadline(req: CallerRequest, route: Route) -> float:
     """Return a request's deadline, on the event loop's clock."""
     wait_s = min(req.wait_s or _DEFAULT_TIMEOUT_S, route.timeout_s)
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -223,7 +223,10 @@
             if exc.args != (CALLER_CONNECTION_LOST,):
                 run.cancel()
             raise
-        if outcome.verdict is Verdict.NOT_RUN:
+        if outcome.verdict is Verdict.NOT_RUN and not outcome.sent:
+            # One that the target has rejected is never sent to it again:
+            # a second copy of the rejection, which may come on any
+            # connection, could not be told from the next response.
             self._dedup_cache.forget(call.request_id)
         return outcome
 
