--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -224,8 +224,8 @@
                 run.cancel()
             raise
         if outcome.verdict is Verdict.NOT_RUN and not outcome.sent:
-            # One that the target has rejected is never sent to it again:
-            # a second copy of the rejection, which may come on any
+            # What the target has rejected is not sent to it again: a
+            # second copy of the rejection, which may come on any
             # connection, could not be told from the next response.
             self._dedup_cache.forget(call.request_id)
         return outcome
--- a/src/burdockgap/forward/target_protocol.py
+++ b/src/burdockgap/forward/target_protocol.py
@@ -70,6 +70,14 @@
         """Return the bytes of a call that revokes granted keys."""
         ...
 
+    def is_control_response(self, response: Response) -> bool:
+        """
+        Return whether a response may be that of a grant or release.
+
+        Those have no id; one with an id belongs to a caller's request.
+        """
+        ...
+
     def handover(self, response: Response) -> str:
         """Return the handover in a release's response, or ""."""
         ...
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -84,6 +84,7 @@
         read_timeout_s: float | None = None,
         request_id: str | None = None,
         before_send: Callable[[], None] | None = None,
+        on_own_connection: bool = False,
     ) -> Response:
         """
         Send a request over an idle or a new connection.
@@ -104,10 +105,15 @@
         :param before_send: called before the request is sent over a new
             connection, which may take time to open; what it raises ends
             the exchange.
+        :param on_own_connection: whether to open a connection for this
+            exchange alone, on which no response to another request can
+            arrive.
         :raises ExchangeError: if connecting fails or no complete
             response is received.
         """
-        conn = self._take_idle(max_idle_s, request_id)
+        conn = None
+        if not on_own_connection:
+            conn = self._take_idle(max_idle_s, request_id)
         if conn is None:
             conn = await self._connect()
             if before_send is not None:
@@ -123,7 +129,7 @@
             read_timeout_s=read_timeout_s,
             request_id=request_id,
         )
-        if conn.reusable:
+        if conn.reusable and not on_own_connection:
             self._idle.append(conn)
         else:
             conn.close()
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -146,6 +146,10 @@
             "POST", "/api/release", _JSON_HEADERS, json.dumps(body).encode()
         )
 
+    def is_control_response(self, response: Response) -> bool:
+        """Return whether a response is not one to a request."""
+        return response.header(names.REQUEST_ID) is None
+
     def handover(self, response: Response) -> str:
         """Return the handover in the response to a release, or ""."""
         return response.header(names.HANDOVER) or ""
--- a/src/burdockgap/shards/grant_client.py
+++ b/src/burdockgap/shards/grant_client.py
@@ -87,7 +87,10 @@
                     raise ExchangeError(
                         "the target may have restarted", sent=False
                     )
-                return (await pool.exchange(data)).status
+                response = await pool.exchange(
+                    data, accepts=self._protocol.is_control_response
+                )
+                return response.status
         except ExchangeError as exc:
             if exc.refused:
                 self._state.refused_connection(shard.born)
@@ -105,7 +108,14 @@
         )
         try:
             async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                response = await self._target_pool().exchange(data)
+                # Responses to grants and releases have no id. A second
+                # copy of another one must not end the ownership while
+                # requests are still running.
+                response = await self._target_pool().exchange(
+                    data,
+                    accepts=self._protocol.is_control_response,
+                    on_own_connection=True,
+                )
         except TimeoutError:
             return None
         except ExchangeError as exc:
--- a/tests/shards/test_grant_client.py
+++ b/tests/shards/test_grant_client.py
@@ -11,7 +11,7 @@
 from burdockgap.platform.target_protocol import PlatformTargetProtocol
 from burdockgap.shards.grant_client import GrantClient
 from tests.forward.builders import GateHarness
-from tests.http1.sockets import HOST
+from tests.http1.sockets import HOST, open_scripted_server, read_head
 from tests.ports import free_port
 from tests.shards.test_shard_holder import make_shard
 from tests.sidecar.builders import make_info
@@ -69,3 +69,48 @@
         with pytest.raises(ExchangeError, match="may have restarted"):
             await client.grant(make_shard(born=7), 1.0, "")
     assert grants == []
+
+
+GRANTED = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+ANSWERED = b"HTTP/1.1 200 OK\r\nattempt-id: r1\r\ncontent-length: 0\r\n\r\n"
+RELEASED = b"HTTP/1.1 200 OK\r\nhandover: h\r\ncontent-length: 0\r\n\r\n"
+
+
+# OWNER: a late second copy of another response was taken for the answer
+# to a release, and the keys were granted elsewhere while requests on
+# them were still running.
+@pytest.mark.parametrize(
+    ("copy", "is_on_every_connection"),
+    [
+        pytest.param(GRANTED, False, id="of-a-grant"),
+        pytest.param(ANSWERED, True, id="of-a-request"),
+    ],
+)
+async def test_second_copy_of_another_response_is_no_release(
+    monkeypatch, copy, is_on_every_connection
+):
+    monkeypatch.setattr(GrantClient, "may_grant", lambda _client: True)
+
+    async def script(reader, writer):
+        is_first = True
+        while not reader.at_eof():
+            head = await read_head(reader)
+            await reader.readexactly(_body_size(head))
+            if b"/api/grant" in head:
+                writer.write(GRANTED)
+            else:
+                if is_on_every_connection or not is_first:
+                    writer.write(copy)
+                writer.write(RELEASED)
+            is_first = False
+
+    async with open_scripted_server(script) as address:
+        state = GateHarness().state
+        client = GrantClient(state=state, protocol=PlatformTargetProtocol())
+        state.announced(make_info(address=address[:2], born=7))
+        assert await client.grant(make_shard(born=7), 1.0, "") == 200
+        assert await client.release(0, 9, 1) == "h"
+
+
+def _body_size(head):
+    return int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
