--- a/src/burdockgap/cli/parser.py
+++ b/src/burdockgap/cli/parser.py
@@ -13,6 +13,7 @@
     data_centre,
     explain,
     owner,
+    route,
     session,
     settings,
     sidecar,
@@ -23,6 +24,7 @@
 _COMMANDS = (
     daemon,
     explain,
+    route,
     check,
     settings,
     status,
--- a/src/burdockgap/forward/chooser.py
+++ b/src/burdockgap/forward/chooser.py
@@ -49,13 +49,7 @@
 
         :param tried: names of members to skip.
         """
-        servers = [
-            member
-            for member in self._roster.servers(service)
-            if member.name not in tried
-            and member.data_centre not in self._documents.data_centres_out
-            and (not route.regions or member.region in route.regions)
-        ]
+        servers = self.candidates(service, route, tried)
         if not servers:
             return None
         if route.large:
@@ -67,6 +61,22 @@
             servers = _sample(servers)
         return min(servers, key=lambda member: self._cost_s(member, route))
 
+    def candidates(
+        self, service: str, route: Route, tried: set[str]
+    ) -> list[Member]:
+        """
+        Return the members whose target may serve a route's requests.
+
+        :param tried: names of members to leave out.
+        """
+        return [
+            member
+            for member in self._roster.servers(service)
+            if member.name not in tried
+            and member.data_centre not in self._documents.data_centres_out
+            and (not route.regions or member.region in route.regions)
+        ]
+
     def owner(self, service: str, key: int) -> Member | None:
         """Return the owner of a key, if it is known and alive."""
         shard = self._view.state.find(service, key)
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from burdockgap.fleet.datagrams import open_datagrams
+from burdockgap.forward.chooser import Chooser
 from burdockgap.hop.listener import open_listener
 from burdockgap.http1.limits import ConnectionLimits
 from burdockgap.http1.response import Response
@@ -21,6 +22,7 @@
 from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
 from burdockgap.sidecar.peer_call_handlers import PeerCallHandlers
+from burdockgap.sidecar.route_query import ROUTE_PATH, RouteQuery
 
 if TYPE_CHECKING:
     from burdockgap.http1.request import Request
@@ -77,7 +79,18 @@
             metrics=metrics,
         )
 
+        route_query = RouteQuery(
+            documents=node.documents,
+            roster=node.roster,
+            view=node.view,
+            chooser=Chooser(
+                roster=node.roster, documents=node.documents, view=node.view
+            ),
+        )
+
         async def answer_metrics(req: Request) -> Response:
+            if req.path == ROUTE_PATH:
+                return route_query.answer(req)
             if req.path != METRICS_PATH:
                 return Response(404)
             return Response(200, _METRICS_HEADERS, metrics.expose())
