--- /dev/null
+++ b/src/burdockgap/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: whose a request is, and what it may send."""
--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -30,9 +30,11 @@
     :param sender: incarnation of the caller's daemon.
     :param sent_at: when it was sent, in seconds of its clock.
     :param attempt: 1 for the first target that is tried.
+    :param account: name of the account, "" if the request has none.
     """
 
     __slots__ = (
+        "account",
         "attempt",
         "body",
         "deadline_s",
@@ -72,6 +74,7 @@
         sender: int = 0,
         sent_at: float = 0.0,
         attempt: int = 1,
+        account: str = "",
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -90,6 +93,7 @@
         self.sender = sender
         self.sent_at = sent_at
         self.attempt = attempt
+        self.account = account
 
     def shorten(self, seconds: float) -> None:
         """Deduct the time that the call was on its way."""
@@ -116,6 +120,7 @@
             self.sender,
             self.sent_at,
             self.attempt,
+            self.account,
         ]
 
     @classmethod
@@ -144,6 +149,7 @@
             sender,
             sent_at,
             attempt,
+            account,
         ) = values
         return cls(
             request_id=request_id,
@@ -163,4 +169,5 @@
             sender=sender,
             sent_at=sent_at,
             attempt=attempt,
+            account=account,
         )
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
+from burdockgap.accounts.admission import AccountAdmission
 from burdockgap.forward.call import Call
 from burdockgap.forward.chooser import Chooser
 from burdockgap.forward.outcome import Outcome
@@ -28,6 +29,7 @@
     from burdockgap.hop.peer_connection import PeerConnections
     from burdockgap.routing.documents import Documents
     from burdockgap.routing.route import Route
+    from burdockgap.routing.routing_config import RoutingConfig
     from burdockgap.shards.control_view import ControlView
 
 _DEFAULT_TIMEOUT_S = 30.0
@@ -104,6 +106,7 @@
     """
 
     __slots__ = (
+        "_accounts",
         "_budget_extra",
         "_budget_ratio",
         "_budget_window_s",
@@ -140,6 +143,7 @@
         on_answer: Callable[[int, float], None],
     ) -> None:
         self._on_answer = on_answer
+        self._accounts = AccountAdmission()
         self._loop = asyncio.get_running_loop()
         self._roster = roster
         self._documents = documents
@@ -180,6 +184,9 @@
                 "no route matches the host and path",
                 config=config.version,
             )
+        refusal = self._attribute(req, route, config)
+        if refusal is not None:
+            return refusal
         if _deadline(req, route) + _REPLY_GRACE_S > (
             self.idempotent_ends_at if route.idempotent else self.ends_at
         ):
@@ -207,6 +214,19 @@
         self._log(req, route, service, progress, response, config.version)
         return response
 
+    def _attribute(
+        self, req: CallerRequest, route: Route, config: RoutingConfig
+    ) -> Response | None:
+        """Set a request's account; return a refusal if there is one."""
+        if config.accounts is None:
+            return None
+        req.headers = req.headers_without_account
+        decision = self._accounts.check(req, route, config)
+        if decision.status:
+            return self._refuse(req, decision.status, decision.why)
+        req.account = decision.account
+        return None
+
     async def _run(
         self,
         req: CallerRequest,
@@ -229,10 +249,11 @@
             key=req.key if is_keyed else None,
             idempotent=route.idempotent,
             large=route.large,
-            priority=route.priority,
+            priority=_priority(req, route),
             deadline_s=deadline - req.arrived_at,
             patience_s=0.0,
             sender=self._roster.own.incarnation,
+            account=req.account.name if req.account else "",
         )
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
         give_up_at = min(
@@ -438,6 +459,8 @@
         fields.update(id=req.request_id, status=status, why=why, path=req.path)
         self._on_event("refused", fields)
         headers = []
+        if status == 401:
+            headers = [("WWW-Authenticate", "Bearer")]
         if status == 503:
             headers = [("Retry-After", f"{_RETRY_AFTER_S[1]:.3f}")]
         return Response(status, headers)
@@ -461,6 +484,7 @@
                 "route": route.name,
                 "service": service,
                 "key": req.key,
+                "account": req.account.name if req.account else None,
                 "config": version,
                 "control": self._view.version,
                 "attempts": progress.attempts,
@@ -477,6 +501,13 @@
     return is_spent or outcome.reason in _FINAL_KEYED_REASONS
 
 
+def _priority(req: CallerRequest, route: Route) -> int:
+    """Return the rank of the request's account, else of its route."""
+    if req.account is None or req.account.priority is None:
+        return route.priority
+    return req.account.priority
+
+
 def _deadline(req: CallerRequest, route: Route) -> float:
     """Return a request's deadline, on the event loop's clock."""
     wait_s = min(req.wait_s or _DEFAULT_TIMEOUT_S, route.timeout_s)
--- a/src/burdockgap/platform/documents.py
+++ b/src/burdockgap/platform/documents.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from burdockgap.accounts.key_directory import KeyDirectory
 from burdockgap.http1.limits import ConnectionLimits
+from burdockgap.platform.accounts import decode_account
 from burdockgap.platform.fields import (
     decode_json,
     require_field,
@@ -18,6 +20,9 @@
 from burdockgap.routing.service_policy import ServicePolicy
 from burdockgap.wire.checks import check_integer
 
+if TYPE_CHECKING:
+    from burdockgap.accounts.account import Account
+
 _NUMBER_TYPES = (int, float)
 _VERSION_BASE = 16
 _DEFAULT_MAX_ATTEMPTS = 1
@@ -57,6 +62,7 @@
     resources = require_field(source, "resources", list)
     routes: list[Route] = []
     services: list[ServicePolicy] = []
+    accounts: list[tuple[Account, list[bytes]]] = []
     limits = ConnectionLimits()
     for resource in resources:
         # The kind of this entry, not that of the entry it belongs to.
@@ -69,6 +75,8 @@
             services.append(_decode_service(name, spec))
         elif kind == "limits":
             limits = _decode_limits(spec)
+        elif kind == "tenants":
+            accounts.append(decode_account(name, spec))
     _validate(routes, services)
     return RoutingConfig(
         version=check_integer(
@@ -78,6 +86,7 @@
         routes=routes,
         services=services,
         limits=limits,
+        accounts=KeyDirectory(accounts) if accounts else None,
     )
 
 
@@ -107,6 +116,9 @@
         priority=require_integer({"priority": 0, **spec}, "priority"),
         weighted_services=_decode_weighted_services(name, spec),
         regions=_decode_regions(name, spec),
+        allow_anonymous=require_field(
+            {"allow-anonymous": False, **spec}, "allow-anonymous", bool
+        ),
     )
 
 
--- a/src/burdockgap/platform/fields.py
+++ b/src/burdockgap/platform/fields.py
@@ -42,7 +42,11 @@
         missing or has the wrong type.
     """
     if not isinstance(source, dict):
-        raise ValueError(f"{source!r} is not a JSON or TOML object")
+        # Not its content, which may be a client's key.
+        raise ValueError(
+            f"value of type {type(source).__name__} is not a JSON or TOML "
+            "object"
+        )
     value: Any = source.get(name)
     is_bool = isinstance(value, bool) and kind is not bool
     if not isinstance(value, kind) or is_bool:
--- a/src/burdockgap/platform/names.py
+++ b/src/burdockgap/platform/names.py
@@ -20,6 +20,9 @@
 ORIGIN_SERVICE = "calling-service"
 KEY = "shard-key"
 HANDOVER = "handover"
+# The client's key, and the name of the account that it belongs to.
+AUTHORIZATION = "authorization"
+ACCOUNT = "tenant"
 CONTENT_ENCODING = "content-encoding"
 
 # In each response of the store; increases when the store is restored
--- a/src/burdockgap/platform/requests.py
+++ b/src/burdockgap/platform/requests.py
@@ -14,6 +14,10 @@
 _INTERNAL_HEADERS = frozenset(
     {names.DEADLINE_MS, names.EXPECTED_TARGET, names.ORIGIN_SERVICE}
 )
+_ACCOUNT_HEADERS = frozenset({names.AUTHORIZATION, names.ACCOUNT})
+_SCHEME = "bearer"
+_UNKNOWN_KEY = b""
+"""Belongs to no account: the configuration cannot have an empty key."""
 
 
 def decode_request(req: Request) -> CallerRequest:
@@ -33,17 +37,22 @@
     request_id = req.header(names.REQUEST_ID)
     if not request_id:
         raise ValueError("header Attempt-Id is missing")
+    headers = [
+        pair
+        for pair in end_to_end(req.headers)
+        if pair[0] not in _INTERNAL_HEADERS
+    ]
     return CallerRequest(
         request_id=request_id,
         host=hosts[0],
         method=req.method,
         target=req.target,
         path=req.path,
-        headers=[
-            pair
-            for pair in end_to_end(req.headers)
-            if pair[0] not in _INTERNAL_HEADERS
+        headers=headers,
+        headers_without_account=[
+            pair for pair in headers if pair[0] not in _ACCOUNT_HEADERS
         ],
+        credential=_parse_credential(req),
         body=req.body,
         wait_s=_parse_wait_s(req),
         key=_parse_key(req),
@@ -61,6 +70,24 @@
     return wait_s
 
 
+def _parse_credential(req: Request) -> bytes | None:
+    """
+    Return the client's key, ``None`` if the request has none.
+
+    A header from which no key can be read counts as an unknown key. Its
+    content must not occur in an error message.
+    """
+    values = [
+        value for name, value in req.headers if name == names.AUTHORIZATION
+    ]
+    if not values:
+        return None
+    scheme, _, key = values[0].strip().partition(" ")
+    if len(values) > 1 or scheme.lower() != _SCHEME:
+        return _UNKNOWN_KEY
+    return key.strip().encode("latin-1", "replace")
+
+
 def _parse_key(req: Request) -> int | None:
     value = req.header(names.KEY)
     return int(value) if value is not None else None
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -36,6 +36,8 @@
             (names.EXPECTED_TARGET, target_id),
             (names.ORIGIN_SERVICE, call.origin),
         ]
+        if call.account:
+            headers.append((names.ACCOUNT, call.account))
         return encode_request(call.method, call.target, headers, call.body)
 
     def matches(self, call: Call, response: Response) -> bool:
--- a/src/burdockgap/routing/route.py
+++ b/src/burdockgap/routing/route.py
@@ -26,9 +26,11 @@
     :param weighted_services: services with their weights, at least one.
     :param regions: regions whose targets may run the requests; empty
         for all.
+    :param allow_anonymous: whether requests need no account.
     """
 
     __slots__ = (
+        "allow_anonymous",
         "host",
         "idempotent",
         "large",
@@ -56,6 +58,7 @@
         priority: int,
         weighted_services: Sequence[tuple[str, float]],
         regions: frozenset[str] = frozenset(),
+        allow_anonymous: bool = False,
     ) -> None:
         self.name = name
         self.host = host
@@ -68,6 +71,7 @@
         self.priority = priority
         self.weighted_services = tuple(weighted_services)
         self.regions = regions
+        self.allow_anonymous = allow_anonymous
 
     def pick_service(self) -> str:
         """Return one of the route's services at random, by weight."""
--- a/src/burdockgap/routing/routing_config.py
+++ b/src/burdockgap/routing/routing_config.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from burdockgap.accounts.key_directory import KeyDirectory
     from burdockgap.http1.limits import ConnectionLimits
     from burdockgap.routing.route import Route
     from burdockgap.routing.service_policy import ServicePolicy
@@ -20,9 +21,11 @@
     :param routes: all routes.
     :param services: all services.
     :param limits: limits on callers' connections.
+    :param accounts: the clients' accounts; ``None`` if there are none,
+        so that requests need no key.
     """
 
-    __slots__ = ("_by_host", "limits", "services", "version")
+    __slots__ = ("_by_host", "accounts", "limits", "services", "version")
 
     def __init__(
         self,
@@ -31,10 +34,12 @@
         routes: Iterable[Route],
         services: Iterable[ServicePolicy],
         limits: ConnectionLimits,
+        accounts: KeyDirectory | None = None,
     ) -> None:
         self.version = version
         self.services = {service.name: service for service in services}
         self.limits = limits
+        self.accounts = accounts
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
--- a/standins/sidecar/documents.py
+++ b/standins/sidecar/documents.py
@@ -58,6 +58,15 @@
     }
 
 
+def make_account(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
+    """Return an account resource with keys; ``fields`` are added."""
+    return {
+        "resource-kind": "tenants",
+        "metadata": {"name": name},
+        "specification": {"api-keys": list(keys), **fields},
+    }
+
+
 def make_config(*resources: object, version: str = "00000003") -> bytes:
     """Return a configuration of the given resources, as JSON."""
     return json.dumps({"version": version, "resources": resources}).encode()
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -51,3 +51,33 @@
 def test_invalid_request_is_refused(req):
     with pytest.raises(ValueError, match=r"."):
         decode_request(req)
+
+
+@pytest.mark.parametrize(
+    ("headers", "credential"),
+    [
+        pytest.param([], None, id="none"),
+        pytest.param([("authorization", "Bearer k1")], b"k1", id="key"),
+        pytest.param([("authorization", "bearer  k1 ")], b"k1", id="spaces"),
+        pytest.param([("authorization", "Bearer")], b"", id="no-key"),
+        pytest.param([("authorization", "")], b"", id="empty"),
+        pytest.param([("authorization", "Basic k1")], b"", id="scheme"),
+        pytest.param([("authorization", "k1")], b"", id="bare"),
+        pytest.param([("authorization", "Bearer k1")] * 2, b"", id="repeated"),
+        pytest.param(
+            [("connection", "authorization"), ("authorization", "Bearer k1")],
+            b"k1",
+            id="listed-in-connection",
+        ),
+    ],
+)
+def test_credential_of_request(headers, credential):
+    req = decode_request(make_request(*headers))
+    assert req.credential == credential
+
+
+def test_headers_with_and_without_those_of_accounts():
+    own = [("authorization", "Bearer k1"), ("tenant", "liar"), ("x", "1")]
+    req = decode_request(make_request(*own))
+    assert req.headers == [*HEADERS, *own]
+    assert req.headers_without_account == [*HEADERS, ("x", "1")]
--- a/tests/platform/test_target_protocol.py
+++ b/tests/platform/test_target_protocol.py
@@ -130,3 +130,18 @@
     assert "expected-instance: i-1" in head
     assert "calling-service: records" in head
     assert "x-other: 1" in head
+
+
+@pytest.mark.parametrize(
+    ("account", "lines"),
+    [
+        pytest.param("", [], id="none"),
+        pytest.param("acme", [b"tenant: acme"], id="account"),
+    ],
+)
+def test_target_gets_the_name_of_the_account(account, lines):
+    data = PlatformTargetProtocol().encode(
+        make_call(account=account), target_id="i-1", left_s=1.0
+    )
+    got = [line for line in data.split(b"\r\n") if line.startswith(b"tenant")]
+    assert got == lines
--- /dev/null
+++ b/tests/sidecar/test_accounts.py
@@ -0,0 +1,196 @@
+"""Accounts on real daemons: whose a request is and what servers get."""
+
+from __future__ import annotations
+
+import os
+from contextlib import asynccontextmanager
+
+import pytest
+
+from standins.sidecar.documents import (
+    make_account,
+    make_config,
+    make_limits,
+    make_route,
+    make_service,
+)
+from tests.sidecar.builders import open_site
+
+pytestmark = pytest.mark.anyio
+
+KEY = "key-that-is-secret"
+BEARER = f"Bearer {KEY}"
+ACCOUNT = make_account("acme", KEY, priority=3)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def publish(site, *accounts: object, version="00000004"):
+    """Put a configuration in force at all daemons."""
+    document = make_config(
+        make_route("read", "records"),
+        make_route("crew", "dispatch"),
+        make_route("open", "dispatch", **{"allow-anonymous": True}),
+        make_service("records", sharding=True),
+        make_service("dispatch"),
+        make_limits(),
+        *accounts,
+        version=version,
+    )
+    site.store.put("keyed.op", "config", document)
+    await site.wait_until(
+        lambda: all(
+            machine.node.documents.config_version == int(version, 16)
+            for machine in site.machines
+        )
+    )
+
+
+async def publish_invalid(site):
+    """Publish an account with an empty key; wait for the refusal."""
+    accounts = [make_account("acme", KEY, "")]
+    document = make_config(*accounts, version="00000005")
+    site.store.put("keyed.op", "config", document)
+    events = [machine.node.metrics.events for machine in site.machines]
+    await site.wait_until(
+        lambda: all(
+            event.labels("document_refused")._value.get() > 0
+            for event in events
+        )
+    )
+
+
+@asynccontextmanager
+async def open_account_site(*accounts: object):
+    """Start two daemons, each with a server, and some accounts."""
+    async with open_site("dispatch", "dispatch") as site:
+        await site.wait_until_ready()
+        await publish(site, *accounts)
+        yield site
+
+
+def account_headers(site):
+    """Return the account headers of all requests that servers got."""
+    return [
+        [
+            (name, value)
+            for name, value in req.headers
+            if name in {"authorization", "tenant"}
+        ]
+        for machine in site.machines
+        for req in machine.app.requests
+    ]
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status", "sent"),
+    [
+        pytest.param(
+            "/crew/1",
+            {"Authorization": BEARER},
+            200,
+            [[("tenant", "acme")]],
+            id="key",
+        ),
+        pytest.param(
+            "/open/1",
+            {"Authorization": BEARER, "Tenant": "liar"},
+            200,
+            [[("tenant", "acme")]],
+            id="key-on-open-route",
+        ),
+        pytest.param("/open/1", {}, 200, [[]], id="open-route"),
+        pytest.param(
+            "/open/1", {"Tenant": "liar"}, 200, [[]], id="claims-an-account"
+        ),
+        pytest.param("/crew/1", {}, 401, [], id="no-key"),
+        pytest.param(
+            "/crew/1", {"Authorization": "Bearer x"}, 401, [], id="unknown"
+        ),
+        pytest.param(
+            "/open/1",
+            {"Authorization": "Bearer x"},
+            401,
+            [],
+            id="unknown-on-open-route",
+        ),
+        pytest.param(
+            "/crew/1", {"Authorization": f"Basic {KEY}"}, 401, [], id="scheme"
+        ),
+        pytest.param(
+            "/crew/1",
+            {"Authorization": "Bearer " + "x" * 15_000},
+            401,
+            [],
+            id="long-key",
+        ),
+    ],
+)
+async def test_key_decides_on_the_request(path, headers, status, sent):
+    async with open_account_site(ACCOUNT) as site:
+        response = await site.machines[0].ask(path, **headers)
+        assert response.status == status
+        assert account_headers(site) == sent
+
+
+async def test_without_accounts_the_headers_are_passed_on():
+    """Guards deployments without accounts against any change."""
+    async with open_account_site() as site:
+        response = await site.machines[0].ask(
+            "/crew/1", Authorization=BEARER, Tenant="own"
+        )
+        assert response.status == 200
+        assert account_headers(site) == [
+            [("authorization", BEARER), ("tenant", "own")]
+        ]
+
+
+async def test_key_changes_with_the_configuration():
+    async with open_account_site(ACCOUNT) as site:
+        await publish(site, make_account("acme", "new"), version="00000005")
+        statuses = [
+            (await machine.ask("/crew/1", Authorization=value)).status
+            for machine in site.machines
+            for value in (BEARER, "Bearer new")
+        ]
+        assert statuses == [401, 200, 401, 200]
+
+
+async def test_invalid_accounts_leave_the_configuration_in_force():
+    async with open_account_site(ACCOUNT) as site:
+        await publish_invalid(site)
+        response = await site.machines[0].ask("/crew/1", Authorization=BEARER)
+        assert response.status == 200
+
+
+async def test_without_a_configuration_the_answer_is_503():
+    """A daemon that cannot know the keys must not reject them."""
+    async with open_site("dispatch") as site:
+        (machine,) = site.machines
+        await site.wait_until_ready()
+        machine.node.documents.config = None
+        response = await machine.ask("/crew/1", Authorization="Bearer x")
+        assert response.status == 503
+
+
+async def test_key_is_not_logged():
+    reader, writer = os.pipe()
+    async with open_site("dispatch") as site:
+        os.dup2(writer, site.log_fd)
+        await site.wait_until_ready()
+        await publish(site, ACCOUNT)
+        await publish_invalid(site)
+        for value in (BEARER, f"Basic {KEY}", f"Bearer {KEY}x"):
+            await site.machines[0].ask("/crew/1", Authorization=value)
+        machine = site.machines[0]
+        machine.node.event_log.flush()
+        exposed = machine.node.metrics.expose().decode()
+    os.close(writer)
+    with os.fdopen(reader) as log:
+        lines = log.read()
+    assert '"acme"' in lines
+    assert KEY not in lines
+    assert KEY not in exposed
