--- a/src/burdockgap/cli/route.py
+++ b/src/burdockgap/cli/route.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
-import httpx
-
 from burdockgap.cli.exit_code import ExitCode
 from burdockgap.cli.failure import CliFailure
 
@@ -40,6 +39,11 @@
     parser.add_argument("--host", required=True, help="the request's host")
     parser.add_argument("--path", required=True, help="its path")
     parser.add_argument("--key", type=int, help="its key, if it has one")
+    parser.add_argument(
+        "--credential-file",
+        metavar="FILE",
+        help="file that contains the client's key",
+    )
     parser.add_argument(
         "--daemon",
         metavar="HOST:PORT",
@@ -67,9 +71,15 @@
     query = {"host": args.host, "path": args.path}
     if args.key is not None:
         query["key"] = str(args.key)
+    headers = _read_credential(args.credential_file)
     url = f"http://{args.daemon}/route?{urlencode(query)}"
+    # Imported here so that other commands don't load it.
+    import httpx
+
     try:
-        response = httpx.get(url, timeout=_TIMEOUT_S, trust_env=False)
+        response = httpx.get(
+            url, headers=headers, timeout=_TIMEOUT_S, trust_env=False
+        )
         found = response.json()
     except (httpx.HTTPError, httpx.InvalidURL, ValueError) as exc:
         raise CliFailure(
@@ -80,6 +90,19 @@
     return dict(found)
 
 
+def _read_credential(name: str | None) -> dict[str, str]:
+    """Return the header with the client's key, if there is one."""
+    if name is None:
+        return {}
+    try:
+        key = Path(name).read_text(encoding="ascii").strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        # The message of a decoding error quotes a part of the key.
+        why = exc.strerror if isinstance(exc, OSError) else "is not ASCII"
+        raise CliFailure(ExitCode.BAD_INPUT, f"{name}: {why}") from None
+    return {"Authorization": f"Bearer {key}"}
+
+
 def _lines(found: dict[str, Any]) -> Iterator[str]:
     services = found.get("services", [])
     yield _plain(found, without=("services",))
--- a/src/burdockgap/platform/requests.py
+++ b/src/burdockgap/platform/requests.py
@@ -52,7 +52,7 @@
         headers_without_account=[
             pair for pair in headers if pair[0] not in _ACCOUNT_HEADERS
         ],
-        credential=_parse_credential(req),
+        credential=parse_credential(req),
         body=req.body,
         wait_s=_parse_wait_s(req),
         key=_parse_key(req),
@@ -70,7 +70,7 @@
     return wait_s
 
 
-def _parse_credential(req: Request) -> bytes | None:
+def parse_credential(req: Request) -> bytes | None:
     """
     Return the client's key, ``None`` if the request has none.
 
--- a/src/burdockgap/sidecar/route_query.py
+++ b/src/burdockgap/sidecar/route_query.py
@@ -7,15 +7,18 @@
 from urllib.parse import parse_qs, urlsplit
 
 from burdockgap.http1.response import Response
+from burdockgap.platform.requests import parse_credential
 from burdockgap.shards.shard import KEY_COUNT
 
 if TYPE_CHECKING:
+    from burdockgap.accounts.account import Account
     from burdockgap.fleet.member import Member
     from burdockgap.fleet.roster import Roster
     from burdockgap.forward.chooser import Chooser
     from burdockgap.http1.request import Request
     from burdockgap.routing.documents import Documents
     from burdockgap.routing.route import Route
+    from burdockgap.routing.routing_config import RoutingConfig
     from burdockgap.shards.control_view import ControlView
 
 ROUTE_PATH = "/route"
@@ -59,15 +62,24 @@
             key = _decode_key(query.get("key"))
         except ValueError as exc:
             return _respond(400, {"error": str(exc)})
-        return _respond(200, self.explain(host, path, key))
+        credential = parse_credential(req)
+        return _respond(200, self.explain(host, path, key, credential))
 
-    def explain(self, host: str, path: str, key: int | None) -> dict[str, Any]:
+    def explain(
+        self,
+        host: str,
+        path: str,
+        key: int | None = None,
+        credential: bytes | None = None,
+    ) -> dict[str, Any]:
         """
         Return what the daemon knows and would do, as JSON values.
 
         :param host: the request's host.
         :param path: its path.
         :param key: its key, if it has one.
+        :param credential: the client's key, if it has one; it is not
+            part of the result.
         """
         config = self._documents.config
         if config is None:
@@ -79,10 +91,16 @@
                 "no route matches the host and path",
                 config_version=config.version,
             )
+        account, refusal = _find_account(config, route, credential)
+        if refusal is not None:
+            return refusal
         found: dict[str, Any] = {
             "config_version": config.version,
             "route": route.name,
-            "priority": route.priority,
+            "account": account.name if account is not None else None,
+            "priority": route.priority
+            if account is None or account.priority is None
+            else account.priority,
             "idempotent": route.idempotent,
             "services": [
                 self._explain_service(name, weight, route, key)
@@ -162,6 +180,22 @@
         }
 
 
+def _find_account(
+    config: RoutingConfig, route: Route, credential: bytes | None
+) -> tuple[Account | None, dict[str, Any] | None]:
+    """Return the account of a request, or why it would be refused."""
+    if config.accounts is None or (
+        credential is None and route.allow_anonymous
+    ):
+        return None, None
+    if credential is None:
+        return None, _refusal(401, "the request has no key")
+    account = config.accounts.find(credential)
+    if account is None:
+        return None, _refusal(401, "the request's key is unknown")
+    return account, None
+
+
 def _refusal(status: int, why: str, **fields: Any) -> dict[str, Any]:
     return {"refused": status, "why": why, **fields}
 
