--- a/src/burdockgap/sidecar/route_query.py
+++ b/src/burdockgap/sidecar/route_query.py
@@ -55,7 +55,7 @@
         self._chooser = chooser
 
     def answer(self, req: Request) -> Response:
-        """Return the explanation that a request to ``/route`` asks for."""
+        """Return the explanation that a query asks for."""
         query = parse_qs(urlsplit(req.target).query)
         try:
             host, path = _only(query, "host"), _only(query, "path")
