--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -23,13 +23,17 @@
     :param large: whether a large response is expected.
     :param priority: rank; 0 is the most urgent.
     :param deadline_s: time until the caller's deadline, in seconds.
-    :param patience_s: longest wait for a grant of the key and for a
-        slot before it is sent to the target, in seconds.
+    :param patience_s: longest wait for a grant of the key, and longest
+        backlog of the machine's link for a large response, in seconds.
     :param notice: what the caller's daemon knows of the target's
         notices, if anything.
     :param sender: incarnation of the caller's daemon.
     :param sent_at: when it was sent, in seconds of its clock.
     :param attempt: 1 for the first target that is tried.
+    :param route: name of the route.
+    :param nested: whether a request that is running has made it.
+    :param objective_s: time left of the latency objective, in seconds;
+        below 0 once it has passed.
     """
 
     __slots__ = (
@@ -41,11 +45,14 @@
         "key",
         "large",
         "method",
+        "nested",
         "notice",
+        "objective_s",
         "patience_s",
         "origin",
         "priority",
         "request_id",
+        "route",
         "sender",
         "sent_at",
         "service",
@@ -72,6 +79,9 @@
         sender: int = 0,
         sent_at: float = 0.0,
         attempt: int = 1,
+        route: str = "",
+        nested: bool = False,
+        objective_s: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -90,11 +100,15 @@
         self.sender = sender
         self.sent_at = sent_at
         self.attempt = attempt
+        self.route = route
+        self.nested = nested
+        self.objective_s = objective_s
 
     def shorten(self, seconds: float) -> None:
         """Deduct the time that the call was on its way."""
         self.deadline_s -= seconds
         self.patience_s = max(self.patience_s - seconds, 0.0)
+        self.objective_s -= seconds
 
     def encode(self) -> list[Any]:
         """Return the fields as the list that ``decode`` reads."""
@@ -116,6 +130,9 @@
             self.sender,
             self.sent_at,
             self.attempt,
+            self.route,
+            self.nested,
+            self.objective_s,
         ]
 
     @classmethod
@@ -144,6 +161,9 @@
             sender,
             sent_at,
             attempt,
+            route,
+            nested,
+            objective_s,
         ) = values
         return cls(
             request_id=request_id,
@@ -163,4 +183,7 @@
             sender=sender,
             sent_at=sent_at,
             attempt=attempt,
+            route=route,
+            nested=nested,
+            objective_s=objective_s,
         )
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -40,10 +40,13 @@
 it when the owner has no room."""
 _MAX_TRIES = 4
 """Daemons tried for one request; each refusal costs one round trip."""
+_MAX_NESTED_TRIES = 12
+"""The same for a call of a running request, whose refusal loses the
+work on that request, too."""
 _RETRY_DELAY_S = 0.03
-_QUEUE_SHARE = 0.5
-"""Share of the latency objective within which a queued request must
-start."""
+_PATIENCE_SHARE = 0.5
+"""Share of the latency objective within which the key of a request must
+be granted."""
 _GIVE_UP_SHARE = 0.2
 """Share of the latency objective after which a request that was sent to
 no target is refused."""
@@ -196,9 +199,15 @@
         self.in_flight += 1
         progress = _Progress()
         try:
-            response = await self._run(
-                req, route, service, progress, is_keyed=is_keyed
-            )
+            with self._gate.running.nested(req.request_id) as nested:
+                response = await self._run(
+                    req,
+                    route,
+                    service,
+                    progress,
+                    is_keyed=is_keyed,
+                    nested=nested,
+                )
         except asyncio.CancelledError:
             self._log(req, route, service, progress, None, config.version)
             raise
@@ -215,6 +224,7 @@
         progress: _Progress,
         *,
         is_keyed: bool,
+        nested: bool,
     ) -> Response:
         deadline = _deadline(req, route)
         self._budget(service).note_request(self._loop.time())
@@ -233,11 +243,14 @@
             deadline_s=deadline - req.arrived_at,
             patience_s=0.0,
             sender=self._roster.own.incarnation,
+            route=route.name,
+            nested=nested,
         )
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
-        give_up_at = min(
-            deadline, req.arrived_at + route.objective_s * _GIVE_UP_SHARE
-        )
+        give_up_at = deadline
+        if not nested:
+            give_up_s = route.objective_s * _GIVE_UP_SHARE
+            give_up_at = min(deadline, req.arrived_at + give_up_s)
         while True:
             member = await self._choose(call, route, progress, give_up_at)
             now = self._loop.time()
@@ -246,8 +259,9 @@
             call.deadline_s = deadline - now
             waited_s = now - req.arrived_at
             call.patience_s = max(
-                route.objective_s * _QUEUE_SHARE - waited_s, 0.0
+                route.objective_s * _PATIENCE_SHARE - waited_s, 0.0
             )
+            call.objective_s = route.objective_s - waited_s
             call.attempt = len(progress.attempts) + 1
             last = await self._attempt(member, call, progress)
             response = self._final_response(last, route, progress)
@@ -266,7 +280,8 @@
         give_up_at: float,
     ) -> Member | None:
         """Return the next member to try, after a wait if needed."""
-        while len(progress.attempts) < _MAX_TRIES:
+        max_tries = _MAX_NESTED_TRIES if call.nested else _MAX_TRIES
+        while len(progress.attempts) < max_tries:
             if call.key is None:
                 member = self._chooser.best(
                     call.service, route, progress.tried
--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -3,61 +3,62 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import itertools
+from typing import TYPE_CHECKING
 
 from burdockgap.forward.rate_limit import RateLimit
+from burdockgap.scheduling.queued_call import QueuedCall
+from burdockgap.scheduling.wait_queue import WaitQueue
 from burdockgap.verdict import Reason, Refusal, Verdict
 
-_NO_ROOM = "The target has no room for the request; retry later."
-
-
-class _Waiter:
-    """A queued request, ordered by priority and then by age."""
-
-    __slots__ = ("fut", "rank")
-
-    def __init__(
-        self, rank: tuple[int, int], fut: asyncio.Future[None]
-    ) -> None:
-        self.rank = rank
-        self.fut = fut
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-    def __lt__(self, other: _Waiter) -> bool:
-        return self.rank < other.rank
+_NO_ROOM = "The target has no room for the request; retry later."
 
 
 class Slots:
     """
-    Admits as many requests as a target has slots and queues a few more.
+    Admits as many requests as a target has slots; others may queue.
 
     :param limit: bounds the rate of admissions; no limit by default.
+    :param queue_size: hard bound of the requests that may wait.
+    :param mean_s: returns the mean service time of the running
+        requests, in seconds.
     :ivar size: requests admitted at once.
-    :ivar queue_size: requests that may wait.
     :ivar in_flight: requests admitted now.
     """
 
     __slots__ = (
         "_counter",
+        "_futures",
         "_limit",
         "_limit_timer",
         "_loop",
+        "_mean_s",
         "_queue",
         "in_flight",
-        "queue_size",
         "size",
     )
 
     def __init__(
-        self, *, size: int, queue_size: int, limit: RateLimit | None = None
+        self,
+        *,
+        size: int,
+        queue_size: int | None = None,
+        limit: RateLimit | None = None,
+        mean_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._limit = limit or RateLimit()
         self._limit_timer: asyncio.TimerHandle | None = None
-        self._queue: list[_Waiter] = []
+        self._queue = (
+            WaitQueue() if queue_size is None else WaitQueue(queue_size)
+        )
+        self._futures: dict[QueuedCall, asyncio.Future[None]] = {}
         self._counter = itertools.count()
+        self._mean_s = mean_s
         self.size = size
-        self.queue_size = queue_size
         self.in_flight = 0
 
     @property
@@ -65,16 +66,29 @@
         """Requests in the queue."""
         return len(self._queue)
 
-    async def acquire(self, *, priority: int, wait_s: float) -> None:
+    async def acquire(
+        self,
+        *,
+        priority: int,
+        wait_s: float,
+        nested: bool = False,
+        in_time: bool = True,
+        service_s: float = 0.0,
+    ) -> None:
         """
         Acquire a slot, at once or after a wait in the queue.
 
-        If the queue exceeds its size, its least urgent request is
-        refused. A request that the rate would not admit within its
-        wait is refused at once.
+        A request that is predicted to start too late, or that the rate
+        would not admit within its wait, is refused at once. So are
+        those in the queue that it delays beyond their waits.
 
         :param priority: rank; 0 is the most urgent.
         :param wait_s: longest wait, in seconds.
+        :param nested: whether a running request has made it; it goes
+            before all that is not.
+        :param in_time: whether it can meet its latency objective; it
+            goes before those of its priority that cannot.
+        :param service_s: expected service time, in seconds.
         :raises Refusal: with ``not-run``, if the wait takes too long
             or the request is removed from the queue.
         """
@@ -86,25 +100,24 @@
         ):
             self.in_flight += 1
             return
-        ahead = sum(waiter.rank[0] <= priority for waiter in self._queue)
+        rank = (not nested, priority, not in_time, next(self._counter))
+        ahead = self._queue.ahead_of(rank)
         if self._limit.wait_s(now, ahead) > max(wait_s, 0.0):
             raise Refusal(Verdict.NOT_RUN, Reason.RATE_LIMITED, _NO_ROOM)
-        waiter = self._enqueue(priority)
+        call = QueuedCall(rank, now + wait_s, service_s)
+        fut = self._enqueue(call, now)
         self._admit()
-        timer = self._loop.call_later(
-            max(wait_s, 0.0), _refuse, waiter.fut, Reason.QUEUE_TIMEOUT
-        )
+        timer = self._loop.call_at(call.latest_start, self._time_out, call)
         try:
-            await waiter.fut
+            await fut
         except asyncio.CancelledError:
-            fut = waiter.fut
             if fut.done() and not fut.cancelled() and fut.exception() is None:
                 self.release()
             raise
         finally:
             timer.cancel()
-            if waiter in self._queue:
-                self._queue.remove(waiter)
+            self._queue.remove(call)
+            self._futures.pop(call, None)
 
     def release(self) -> None:
         """Release a slot and admit a queued request."""
@@ -118,36 +131,46 @@
 
     def refuse_waiting(self, reason: Reason) -> None:
         """Refuse all queued requests."""
-        for waiter in self._queue:
-            _refuse(waiter.fut, reason)
-
-    def _enqueue(self, priority: int) -> _Waiter:
-        rank = (priority, next(self._counter))
-        waiter = _Waiter(rank, self._loop.create_future())
-        bisect.insort(self._queue, waiter)
-        if len(self._queue) > self.queue_size:
-            last = self._queue.pop()
-            _refuse(last.fut, Reason.QUEUE_FULL)
-        return waiter
+        for call in self._queue.clear():
+            self._refuse(call, reason)
+
+    def _enqueue(self, call: QueuedCall, now: float) -> asyncio.Future[None]:
+        fut = self._futures[call] = self._loop.create_future()
+        self._queue.running_s = self._mean_s()
+        for refused in self._queue.offer(call, now, self.in_flight, self.size):
+            # What starts too late by itself is no matter of the others.
+            is_late = call.predicted_start > call.latest_start
+            self._refuse(
+                refused,
+                Reason.QUEUE_TIMEOUT if is_late else Reason.QUEUE_FULL,
+            )
+        return fut
 
     def _admit(self) -> None:
         while self._queue and self.in_flight < self.size:
-            if self._queue[0].fut.done():
-                self._queue.pop(0)
-                continue
             now = self._loop.time()
-            if not self._limit.take(now):
-                self._admit_in(self._limit.wait_s(now))
+            limit_s = self._limit.wait_s(now)
+            if limit_s > 0:
+                self._admit_in(limit_s)
                 return
+            call = self._queue.pop(now)
+            fut = self._futures.pop(call, None) if call else None
+            if fut is None or fut.done():
+                continue
+            self._limit.take(now)
             self.in_flight += 1
-            self._queue.pop(0).fut.set_result(None)
+            fut.set_result(None)
 
     def _admit_in(self, seconds: float) -> None:
         if self._limit_timer is not None:
             self._limit_timer.cancel()
         self._limit_timer = self._loop.call_later(seconds, self._admit)
 
+    def _time_out(self, call: QueuedCall) -> None:
+        self._queue.remove(call)
+        self._refuse(call, Reason.QUEUE_TIMEOUT)
 
-def _refuse(fut: asyncio.Future[None], reason: Reason) -> None:
-    if not fut.done():
-        fut.set_exception(Refusal(Verdict.NOT_RUN, reason, _NO_ROOM))
+    def _refuse(self, call: QueuedCall, reason: Reason) -> None:
+        fut = self._futures.pop(call, None)
+        if fut is not None and not fut.done():
+            fut.set_exception(Refusal(Verdict.NOT_RUN, reason, _NO_ROOM))
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -9,11 +9,14 @@
 from burdockgap.forward.dedup_cache import DedupCache
 from burdockgap.forward.load import Load
 from burdockgap.forward.outcome import Outcome
+from burdockgap.forward.running_requests import RunningRequests
 from burdockgap.forward.slots import Slots
 from burdockgap.hop.listener import CALLER_CONNECTION_LOST
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response_limits import ResponseLimits
+from burdockgap.scheduling.service_times import ServiceTimes
+from burdockgap.scheduling.start_window import longest_wait_s
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -32,7 +35,6 @@
 """Below the 10 s after which targets close idle connections."""
 _NON_IDEMPOTENT_IDLE_S = 4.0
 _MAX_BODY_BYTES = 64 * 1024 * 1024
-_QUEUE_PER_SLOT = 0.5
 _RETRY_AFTER_S = 0.1
 _LIMIT_REASONS = frozenset(
     {Reason.RATE_LIMITED, Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT}
@@ -61,6 +63,7 @@
     :param buffers: bounds the incomplete responses.
     :param on_event: logs a decision.
     :param on_outcome: counts an outcome and its duration in seconds.
+    :ivar running: the requests that the target is running.
     :ivar holder: keys that the target holds; ``None`` until known.
     :ivar leaving: whether this daemon is about to stop; only calls with
         keys are served then, until the keys have moved.
@@ -81,6 +84,7 @@
         "_pool",
         "_protocol",
         "_dedup_cache",
+        "_service_times",
         "_slots",
         "_state",
         "_out_since",
@@ -89,6 +93,7 @@
         "ends_at",
         "holder",
         "leaving",
+        "running",
         "service",
     )
 
@@ -118,7 +123,13 @@
         self._protocol = protocol
         self._out_since = out_since
         self._on_event = on_event
-        self._slots = Slots(size=1, queue_size=1, limit=state.limit)
+        self._service_times = ServiceTimes()
+        self._slots = Slots(
+            size=1,
+            limit=state.limit,
+            mean_s=lambda: self._service_times.mean_s,
+        )
+        self.running = RunningRequests()
         self._dedup_cache = DedupCache()
         self._pool: ClientPool | None = None
         self.holder: ShardHolder | None = None
@@ -177,7 +188,6 @@
             )
         if not self._state.up:
             self._pool.close()
-        self._slots.queue_size = max(round(info.slots * _QUEUE_PER_SLOT), 1)
         self._slots.resize(info.slots)
         if not self._state.takes_work and self.holder is None:
             self._slots.refuse_waiting(Reason.DRAINING)
@@ -232,7 +242,6 @@
 
     async def _attempt(self, call: Call, deadline: float) -> Outcome:
         began = self._loop.time()
-        wait_deadline = min(began + call.patience_s, deadline)
         try:
             self._crashes.check(call)
             if deadline > self.ends_at and not call.idempotent:
@@ -243,18 +252,16 @@
             if self.holder is not None and call.key is not None:
                 self.holder.samples.add(call.key)
                 await self.holder.wait_until_held(
-                    call.key, wait_deadline - began
+                    call.key, min(call.patience_s, call.deadline_s)
                 )
-            await self._slots.acquire(
-                priority=call.priority,
-                wait_s=wait_deadline - self._loop.time(),
-            )
+            await self._acquire_slot(call, began, deadline)
         except Refusal as exc:
             return self._refusal_outcome(exc)
         waited_s = self._loop.time() - began
         self._large_in_flight += call.large
         try:
-            outcome = await self._dispatch(call, deadline)
+            with self.running.run(call.request_id):
+                outcome = await self._dispatch(call, deadline)
         except Refusal as exc:
             outcome = self._refusal_outcome(exc)
         finally:
@@ -263,6 +270,27 @@
         outcome.waited_s = waited_s
         return outcome
 
+    async def _acquire_slot(
+        self, call: Call, began: float, deadline: float
+    ) -> None:
+        times, now = self._service_times, self._loop.time()
+        times.initial_s = self._state.service_s
+        mean_s = times.estimate_s(call.route)
+        objective_s = call.objective_s - (now - began)
+        await self._slots.acquire(
+            priority=call.priority,
+            wait_s=longest_wait_s(
+                nested=call.nested,
+                deadline_s=deadline - now,
+                objective_s=objective_s,
+                mean_s=mean_s,
+                tail_s=times.tail_s(call.route),
+            ),
+            nested=call.nested,
+            in_time=objective_s > mean_s,
+            service_s=mean_s,
+        )
+
     def _check_open(self, call: Call) -> None:
         if call.service != self.service:
             raise _refusal(Reason.UNKNOWN_SERVICE)
@@ -344,9 +372,9 @@
             )
         if response.is_success:
             # Errors return too fast to represent the service time.
-            self._state.note_success(
-                self._loop.time() - began, self._protocol.slowness(response)
-            )
+            took_s = self._loop.time() - began
+            self._service_times.note(call.route, took_s)
+            self._state.note_success(took_s, self._protocol.slowness(response))
             if call.large:
                 self._update_mean_size(len(response.body))
         self._crashes.answered(call)
--- /dev/null
+++ b/src/burdockgap/scheduling/queued_call.py
@@ -0,0 +1,32 @@
+"""A request that waits for a slot."""
+
+from __future__ import annotations
+
+
+class QueuedCall:
+    """
+    A request in a server's queue.
+
+    :param rank: order in the queue, the lowest first.
+    :param latest_start: time after which it is not started.
+    :param service_s: expected service time, in seconds.
+    :ivar offered_at: when it was offered to the queue.
+    :ivar predicted_start: start predicted at that time.
+    """
+
+    __slots__ = (
+        "latest_start",
+        "offered_at",
+        "predicted_start",
+        "rank",
+        "service_s",
+    )
+
+    def __init__(
+        self, rank: tuple[int, ...], latest_start: float, service_s: float
+    ) -> None:
+        self.rank = rank
+        self.latest_start = latest_start
+        self.service_s = service_s
+        self.offered_at = 0.0
+        self.predicted_start = 0.0
--- a/tests/forward/builders.py
+++ b/tests/forward/builders.py
@@ -31,6 +31,8 @@
         "priority": 1,
         "deadline_s": 1.0,
         "patience_s": 0.15,
+        "route": "book",
+        "objective_s": 0.3,
     }
     call = Call(**{**defaults, **fields})
     if "request_id" in fields and "headers" not in fields:
