--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -8,7 +8,7 @@
 
 from burdockgap.forward.rate_limit import RateLimit
 from burdockgap.scheduling.queued_call import QueuedCall
-from burdockgap.scheduling.wait_queue import WaitQueue
+from burdockgap.scheduling.slot_queue import SlotQueue
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -21,12 +21,11 @@
     """
     Admits as many requests as a target has slots; others may queue.
 
-    :param limit: bounds the rate of admissions; no limit by default.
+    :param size: requests admitted at once.
     :param queue_size: hard bound of the requests that may wait.
+    :param limit: bounds the rate of admissions; no limit by default.
     :param mean_s: returns the mean service time of the running
         requests, in seconds.
-    :ivar size: requests admitted at once.
-    :ivar in_flight: requests admitted now.
     """
 
     __slots__ = (
@@ -37,8 +36,7 @@
         "_loop",
         "_mean_s",
         "_queue",
-        "in_flight",
-        "size",
+        "_slots",
     )
 
     def __init__(
@@ -52,14 +50,21 @@
         self._loop = asyncio.get_running_loop()
         self._limit = limit or RateLimit()
         self._limit_timer: asyncio.TimerHandle | None = None
-        self._queue = (
-            WaitQueue() if queue_size is None else WaitQueue(queue_size)
-        )
-        self._futures: dict[QueuedCall, asyncio.Future[None]] = {}
+        self._slots = SlotQueue(size, queue_size)
+        self._queue = self._slots.queue
+        self._futures: dict[QueuedCall, asyncio.Future[float]] = {}
         self._counter = itertools.count()
         self._mean_s = mean_s
-        self.size = size
-        self.in_flight = 0
+
+    @property
+    def size(self) -> int:
+        """Requests admitted at once."""
+        return self._slots.size
+
+    @property
+    def in_flight(self) -> int:
+        """Requests admitted now."""
+        return self._slots.in_flight
 
     @property
     def waiting(self) -> int:
@@ -74,13 +79,13 @@
         nested: bool = False,
         in_time: bool = True,
         service_s: float = 0.0,
-    ) -> None:
+    ) -> float:
         """
         Acquire a slot, at once or after a wait in the queue.
 
         A request that is predicted to start too late, or that the rate
         would not admit within its wait, is refused at once. So are
-        those in the queue that it delays beyond their waits.
+        those of lower rank that it delays beyond their waits.
 
         :param priority: rank; 0 is the most urgent.
         :param wait_s: longest wait, in seconds.
@@ -89,44 +94,49 @@
         :param in_time: whether it can meet its latency objective; it
             goes before those of its priority that cannot.
         :param service_s: expected service time, in seconds.
+        :return: when the slot was acquired, for ``release``.
         :raises Refusal: with ``not-run``, if the wait takes too long
             or the request is removed from the queue.
         """
         now = self._loop.time()
-        if (
-            self.in_flight < self.size
-            and not self._queue
-            and self._limit.take(now)
-        ):
-            self.in_flight += 1
-            return
-        rank = (not nested, priority, not in_time, next(self._counter))
+        if self._slots.has_room and not self._queue and self._limit.take(now):
+            if not nested:
+                self._slots.note_arrival(refused=False, mean_s=self._mean_s())
+            self._slots.start(now)
+            return now
+        precedence = (not nested, priority, not in_time)
+        rank = (precedence, now + wait_s, next(self._counter))
         ahead = self._queue.ahead_of(rank)
         if self._limit.wait_s(now, ahead) > max(wait_s, 0.0):
             raise Refusal(Verdict.NOT_RUN, Reason.RATE_LIMITED, _NO_ROOM)
         call = QueuedCall(rank, now + wait_s, service_s)
-        fut = self._enqueue(call, now)
+        fut = self._enqueue(call, now, nested=nested)
         self._admit()
         timer = self._loop.call_at(call.latest_start, self._time_out, call)
         try:
-            await fut
+            return await fut
         except asyncio.CancelledError:
             if fut.done() and not fut.cancelled() and fut.exception() is None:
-                self.release()
+                self.release(fut.result())
             raise
         finally:
             timer.cancel()
             self._queue.remove(call)
             self._futures.pop(call, None)
 
-    def release(self) -> None:
-        """Release a slot and admit a queued request."""
-        self.in_flight -= 1
+    def release(self, acquired_at: float | None = None) -> None:
+        """
+        Release a slot and admit a queued request.
+
+        :param acquired_at: when it was acquired; ``None`` for the one
+            that was acquired first.
+        """
+        self._slots.end(acquired_at)
         self._admit()
 
     def resize(self, size: int) -> None:
         """Change the number of slots and admit queued requests."""
-        self.size = size
+        self._slots.size = size
         self._admit()
 
     def refuse_waiting(self, reason: Reason) -> None:
@@ -134,32 +144,34 @@
         for call in self._queue.clear():
             self._refuse(call, reason)
 
-    def _enqueue(self, call: QueuedCall, now: float) -> asyncio.Future[None]:
+    def _enqueue(
+        self, call: QueuedCall, now: float, *, nested: bool
+    ) -> asyncio.Future[float]:
         fut = self._futures[call] = self._loop.create_future()
-        self._queue.running_s = self._mean_s()
-        for refused in self._queue.offer(call, now, self.in_flight, self.size):
-            # What starts too late by itself is no matter of the others.
-            is_late = call.predicted_start > call.latest_start
+        refused = self._slots.offer(call, now, self._mean_s(), nested=nested)
+        for item in refused:
+            is_late = item is call and len(self._queue) < self._queue.max_calls
             self._refuse(
-                refused,
-                Reason.QUEUE_TIMEOUT if is_late else Reason.QUEUE_FULL,
+                item, Reason.QUEUE_TIMEOUT if is_late else Reason.QUEUE_FULL
             )
         return fut
 
     def _admit(self) -> None:
-        while self._queue and self.in_flight < self.size:
+        while self._queue and self._slots.has_room:
             now = self._loop.time()
             limit_s = self._limit.wait_s(now)
             if limit_s > 0:
                 self._admit_in(limit_s)
                 return
             call = self._queue.pop(now)
-            fut = self._futures.pop(call, None) if call else None
+            # A call that was cancelled is removed in a later turn; one
+            # whose latest start has passed is refused by its timer.
+            fut = self._futures.get(call) if call else None
             if fut is None or fut.done():
                 continue
             self._limit.take(now)
-            self.in_flight += 1
-            fut.set_result(None)
+            self._slots.start(now)
+            fut.set_result(now)
 
     def _admit_in(self, seconds: float) -> None:
         if self._limit_timer is not None:
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -254,7 +254,7 @@
                 await self.holder.wait_until_held(
                     call.key, min(call.patience_s, call.deadline_s)
                 )
-            await self._acquire_slot(call, began, deadline)
+            acquired_at = await self._acquire_slot(call, began, deadline)
         except Refusal as exc:
             return self._refusal_outcome(exc)
         waited_s = self._loop.time() - began
@@ -266,18 +266,18 @@
             outcome = self._refusal_outcome(exc)
         finally:
             self._large_in_flight -= call.large
-            self._slots.release()
+            self._slots.release(acquired_at)
         outcome.waited_s = waited_s
         return outcome
 
     async def _acquire_slot(
         self, call: Call, began: float, deadline: float
-    ) -> None:
+    ) -> float:
         times, now = self._service_times, self._loop.time()
         times.initial_s = self._state.service_s
         mean_s = times.estimate_s(call.route)
         objective_s = call.objective_s - (now - began)
-        await self._slots.acquire(
+        return await self._slots.acquire(
             priority=call.priority,
             wait_s=longest_wait_s(
                 nested=call.nested,
--- a/src/burdockgap/scheduling/wait_queue.py
+++ b/src/burdockgap/scheduling/wait_queue.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from burdockgap.scheduling.queued_call import QueuedCall
+    from burdockgap.scheduling.queued_call import QueuedCall, Rank
 
 _MAX_CALLS = 256
 """Bounds memory and the time of an arrival's prediction. Servers of
@@ -45,33 +45,48 @@
         return len(self._calls)
 
     def offer(
-        self, call: QueuedCall, now: float, in_flight: int, slots: int
+        self,
+        call: QueuedCall,
+        now: float,
+        in_flight: int,
+        slots: int,
+        margin_s: float = 0.0,
     ) -> list[QueuedCall]:
         """
         Add a request, and remove those that will not start in time.
 
+        A request goes before others of its class whose latest start is
+        later, but it is refused if that makes one of them too late:
+        those have waited longer. Of a lower class, those are refused.
+
         :param in_flight: requests that are running.
         :param slots: requests that may run at once.
-        :return: the requests that are refused now: the offered one, or
-            those that it delays beyond their latest start.
+        :param margin_s: by how much the offered request has to start
+            before its latest start.
+        :return: the requests that are refused now.
         """
         index = bisect.bisect(self._calls, call.rank, key=_by_rank)
         behind = self._calls[index:]
-        del self._calls[index:]
+        free, work_s = self._ahead(in_flight, slots, index)
         call.offered_at = now
-        refused = []
-        free, work_s = self._ahead(in_flight, slots)
+        call.predicted_start = self._start(now, free, work_s, slots)
+        if call.predicted_start + margin_s > call.latest_start:
+            return [call]
+        delay_s = call.service_s / max(slots, 1)
+        kept, refused = self._calls[:index], []
         for item in (call, *behind):
             start = self._start(now, free, work_s, slots)
-            if item is call:
-                call.predicted_start = start
-            if start > item.latest_start:
+            if item is not call and start > item.latest_start:
+                is_due_to_call = start - delay_s <= item.latest_start
+                if is_due_to_call and item.is_equal_to(call):
+                    return [call]
                 refused.append(item)
                 continue
-            self._calls.append(item)
-            free, work_s = free - 1, work_s + item.service_s * (free <= 0)
-        while len(self._calls) > self.max_calls:
-            refused.append(self._calls.pop())
+            kept.append(item)
+            work_s += item.service_s * (free <= 0)
+            free -= 1
+        refused.extend(kept[self.max_calls :])
+        self._calls = kept[: self.max_calls]
         return refused
 
     def predicted_start(
@@ -90,7 +105,7 @@
                 return call
         return None
 
-    def ahead_of(self, rank: tuple[int, ...]) -> int:
+    def ahead_of(self, rank: Rank) -> int:
         """Return the number of requests that start before a rank."""
         return bisect.bisect_left(self._calls, rank, key=_by_rank)
 
@@ -105,7 +120,7 @@
         return calls
 
     def _ahead(
-        self, in_flight: int, slots: int, count: int | None = None
+        self, in_flight: int, slots: int, count: int
     ) -> tuple[int, float]:
         """
         Return what is left by the first ``count`` requests.
@@ -113,7 +128,7 @@
         :return: the slots that they leave free (below 0 if some of them
             wait) and the work, in seconds, of those that wait.
         """
-        calls = self._calls if count is None else self._calls[:count]
+        calls = self._calls[:count]
         free = max(slots - in_flight, 0)
         work_s = sum(call.service_s for call in calls[free:])
         return free - len(calls), work_s
