--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -33,11 +33,11 @@
 _DEFAULT_TIMEOUT_S = 30.0
 _REPLY_GRACE_S = 0.05
 """How long after the deadline a target's daemon may still reply."""
-_FINAL_KEYED_REASONS = frozenset(
+_NO_ROOM_REASONS = frozenset(
     {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.RATE_LIMITED}
 )
-"""Not retried for a key: it has one owner, so no other target can serve
-it when the owner has no room."""
+"""The target has no room. Not retried for a key: it has one owner, so
+no other target can serve it."""
 _MAX_TRIES = 4
 """Daemons tried for one request; each refusal costs one round trip."""
 _MAX_NESTED_TRIES = 12
@@ -51,6 +51,8 @@
 """Share of the latency objective after which a request that was sent to
 no target is refused."""
 _RETRY_AFTER_S = (0.1, 0.25)
+_HONOURED_SHARE = 1 / 3
+"""Share of its remaining time that a caller waits at most."""
 _SERVER_ERROR = 500
 _BUDGET_RATIO_SHARE = 0.35
 _BUDGET_EXTRA_SHARE = 0.5
@@ -68,15 +70,24 @@
     :ivar error_response: the last server error in response to an
         idempotent request.
     :ivar possible_runs: attempts that ran or may have run.
+    :ivar retry_after_s: the shortest time after which a target that had
+        no room expects to have some, infinite if there was none.
     :ivar tried: names of the members that were tried.
     """
 
-    __slots__ = ("attempts", "error_response", "possible_runs", "tried")
+    __slots__ = (
+        "attempts",
+        "error_response",
+        "possible_runs",
+        "retry_after_s",
+        "tried",
+    )
 
     def __init__(self) -> None:
         self.attempts: list[list[Any]] = []
         self.tried: set[str] = set()
         self.possible_runs = 0
+        self.retry_after_s = math.inf
         self.error_response: Response | None = None
 
 
@@ -255,7 +266,7 @@
             member = await self._choose(call, route, progress, give_up_at)
             now = self._loop.time()
             if member is None or now >= deadline:
-                return self._failure_response(progress, last)
+                return self._failure_response(progress, last, deadline)
             call.deadline_s = deadline - now
             waited_s = now - req.arrived_at
             call.patience_s = max(
@@ -268,9 +279,9 @@
             if response is not None:
                 return response
             if is_keyed and _is_final_for_key(last, route):
-                return self._failure_response(progress, last)
+                return self._failure_response(progress, last, deadline)
             if not self._may_retry(last, route, service, progress, give_up_at):
-                return self._failure_response(progress, last)
+                return self._failure_response(progress, last, deadline)
 
     async def _choose(
         self,
@@ -312,6 +323,10 @@
             outcome = await self._call_member(member, call)
         if outcome.verdict is not Verdict.NOT_RUN:
             progress.possible_runs += 1
+        elif outcome.reason in _NO_ROOM_REASONS:
+            progress.retry_after_s = min(
+                progress.retry_after_s, outcome.retry_after_s
+            )
         progress.attempts.append(
             [
                 member.name,
@@ -421,7 +436,7 @@
         )
 
     def _failure_response(
-        self, progress: _Progress, last: Outcome
+        self, progress: _Progress, last: Outcome, deadline: float
     ) -> Response:
         """Return the response to a request that is not retried."""
         if progress.error_response is not None:
@@ -429,7 +444,14 @@
         if progress.possible_runs:
             status = 504 if last.reason is Reason.DEADLINE else 502
             return Response(status)
-        pause_s = max(last.retry_after_s, random.uniform(*_RETRY_AFTER_S))
+        # The target that has room first determines the time; callers
+        # honour no more than a share of the time they have left.
+        left_s = deadline - self._loop.time()
+        told_s = last.retry_after_s
+        if math.isfinite(progress.retry_after_s):
+            told_s = progress.retry_after_s
+        told_s = min(told_s, left_s * _HONOURED_SHARE)
+        pause_s = max(told_s, random.uniform(*_RETRY_AFTER_S))
         return Response(503, [("Retry-After", f"{pause_s:.3f}")])
 
     def _without_hop_headers(self, response: Response) -> Response:
@@ -489,7 +511,7 @@
     """Return whether no other attempt for the key can succeed."""
     # The owner's daemon sends it no non-idempotent request twice.
     is_spent = outcome.sent and not route.idempotent
-    return is_spent or outcome.reason in _FINAL_KEYED_REASONS
+    return is_spent or outcome.reason in _NO_ROOM_REASONS
 
 
 def _deadline(req: CallerRequest, route: Route) -> float:
--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -6,6 +6,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from burdockgap.forward.no_room import NoRoom
 from burdockgap.forward.rate_limit import RateLimit
 from burdockgap.scheduling.queued_call import QueuedCall
 from burdockgap.scheduling.slot_queue import SlotQueue
@@ -14,8 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_NO_ROOM = "The target has no room for the request; retry later."
-
 
 class Slots:
     """
@@ -108,7 +107,7 @@
         rank = (precedence, now + wait_s, next(self._counter))
         ahead = self._queue.ahead_of(rank)
         if self._limit.wait_s(now, ahead) > max(wait_s, 0.0):
-            raise Refusal(Verdict.NOT_RUN, Reason.RATE_LIMITED, _NO_ROOM)
+            raise NoRoom(Reason.RATE_LIMITED, 0.0)
         call = QueuedCall(rank, now + wait_s, service_s)
         fut = self._enqueue(call, now, nested=nested)
         self._admit()
@@ -142,7 +141,7 @@
     def refuse_waiting(self, reason: Reason) -> None:
         """Refuse all queued requests."""
         for call in self._queue.clear():
-            self._refuse(call, reason)
+            self._refuse(call, Refusal(Verdict.NOT_RUN, reason))
 
     def _enqueue(
         self, call: QueuedCall, now: float, *, nested: bool
@@ -151,7 +150,7 @@
         refused = self._slots.offer(call, now, self._mean_s(), nested=nested)
         for item in refused:
             is_late = item is call and len(self._queue) < self._queue.max_calls
-            self._refuse(
+            self._refuse_for_room(
                 item, Reason.QUEUE_TIMEOUT if is_late else Reason.QUEUE_FULL
             )
         return fut
@@ -180,9 +179,15 @@
 
     def _time_out(self, call: QueuedCall) -> None:
         self._queue.remove(call)
-        self._refuse(call, Reason.QUEUE_TIMEOUT)
+        self._refuse_for_room(call, Reason.QUEUE_TIMEOUT)
+
+    def _refuse_for_room(self, call: QueuedCall, reason: Reason) -> None:
+        room_in_s = self._slots.room_in_s(
+            call, self._loop.time(), self._mean_s()
+        )
+        self._refuse(call, NoRoom(reason, room_in_s))
 
-    def _refuse(self, call: QueuedCall, reason: Reason) -> None:
+    def _refuse(self, call: QueuedCall, exc: Refusal) -> None:
         fut = self._futures.pop(call, None)
         if fut is not None and not fut.done():
-            fut.set_exception(Refusal(Verdict.NOT_RUN, reason, _NO_ROOM))
+            fut.set_exception(exc)
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -8,6 +8,7 @@
 
 from burdockgap.forward.dedup_cache import DedupCache
 from burdockgap.forward.load import Load
+from burdockgap.forward.no_room import NoRoom
 from burdockgap.forward.outcome import Outcome
 from burdockgap.forward.running_requests import RunningRequests
 from burdockgap.forward.slots import Slots
@@ -15,6 +16,7 @@
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response_limits import ResponseLimits
+from burdockgap.scheduling.return_times import ReturnTimes
 from burdockgap.scheduling.service_times import ServiceTimes
 from burdockgap.scheduling.start_window import longest_wait_s
 from burdockgap.verdict import Reason, Refusal, Verdict
@@ -36,6 +38,8 @@
 _NON_IDEMPOTENT_IDLE_S = 4.0
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 _RETRY_AFTER_S = 0.1
+_MIN_SERVICE_S = 0.001
+"""Bounds the rate at which refused requests are asked to return."""
 _LIMIT_REASONS = frozenset(
     {Reason.RATE_LIMITED, Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT}
 )
@@ -84,6 +88,7 @@
         "_pool",
         "_protocol",
         "_dedup_cache",
+        "_return_times",
         "_service_times",
         "_slots",
         "_state",
@@ -124,6 +129,7 @@
         self._out_since = out_since
         self._on_event = on_event
         self._service_times = ServiceTimes()
+        self._return_times = ReturnTimes()
         self._slots = Slots(
             size=1,
             limit=state.limit,
@@ -256,14 +262,14 @@
                 )
             acquired_at = await self._acquire_slot(call, began, deadline)
         except Refusal as exc:
-            return self._refusal_outcome(exc)
+            return self._refusal_outcome(exc, call)
         waited_s = self._loop.time() - began
         self._large_in_flight += call.large
         try:
             with self.running.run(call.request_id):
                 outcome = await self._dispatch(call, deadline)
         except Refusal as exc:
-            outcome = self._refusal_outcome(exc)
+            outcome = self._refusal_outcome(exc, call)
         finally:
             self._large_in_flight -= call.large
             self._slots.release(acquired_at)
@@ -403,8 +409,12 @@
             Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, sent=True
         )
 
-    def _refusal_outcome(self, exc: Refusal) -> Outcome:
+    def _refusal_outcome(self, exc: Refusal, call: Call) -> Outcome:
         retry_after_s = _RETRY_AFTER_S
+        if isinstance(exc, NoRoom):
+            retry_after_s = max(
+                retry_after_s, self._return_after_s(exc.room_in_s, call)
+            )
         if exc.reason in _LIMIT_REASONS:
             retry_after_s = max(
                 retry_after_s,
@@ -416,6 +426,15 @@
             exc.verdict, reason=exc.reason, retry_after_s=retry_after_s
         )
 
+    def _return_after_s(self, room_in_s: float, call: Call) -> float:
+        """Return when a request that found no room should return."""
+        mean_s = max(self._service_times.mean_s, _MIN_SERVICE_S)
+        times = self._return_times
+        # A request that several targets refuse returns to one of them,
+        # so it takes a place at the first.
+        tell = times.book if call.attempt == 1 else times.quote
+        return tell(self._loop.time(), room_in_s, self._slots.size / mean_s)
+
     def _on_unexpected_bytes(self, what: str) -> None:
         self._on_event("unexpected_bytes", {"detail": what})
 
--- a/src/burdockgap/scheduling/slot_queue.py
+++ b/src/burdockgap/scheduling/slot_queue.py
@@ -91,9 +91,7 @@
                 now - since > _SLOW_FACTOR * mean_s for since in self._started
             )
             slow = max(min(slow, self.size - 1), 0)
-        margin_s = 0.0
-        if not nested:
-            margin_s = _MARGIN_FACTOR * self._refusals.value * mean_s
+        margin_s = 0.0 if nested else self._margin_s(mean_s)
         self.queue.running_s = mean_s
         refused = self.queue.offer(
             call, now, self.in_flight - slow, self.size - slow, margin_s
@@ -101,3 +99,20 @@
         if not nested:
             self.note_arrival(refused=call in refused, mean_s=mean_s)
         return refused
+
+    def room_in_s(self, call: QueuedCall, now: float, mean_s: float) -> float:
+        """
+        Return after how many seconds a refused request would be queued.
+
+        :param mean_s: mean service time at the server, in seconds.
+        """
+        start = self.queue.predicted_start(
+            call, now, self.in_flight, self.size
+        )
+        window_s = call.latest_start - call.offered_at
+        excess_s = start - now + self._margin_s(mean_s) - window_s
+        # One more request has to end, as its place is not free now.
+        return max(excess_s, 0.0) + mean_s / max(self.size, 1)
+
+    def _margin_s(self, mean_s: float) -> float:
+        return _MARGIN_FACTOR * self._refusals.value * mean_s
--- a/tests/scheduling/builders.py
+++ b/tests/scheduling/builders.py
@@ -8,6 +8,7 @@
 import random
 
 from burdockgap.scheduling.queued_call import QueuedCall
+from burdockgap.scheduling.return_times import ReturnTimes
 from burdockgap.scheduling.service_times import ServiceTimes
 from burdockgap.scheduling.slot_queue import SlotQueue
 from burdockgap.scheduling.start_window import longest_wait_s
@@ -145,6 +146,7 @@
         self.slots = SlotQueue(slots)
         self.queue = self.slots.queue
         self.times = ServiceTimes()
+        self.return_times = ReturnTimes()
         self.calls = {}
         self._counter = itertools.count()
 
@@ -176,6 +178,7 @@
         )
         item = QueuedCall(rank, now + wait_s, mean_s)
         call.latest_start = item.latest_start
+        call.item = item
         self.calls[item] = call
         refused = self.slots.offer(
             item, now, self.times.mean_s, nested=call.nested
@@ -193,6 +196,11 @@
             started.append(self.calls.pop(item))
         return started
 
+    def return_after_s(self, call, now):
+        mean_s = self.times.mean_s
+        room_in_s = self.slots.room_in_s(call.item, now, mean_s)
+        return self.return_times.book(now, room_in_s, self.slots.size / mean_s)
+
     def expire(self, call):
         for item, queued in list(self.calls.items()):
             if queued is call:
@@ -306,3 +314,8 @@
 def told_at_random(_queue, _call, _now, rng):
     """Return the time that everybody was told, whatever the backlog."""
     return rng.uniform(0.1, 0.25)
+
+
+def told_by_room(queue, call, now, _rng):
+    """Return the time that the daemon tells."""
+    return max(0.1, queue.return_after_s(call, now))
