--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -51,6 +51,8 @@
 """Share of the latency objective after which a request that was sent to
 no target is refused."""
 _RETRY_AFTER_S = (0.1, 0.25)
+_SPREAD = (1.0, 1.2)
+"""Separates the returns of callers that are told the shortest time."""
 _HONOURED_SHARE = 1 / 3
 """Share of its remaining time that a caller waits at most."""
 _SERVER_ERROR = 500
@@ -444,14 +446,15 @@
         if progress.possible_runs:
             status = 504 if last.reason is Reason.DEADLINE else 502
             return Response(status)
-        # The target that has room first determines the time; callers
-        # honour no more than a share of the time they have left.
-        left_s = deadline - self._loop.time()
-        told_s = last.retry_after_s
+        pause_s = max(last.retry_after_s, random.uniform(*_RETRY_AFTER_S))
         if math.isfinite(progress.retry_after_s):
-            told_s = progress.retry_after_s
-        told_s = min(told_s, left_s * _HONOURED_SHARE)
-        pause_s = max(told_s, random.uniform(*_RETRY_AFTER_S))
+            # The target that has room first determines the time.
+            pause_s = max(progress.retry_after_s, _RETRY_AFTER_S[0])
+            pause_s *= random.uniform(*_SPREAD)
+        left_s = deadline - self._loop.time()
+        pause_s = max(
+            min(pause_s, left_s * _HONOURED_SHARE), _RETRY_AFTER_S[0]
+        )
         return Response(503, [("Retry-After", f"{pause_s:.3f}")])
 
     def _without_hop_headers(self, response: Response) -> Response:
--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -107,7 +107,7 @@
         rank = (precedence, now + wait_s, next(self._counter))
         ahead = self._queue.ahead_of(rank)
         if self._limit.wait_s(now, ahead) > max(wait_s, 0.0):
-            raise NoRoom(Reason.RATE_LIMITED, 0.0)
+            raise Refusal(Verdict.NOT_RUN, Reason.RATE_LIMITED)
         call = QueuedCall(rank, now + wait_s, service_s)
         fut = self._enqueue(call, now, nested=nested)
         self._admit()
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -18,7 +18,10 @@
 from burdockgap.http1.response_limits import ResponseLimits
 from burdockgap.scheduling.return_times import ReturnTimes
 from burdockgap.scheduling.service_times import ServiceTimes
-from burdockgap.scheduling.start_window import longest_wait_s
+from burdockgap.scheduling.start_window import (
+    latest_return_s,
+    longest_wait_s,
+)
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -433,7 +436,13 @@
         # A request that several targets refuse returns to one of them,
         # so it takes a place at the first.
         tell = times.book if call.attempt == 1 else times.quote
-        return tell(self._loop.time(), room_in_s, self._slots.size / mean_s)
+        return min(
+            tell(self._loop.time(), room_in_s, self._slots.size / mean_s),
+            latest_return_s(
+                objective_s=call.objective_s,
+                tail_s=self._service_times.tail_s(call.route),
+            ),
+        )
 
     def _on_unexpected_bytes(self, what: str) -> None:
         self._on_event("unexpected_bytes", {"detail": what})
--- a/src/burdockgap/scheduling/start_window.py
+++ b/src/burdockgap/scheduling/start_window.py
@@ -10,6 +10,11 @@
 _UNREACHABLE_SHARE = 0.5
 """Share of the objective within which a request starts that would miss
 its objective even without a wait, as its route takes longer."""
+_RETURN_SHARE = 0.5
+"""Share of the time that is not needed to run it in which a refused
+request has to return; in the rest it may wait for a slot. In the
+simulation at 1.6 of capacity, 3 slots served 0.49 of the requests in
+time with it, 0.42 with a share of 1 and 0.39 without."""
 
 
 def longest_wait_s(
@@ -37,3 +42,16 @@
     if 0.0 < objective_s <= mean_s:
         return min(objective_s * _UNREACHABLE_SHARE, by_deadline_s)
     return min(objective_s - tail_s, by_deadline_s)
+
+
+def latest_return_s(*, objective_s: float, tail_s: float) -> float:
+    """
+    Return after how many seconds a refused request may return at most.
+
+    Whoever returns later is answered too late, and in place of a new
+    request that could be answered in time.
+
+    :param objective_s: time left of its latency objective.
+    :param tail_s: time that most requests of its route stay below.
+    """
+    return max(objective_s - tail_s, 0.0) * _RETURN_SHARE
--- a/tests/scheduling/builders.py
+++ b/tests/scheduling/builders.py
@@ -11,7 +11,10 @@
 from burdockgap.scheduling.return_times import ReturnTimes
 from burdockgap.scheduling.service_times import ServiceTimes
 from burdockgap.scheduling.slot_queue import SlotQueue
-from burdockgap.scheduling.start_window import longest_wait_s
+from burdockgap.scheduling.start_window import (
+    latest_return_s,
+    longest_wait_s,
+)
 
 LONG_SHARE = 0.03
 LONG_FACTOR = 7.0
@@ -316,6 +319,11 @@
     return rng.uniform(0.1, 0.25)
 
 
-def told_by_room(queue, call, now, _rng):
+def told_by_room(queue, call, now, rng):
     """Return the time that the daemon tells."""
-    return max(0.1, queue.return_after_s(call, now))
+    latest_s = latest_return_s(
+        objective_s=call.at + call.objective_s - now,
+        tail_s=queue.times.tail_s(call.route),
+    )
+    told_s = min(queue.return_after_s(call, now), latest_s)
+    return max(told_s, 0.1) * rng.uniform(1.0, 1.2)
