--- a/src/burdockgap/forward/call.py
+++ b/src/burdockgap/forward/call.py
@@ -23,14 +23,18 @@
     :param large: whether a large response is expected.
     :param priority: rank; 0 is the most urgent.
     :param deadline_s: time until the caller's deadline, in seconds.
-    :param patience_s: longest wait for a grant of the key and for a
-        slot before it is sent to the target, in seconds.
+    :param patience_s: longest wait for a grant of the key, and longest
+        backlog of the machine's link for a large response, in seconds.
     :param notice: what the caller's daemon knows of the target's
         notices, if anything.
     :param sender: incarnation of the caller's daemon.
     :param sent_at: when it was sent, in seconds of its clock.
     :param attempt: 1 for the first target that is tried.
     :param account: name of the account, "" if the request has none.
+    :param route: name of the route.
+    :param nested: whether a request that is running has made it.
+    :param objective_s: time left of the latency objective, in seconds;
+        below 0 once it has passed.
     """
 
     __slots__ = (
@@ -43,11 +47,14 @@
         "key",
         "large",
         "method",
+        "nested",
         "notice",
+        "objective_s",
         "patience_s",
         "origin",
         "priority",
         "request_id",
+        "route",
         "sender",
         "sent_at",
         "service",
@@ -75,6 +82,9 @@
         sent_at: float = 0.0,
         attempt: int = 1,
         account: str = "",
+        route: str = "",
+        nested: bool = False,
+        objective_s: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -94,11 +104,15 @@
         self.sent_at = sent_at
         self.attempt = attempt
         self.account = account
+        self.route = route
+        self.nested = nested
+        self.objective_s = objective_s
 
     def shorten(self, seconds: float) -> None:
         """Deduct the time that the call was on its way."""
         self.deadline_s -= seconds
         self.patience_s = max(self.patience_s - seconds, 0.0)
+        self.objective_s -= seconds
 
     def encode(self) -> list[Any]:
         """Return the fields as the list that ``decode`` reads."""
@@ -121,6 +135,9 @@
             self.sent_at,
             self.attempt,
             self.account,
+            self.route,
+            self.nested,
+            self.objective_s,
         ]
 
     @classmethod
@@ -150,6 +167,9 @@
             sent_at,
             attempt,
             account,
+            route,
+            nested,
+            objective_s,
         ) = values
         return cls(
             request_id=request_id,
@@ -170,4 +190,7 @@
             sent_at=sent_at,
             attempt=attempt,
             account=account,
+            route=route,
+            nested=nested,
+            objective_s=objective_s,
         )
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -35,21 +35,28 @@
 _DEFAULT_TIMEOUT_S = 30.0
 _REPLY_GRACE_S = 0.05
 """How long after the deadline a target's daemon may still reply."""
-_FINAL_KEYED_REASONS = frozenset(
+_NO_ROOM_REASONS = frozenset(
     {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.RATE_LIMITED}
 )
-"""Not retried for a key: it has one owner, so no other target can serve
-it when the owner has no room."""
+"""The target has no room. Not retried for a key: it has one owner, so
+no other target can serve it."""
 _MAX_TRIES = 4
 """Daemons tried for one request; each refusal costs one round trip."""
+_MAX_NESTED_TRIES = 12
+"""The same for a call of a running request, whose refusal loses the
+work on that request, too."""
 _RETRY_DELAY_S = 0.03
-_QUEUE_SHARE = 0.5
-"""Share of the latency objective within which a queued request must
-start."""
+_PATIENCE_SHARE = 0.5
+"""Share of the latency objective within which the key of a request must
+be granted."""
 _GIVE_UP_SHARE = 0.2
 """Share of the latency objective after which a request that was sent to
 no target is refused."""
 _RETRY_AFTER_S = (0.1, 0.25)
+_SPREAD = (1.0, 1.2)
+"""Separates the returns of callers that are told the shortest time."""
+_HONOURED_SHARE = 1 / 3
+"""Share of its remaining time that a caller waits at most."""
 _SERVER_ERROR = 500
 _BUDGET_RATIO_SHARE = 0.35
 _BUDGET_EXTRA_SHARE = 0.5
@@ -67,15 +74,24 @@
     :ivar error_response: the last server error in response to an
         idempotent request.
     :ivar possible_runs: attempts that ran or may have run.
+    :ivar retry_after_s: the shortest time after which a target that had
+        no room expects to have some, infinite if there was none.
     :ivar tried: names of the members that were tried.
     """
 
-    __slots__ = ("attempts", "error_response", "possible_runs", "tried")
+    __slots__ = (
+        "attempts",
+        "error_response",
+        "possible_runs",
+        "retry_after_s",
+        "tried",
+    )
 
     def __init__(self) -> None:
         self.attempts: list[list[Any]] = []
         self.tried: set[str] = set()
         self.possible_runs = 0
+        self.retry_after_s = math.inf
         self.error_response: Response | None = None
 
 
@@ -203,9 +219,15 @@
         self.in_flight += 1
         progress = _Progress()
         try:
-            response = await self._run(
-                req, route, service, progress, is_keyed=is_keyed
-            )
+            with self._gate.running.nested(req.request_id) as nested:
+                response = await self._run(
+                    req,
+                    route,
+                    service,
+                    progress,
+                    is_keyed=is_keyed,
+                    nested=nested,
+                )
         except asyncio.CancelledError:
             self._log(req, route, service, progress, None, config.version)
             raise
@@ -235,6 +257,7 @@
         progress: _Progress,
         *,
         is_keyed: bool,
+        nested: bool,
     ) -> Response:
         deadline = _deadline(req, route)
         self._budget(service).note_request(self._loop.time())
@@ -254,30 +277,34 @@
             patience_s=0.0,
             sender=self._roster.own.incarnation,
             account=req.account.name if req.account else "",
+            route=route.name,
+            nested=nested,
         )
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
-        give_up_at = min(
-            deadline, req.arrived_at + route.objective_s * _GIVE_UP_SHARE
-        )
+        give_up_at = deadline
+        if not nested:
+            give_up_s = route.objective_s * _GIVE_UP_SHARE
+            give_up_at = min(deadline, req.arrived_at + give_up_s)
         while True:
             member = await self._choose(call, route, progress, give_up_at)
             now = self._loop.time()
             if member is None or now >= deadline:
-                return self._failure_response(progress, last)
+                return self._failure_response(progress, last, deadline)
             call.deadline_s = deadline - now
             waited_s = now - req.arrived_at
             call.patience_s = max(
-                route.objective_s * _QUEUE_SHARE - waited_s, 0.0
+                route.objective_s * _PATIENCE_SHARE - waited_s, 0.0
             )
+            call.objective_s = route.objective_s - waited_s
             call.attempt = len(progress.attempts) + 1
             last = await self._attempt(member, call, progress)
             response = self._final_response(last, route, progress)
             if response is not None:
                 return response
             if is_keyed and _is_final_for_key(last, route):
-                return self._failure_response(progress, last)
+                return self._failure_response(progress, last, deadline)
             if not self._may_retry(last, route, service, progress, give_up_at):
-                return self._failure_response(progress, last)
+                return self._failure_response(progress, last, deadline)
 
     async def _choose(
         self,
@@ -287,7 +314,8 @@
         give_up_at: float,
     ) -> Member | None:
         """Return the next member to try, after a wait if needed."""
-        while len(progress.attempts) < _MAX_TRIES:
+        max_tries = _MAX_NESTED_TRIES if call.nested else _MAX_TRIES
+        while len(progress.attempts) < max_tries:
             if call.key is None:
                 member = self._chooser.best(
                     call.service, route, progress.tried
@@ -318,6 +346,10 @@
             outcome = await self._call_member(member, call)
         if outcome.verdict is not Verdict.NOT_RUN:
             progress.possible_runs += 1
+        elif outcome.reason in _NO_ROOM_REASONS:
+            progress.retry_after_s = min(
+                progress.retry_after_s, outcome.retry_after_s
+            )
         progress.attempts.append(
             [
                 member.name,
@@ -427,7 +459,7 @@
         )
 
     def _failure_response(
-        self, progress: _Progress, last: Outcome
+        self, progress: _Progress, last: Outcome, deadline: float
     ) -> Response:
         """Return the response to a request that is not retried."""
         if progress.error_response is not None:
@@ -436,6 +468,14 @@
             status = 504 if last.reason is Reason.DEADLINE else 502
             return Response(status)
         pause_s = max(last.retry_after_s, random.uniform(*_RETRY_AFTER_S))
+        if math.isfinite(progress.retry_after_s):
+            # The target that has room first determines the time.
+            pause_s = max(progress.retry_after_s, _RETRY_AFTER_S[0])
+            pause_s *= random.uniform(*_SPREAD)
+        left_s = deadline - self._loop.time()
+        pause_s = max(
+            min(pause_s, left_s * _HONOURED_SHARE), _RETRY_AFTER_S[0]
+        )
         return Response(503, [("Retry-After", f"{pause_s:.3f}")])
 
     def _without_hop_headers(self, response: Response) -> Response:
@@ -498,7 +538,7 @@
     """Return whether no other attempt for the key can succeed."""
     # The owner's daemon sends it no non-idempotent request twice.
     is_spent = outcome.sent and not route.idempotent
-    return is_spent or outcome.reason in _FINAL_KEYED_REASONS
+    return is_spent or outcome.reason in _NO_ROOM_REASONS
 
 
 def _priority(req: CallerRequest, route: Route) -> int:
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -8,12 +8,20 @@
 
 from burdockgap.forward.dedup_cache import DedupCache
 from burdockgap.forward.load import Load
+from burdockgap.forward.no_room import NoRoom
 from burdockgap.forward.outcome import Outcome
+from burdockgap.forward.running_requests import RunningRequests
 from burdockgap.forward.slots import Slots
 from burdockgap.hop.listener import CALLER_CONNECTION_LOST
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response_limits import ResponseLimits
+from burdockgap.scheduling.return_times import ReturnTimes
+from burdockgap.scheduling.service_times import ServiceTimes
+from burdockgap.scheduling.start_window import (
+    latest_return_s,
+    longest_wait_s,
+)
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -32,8 +40,9 @@
 """Below the 10 s after which targets close idle connections."""
 _NON_IDEMPOTENT_IDLE_S = 4.0
 _MAX_BODY_BYTES = 64 * 1024 * 1024
-_QUEUE_PER_SLOT = 0.5
 _RETRY_AFTER_S = 0.1
+_MIN_SERVICE_S = 0.001
+"""Bounds the rate at which refused requests are asked to return."""
 _LIMIT_REASONS = frozenset(
     {Reason.RATE_LIMITED, Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT}
 )
@@ -61,6 +70,7 @@
     :param buffers: bounds the incomplete responses.
     :param on_event: logs a decision.
     :param on_outcome: counts an outcome and its duration in seconds.
+    :ivar running: the requests that the target is running.
     :ivar holder: keys that the target holds; ``None`` until known.
     :ivar leaving: whether this daemon is about to stop; only calls with
         keys are served then, until the keys have moved.
@@ -81,6 +91,8 @@
         "_pool",
         "_protocol",
         "_dedup_cache",
+        "_return_times",
+        "_service_times",
         "_slots",
         "_state",
         "_out_since",
@@ -89,6 +101,7 @@
         "ends_at",
         "holder",
         "leaving",
+        "running",
         "service",
     )
 
@@ -118,7 +131,14 @@
         self._protocol = protocol
         self._out_since = out_since
         self._on_event = on_event
-        self._slots = Slots(size=1, queue_size=1, limit=state.limit)
+        self._service_times = ServiceTimes()
+        self._return_times = ReturnTimes()
+        self._slots = Slots(
+            size=1,
+            limit=state.limit,
+            mean_s=lambda: self._service_times.mean_s,
+        )
+        self.running = RunningRequests()
         self._dedup_cache = DedupCache()
         self._pool: ClientPool | None = None
         self.holder: ShardHolder | None = None
@@ -177,7 +197,6 @@
             )
         if not self._state.up:
             self._pool.close()
-        self._slots.queue_size = max(round(info.slots * _QUEUE_PER_SLOT), 1)
         self._slots.resize(info.slots)
         if not self._state.takes_work and self.holder is None:
             self._slots.refuse_waiting(Reason.DRAINING)
@@ -232,7 +251,6 @@
 
     async def _attempt(self, call: Call, deadline: float) -> Outcome:
         began = self._loop.time()
-        wait_deadline = min(began + call.patience_s, deadline)
         try:
             self._crashes.check(call)
             if deadline > self.ends_at and not call.idempotent:
@@ -243,26 +261,45 @@
             if self.holder is not None and call.key is not None:
                 self.holder.samples.add(call.key)
                 await self.holder.wait_until_held(
-                    call.key, wait_deadline - began
+                    call.key, min(call.patience_s, call.deadline_s)
                 )
-            await self._slots.acquire(
-                priority=call.priority,
-                wait_s=wait_deadline - self._loop.time(),
-            )
+            acquired_at = await self._acquire_slot(call, began, deadline)
         except Refusal as exc:
-            return self._refusal_outcome(exc)
+            return self._refusal_outcome(exc, call)
         waited_s = self._loop.time() - began
         self._large_in_flight += call.large
         try:
-            outcome = await self._dispatch(call, deadline)
+            with self.running.run(call.request_id):
+                outcome = await self._dispatch(call, deadline)
         except Refusal as exc:
-            outcome = self._refusal_outcome(exc)
+            outcome = self._refusal_outcome(exc, call)
         finally:
             self._large_in_flight -= call.large
-            self._slots.release()
+            self._slots.release(acquired_at)
         outcome.waited_s = waited_s
         return outcome
 
+    async def _acquire_slot(
+        self, call: Call, began: float, deadline: float
+    ) -> float:
+        times, now = self._service_times, self._loop.time()
+        times.initial_s = self._state.service_s
+        mean_s = times.estimate_s(call.route)
+        objective_s = call.objective_s - (now - began)
+        return await self._slots.acquire(
+            priority=call.priority,
+            wait_s=longest_wait_s(
+                nested=call.nested,
+                deadline_s=deadline - now,
+                objective_s=objective_s,
+                mean_s=mean_s,
+                tail_s=times.tail_s(call.route),
+            ),
+            nested=call.nested,
+            in_time=objective_s > mean_s,
+            service_s=mean_s,
+        )
+
     def _check_open(self, call: Call) -> None:
         if call.service != self.service:
             raise _refusal(Reason.UNKNOWN_SERVICE)
@@ -344,9 +381,9 @@
             )
         if response.is_success:
             # Errors return too fast to represent the service time.
-            self._state.note_success(
-                self._loop.time() - began, self._protocol.slowness(response)
-            )
+            took_s = self._loop.time() - began
+            self._service_times.note(call.route, took_s)
+            self._state.note_success(took_s, self._protocol.slowness(response))
             if call.large:
                 self._update_mean_size(len(response.body))
         self._crashes.answered(call)
@@ -375,8 +412,12 @@
             Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, sent=True
         )
 
-    def _refusal_outcome(self, exc: Refusal) -> Outcome:
+    def _refusal_outcome(self, exc: Refusal, call: Call) -> Outcome:
         retry_after_s = _RETRY_AFTER_S
+        if isinstance(exc, NoRoom):
+            retry_after_s = max(
+                retry_after_s, self._return_after_s(exc.room_in_s, call)
+            )
         if exc.reason in _LIMIT_REASONS:
             retry_after_s = max(
                 retry_after_s,
@@ -388,6 +429,21 @@
             exc.verdict, reason=exc.reason, retry_after_s=retry_after_s
         )
 
+    def _return_after_s(self, room_in_s: float, call: Call) -> float:
+        """Return when a request that found no room should return."""
+        mean_s = max(self._service_times.mean_s, _MIN_SERVICE_S)
+        times = self._return_times
+        # A request that several targets refuse returns to one of them,
+        # so it takes a place at the first.
+        tell = times.book if call.attempt == 1 else times.quote
+        return min(
+            tell(self._loop.time(), room_in_s, self._slots.size / mean_s),
+            latest_return_s(
+                objective_s=call.objective_s,
+                tail_s=self._service_times.tail_s(call.route),
+            ),
+        )
+
     def _on_unexpected_bytes(self, what: str) -> None:
         self._on_event("unexpected_bytes", {"detail": what})
 
