--- a/src/burdockgap/fleet/datagrams.py
+++ b/src/burdockgap/fleet/datagrams.py
@@ -17,6 +17,12 @@
 LEASE = 3
 SUSPECTS = 4
 CHANGES = 5
+QUOTA_ASK = 6
+"""Ask a holder for tokens of an account."""
+QUOTA_GRANT = 7
+"""The tokens that a holder grants."""
+QUOTA_POOL = 8
+"""Tokens of accounts for a holder."""
 
 
 class Datagrams(asyncio.DatagramProtocol):
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -7,7 +7,6 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from burdockgap.accounts.admission import AccountAdmission
 from burdockgap.forward.call import Call
 from burdockgap.forward.chooser import Chooser
 from burdockgap.forward.outcome import Outcome
@@ -21,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockgap.accounts.admission import AccountAdmission
     from burdockgap.clock import Clock
     from burdockgap.fleet.member import Member
     from burdockgap.fleet.roster import Roster
@@ -66,15 +66,24 @@
         report by which the member was chosen.
     :ivar error_response: the last server error in response to an
         idempotent request.
+    :ivar has_token: whether the request's token of its account's quota
+        is unused: no attempt since it was taken has reached a server.
     :ivar possible_runs: attempts that ran or may have run.
     :ivar tried: names of the members that were tried.
     """
 
-    __slots__ = ("attempts", "error_response", "possible_runs", "tried")
+    __slots__ = (
+        "attempts",
+        "error_response",
+        "has_token",
+        "possible_runs",
+        "tried",
+    )
 
     def __init__(self) -> None:
         self.attempts: list[list[Any]] = []
         self.tried: set[str] = set()
+        self.has_token = True
         self.possible_runs = 0
         self.error_response: Response | None = None
 
@@ -88,6 +97,7 @@
     :param view: owners of keys.
     :param gate: admission control for this daemon's target.
     :param peer_connections: connections to other daemons.
+    :param accounts: attributes requests to accounts.
     :param clock: keeps counting while the machine is suspended.
     :param budget_ratio: retries per request that all daemons together
         may make.
@@ -135,6 +145,7 @@
         view: ControlView,
         gate: TargetGate,
         peer_connections: PeerConnections,
+        accounts: AccountAdmission,
         clock: Clock,
         budget_ratio: float,
         budget_extra: float,
@@ -143,7 +154,7 @@
         on_answer: Callable[[int, float], None],
     ) -> None:
         self._on_answer = on_answer
-        self._accounts = AccountAdmission()
+        self._accounts = accounts
         self._loop = asyncio.get_running_loop()
         self._roster = roster
         self._documents = documents
@@ -184,9 +195,6 @@
                 "no route matches the host and path",
                 config=config.version,
             )
-        refusal = self._attribute(req, route, config)
-        if refusal is not None:
-            return refusal
         if _deadline(req, route) + _REPLY_GRACE_S > (
             self.idempotent_ends_at if route.idempotent else self.ends_at
         ):
@@ -200,6 +208,9 @@
             return self._refuse(
                 req, 400, "the service requires a key; the request has none"
             )
+        refusal = await self._attribute(req, route, config)
+        if refusal is not None:
+            return refusal
         self.in_flight += 1
         progress = _Progress()
         try:
@@ -211,21 +222,30 @@
             raise
         finally:
             self.in_flight -= 1
+            self._settle_token(req, progress)
         self._log(req, route, service, progress, response, config.version)
         return response
 
-    def _attribute(
+    async def _attribute(
         self, req: CallerRequest, route: Route, config: RoutingConfig
     ) -> Response | None:
         """Set a request's account; return a refusal if there is one."""
         if config.accounts is None:
             return None
         req.headers = req.headers_without_account
-        decision = self._accounts.check(req, route, config)
-        if decision.status:
-            return self._refuse(req, decision.status, decision.why)
-        req.account = decision.account
-        return None
+        decision = await self._accounts.check(req, route, config)
+        if not decision.status:
+            req.account = decision.account
+            return None
+        response = self._refuse(req, decision.status, decision.why)
+        if decision.retry_after_s:
+            pause = f"{decision.retry_after_s:.3f}"
+            response.headers.append(("Retry-After", pause))
+        return response
+
+    def _settle_token(self, req: CallerRequest, progress: _Progress) -> None:
+        if progress.has_token:
+            self._accounts.give_back(req.account)
 
     async def _run(
         self,
@@ -278,6 +298,11 @@
                 return self._failure_response(progress, last)
             if not self._may_retry(last, route, service, progress, give_up_at):
                 return self._failure_response(progress, last)
+            if not progress.has_token:
+                # The last attempt reached a server and has used it.
+                if not await self._accounts.admit_retry(req.account):
+                    return self._failure_response(progress, last)
+                progress.has_token = True
 
     async def _choose(
         self,
@@ -312,10 +337,13 @@
         began = self._loop.time()
         load_age_s = self._roster.load_age_s(member.name)
         progress.tried.add(member.name)
+        # Until the outcome shows otherwise, also if it is cancelled.
+        progress.has_token = False
         if member.name == self._roster.own.name:
             outcome = await self._gate.serve(call)
         else:
             outcome = await self._call_member(member, call)
+        progress.has_token = not outcome.sent
         if outcome.verdict is not Verdict.NOT_RUN:
             progress.possible_runs += 1
         progress.attempts.append(
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -7,7 +7,9 @@
 
 from burdockgap.platform.fields import parse_address, require_field
 from burdockgap.platform.times import decode_time
+from burdockgap.scheduling.quota_limits import QuotaBounds
 from burdockgap.sidecar.sidecar_settings import SidecarSettings
+from burdockgap.wire.checks import check_number
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -67,6 +69,28 @@
             * _BYTES_PER_MB
             * _BUFFER_SHARE
         ),
+        quota_bounds=_read_quota_bounds(bounds),
+    )
+
+
+def _read_quota_bounds(bounds: dict[str, Any]) -> QuotaBounds:
+    """Return the bounds; sites without accounts may omit them."""
+    bounds = {
+        "quota-window": "5s",
+        "quota-overage": 0.1,
+        "quota-slack": 20,
+        **bounds,
+    }
+    numbers = {
+        name: check_number(
+            require_field(bounds, name, (int, float)), f"field {name!r}"
+        )
+        for name in ("quota-overage", "quota-slack")
+    }
+    return QuotaBounds(
+        window_s=decode_time(require_field(bounds, "quota-window", str)),
+        overage=numbers["quota-overage"],
+        slack=numbers["quota-slack"],
     )
 
 
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -67,6 +67,11 @@
         "Bytes of incomplete messages and of bodies of unanswered requests.",
         lambda: node.buffers.used,
     )
+    gauge(
+        "quota_tokens_pooled",
+        "Unused requests of accounts' quotas that are held for all members.",
+        lambda: node.quotas.pooled,
+    )
     gauge(
         "in_flight",
         "Requests at the target.",
--- a/src/burdockgap/sidecar/metrics.py
+++ b/src/burdockgap/sidecar/metrics.py
@@ -17,10 +17,13 @@
     :ivar outcomes: calls to the local target by verdict and reason.
     :ivar target_time: seconds per call to the local target, including
         the time in its queue.
+    :ivar account_decisions: callers' requests by the result of the
+        check of their account, if the configuration has accounts.
     :ivar events: log lines by event, including dropped ones.
     """
 
     __slots__ = (
+        "account_decisions",
         "events",
         "latency",
         "outcomes",
@@ -61,6 +64,16 @@
             ["event"],
             registry=self.registry,
         )
+        self.account_decisions = Counter(
+            "burdockgap_sidecar_account_decisions",
+            "Callers' requests by the check of their account.",
+            ["decision"],
+            registry=self.registry,
+        )
+
+    def count_account_decision(self, decision: str) -> None:
+        """Count the result of the check of a request's account."""
+        self.account_decisions.labels(decision).inc()
 
     def count(self, event: str) -> None:
         """Count a log line."""
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -6,6 +6,9 @@
 import secrets
 from typing import TYPE_CHECKING, Any
 
+from burdockgap.accounts.admission import AccountAdmission
+from burdockgap.accounts.key_audit import KeyAudit
+from burdockgap.accounts.quotas import Quotas
 from burdockgap.clock import BootClock
 from burdockgap.fleet.beacons import Beacons
 from burdockgap.fleet.datagrams import CHANGES, SUSPECTS
@@ -86,6 +89,7 @@
         "_crashes",
         "_departure_store",
         "_is_coordinator",
+        "_key_audit",
         "_pending_heartbeats",
         "buffers",
         "caller_server",
@@ -105,6 +109,7 @@
         "peers_busy",
         "metrics",
         "protocol",
+        "quotas",
         "peer_fetcher",
         "reporter",
         "roster",
@@ -148,6 +153,7 @@
         )
         self.roster = Roster(own, event_log.write)
         self._add_state()
+        self._add_accounts(datagrams)
         self._add_data_path()
         self._add_control_plane(datagrams)
         datagrams.handlers[SUSPECTS] = self._merge_suspects
@@ -187,6 +193,15 @@
         )
         self.lease = Lease(self.clock)
 
+    def _add_accounts(self, datagrams: Datagrams) -> None:
+        self.quotas = Quotas(
+            roster=self.roster,
+            datagrams=datagrams,
+            bounds=self.cfg.quota_bounds,
+            knows_members=lambda: self.discovery.has_read,
+        )
+        self._key_audit = KeyAudit(self.event_log.write)
+
     def _add_data_path(self) -> None:
         self.protocol = PlatformTargetProtocol()
         self._crashes = CrashWatch(
@@ -214,6 +229,9 @@
             view=self.view,
             gate=self.gate,
             peer_connections=self.peer_connections,
+            accounts=AccountAdmission(
+                self.quotas, on_decision=self.metrics.count_account_decision
+            ),
             clock=self.clock,
             budget_ratio=self.cfg.budget_ratio,
             budget_extra=self.cfg.budget_extra,
@@ -330,6 +348,7 @@
                 self._beacons.run,
                 self.reporter.run,
                 self.coordinator.run,
+                self.quotas.run,
                 self._run_checks,
                 self._run_holder,
             ):
@@ -452,6 +471,9 @@
         self.follower.refresh()
         config = self.documents.config
         if config is not None:
+            accounts = config.accounts
+            self._key_audit.note(accounts, config.version)
+            self.quotas.configure(accounts.accounts if accounts else {})
             if self.caller_server is not None:
                 self.caller_server.limits = config.limits
             policy = config.services.get(self.cfg.service)
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from burdockgap.scheduling.quota_limits import QuotaBounds
+
 
 class SidecarSettings:
     """
@@ -32,6 +34,7 @@
         end of the process.
     :param buffer_bytes: limit on all bodies and frames that are
         received and not yet handed on.
+    :param quota_bounds: what may exceed the quotas of accounts.
     """
 
     __slots__ = (
@@ -48,6 +51,7 @@
         "name",
         "peer_host",
         "peer_port",
+        "quota_bounds",
         "readiness",
         "region",
         "service",
@@ -76,6 +80,7 @@
         drain_s: float,
         grace_s: float,
         buffer_bytes: int,
+        quota_bounds: QuotaBounds | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -95,3 +100,4 @@
         self.drain_s = drain_s
         self.grace_s = grace_s
         self.buffer_bytes = buffer_bytes
+        self.quota_bounds = quota_bounds or QuotaBounds()
--- a/tests/sidecar/test_accounts.py
+++ b/tests/sidecar/test_accounts.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
 import os
 from contextlib import asynccontextmanager
 
 import pytest
 
+from burdockgap.accounts.account import Account
+from burdockgap.accounts.key_audit import KeyAudit
+from burdockgap.accounts.key_directory import KeyDirectory
 from standins.sidecar.documents import (
     make_account,
     make_config,
@@ -194,3 +199,80 @@
     assert '"acme"' in lines
     assert KEY not in lines
     assert KEY not in exposed
+
+
+async def send_for(machines, *, rate, seconds):
+    """Send requests to machines in turn; return the responses."""
+    async with asyncio.TaskGroup() as tasks:
+        sent = []
+        for machine in itertools.islice(
+            itertools.cycle(machines), int(rate * seconds)
+        ):
+            request = machine.ask("/crew/1", Authorization=BEARER)
+            sent.append(tasks.create_task(request))
+            await asyncio.sleep(1 / rate)
+    return [task.result() for task in sent]
+
+
+async def test_daemons_keep_a_quota_together():
+    """Guards against a quota that each daemon grants by itself."""
+    account = make_account("acme", KEY, burst=10, **{"rate-per-s": 10})
+    async with open_site(*["dispatch"] * 4) as site:
+        await site.wait_until_ready()
+        await publish(site, account)
+        responses = await send_for(site.machines, rate=100, seconds=5.0)
+        arrived = sum(len(machine.app.requests) for machine in site.machines)
+    refused = [got for got in responses if got.status == 429]
+    waits = {float(got.header("retry-after")) for got in refused}
+    assert {got.status for got in responses} <= {200, 429, 503}
+    assert 25 <= arrived <= (10 * 5 + 10) * 1.1 + 20
+    assert 0 < min(waits) <= max(waits) <= 2.0
+
+
+async def test_requests_below_the_quota_are_admitted():
+    """Guards against refusals where one daemon gets all the demand."""
+    account = make_account("acme", KEY, burst=20, **{"rate-per-s": 20})
+    async with open_site(*["dispatch"] * 4) as site:
+        await site.wait_until_ready()
+        await publish(site, account)
+        await asyncio.sleep(1.5)
+        responses = await send_for(site.machines[:1], rate=10, seconds=3.0)
+    assert [got.status for got in responses].count(429) == 0
+
+
+async def test_request_that_reached_no_server_costs_no_quota():
+    """Guards against refusals for other reasons that use up a quota."""
+    account = make_account("acme", KEY, burst=2, **{"rate-per-s": 1})
+    async with open_site("dispatch") as site:
+        (machine,) = site.machines
+        await site.wait_until_ready()
+        await publish(site, account)
+        await asyncio.sleep(2.5)
+        machine.node.gate.leaving = True
+        for _ in range(10):
+            refused = await machine.ask("/crew/1", Authorization=BEARER)
+            assert refused.status == 503
+        machine.node.gate.leaving = False
+        response = await machine.ask("/crew/1", Authorization=BEARER)
+        assert response.status == 200
+
+
+async def test_account_without_a_limit_is_not_refused():
+    async with open_account_site(ACCOUNT) as site:
+        responses = await send_for(site.machines, rate=100, seconds=1.0)
+    assert 429 not in {got.status for got in responses}
+
+
+async def test_keys_that_appear_or_go_are_logged_by_digest():
+    events = []
+    audit = KeyAudit(lambda event, fields: events.append((event, fields)))
+    first = KeyDirectory([(Account("a"), [b"k1", b"k2"])])
+    audit.note(first, 1)
+    audit.note(first, 1)
+    audit.note(KeyDirectory([(Account("a"), [b"k2"])]), 2)
+    audit.note(None, 3)
+    changes = [(fields["change"], fields["version"]) for _, fields in events]
+    digests = [fields["digest"] for _, fields in events]
+    assert changes == [("added", 1)] * 2 + [("removed", 2), ("removed", 3)]
+    assert all(len(digest) == 8 for digest in digests)
+    assert set(digests[:2]) == set(digests[2:])
