--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -84,10 +84,9 @@
     __slots__ = (
         "attempts",
         "error_response",
-        "possible_runs",
-        "retry_after_s",
         "has_token",
         "possible_runs",
+        "retry_after_s",
         "tried",
     )
 
@@ -321,11 +320,10 @@
                 return self._failure_response(progress, last, deadline)
             if not self._may_retry(last, route, service, progress, give_up_at):
                 return self._failure_response(progress, last, deadline)
-                return self._failure_response(progress, last)
             if not progress.has_token:
                 # The last attempt reached a server and has used it.
                 if not await self._accounts.admit_retry(req.account):
-                    return self._failure_response(progress, last)
+                    return self._failure_response(progress, last, deadline)
                 progress.has_token = True
 
     async def _choose(
