--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -324,16 +324,7 @@
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, sent=True
             )
         except PeerCallError as exc:
-            self._roster.mark_unreachable(member.name)
-            if not exc.sent:
-                return Outcome(Verdict.NOT_RUN, reason=Reason.UNREACHABLE)
-            if call.idempotent:
-                return Outcome(
-                    Verdict.MAY_HAVE_RUN,
-                    reason=Reason.CONNECTION_LOST,
-                    sent=True,
-                )
-            return await self._settle(member, call, reply_deadline)
+            return await self._failed_call(member, call, exc, reply_deadline)
         except ValueError as exc:
             self._on_event(
                 "bad_reply", {"id": call.request_id, "why": str(exc)}
@@ -347,6 +338,26 @@
             self._roster.note_notice(member.name, outcome.notice)
         return outcome
 
+    async def _failed_call(
+        self,
+        member: Member,
+        call: Call,
+        exc: PeerCallError,
+        reply_deadline: float,
+    ) -> Outcome:
+        """Return the outcome of a call that got no reply."""
+        if not exc.peer_is_alive:
+            self._roster.mark_unreachable(member.name)
+        if not exc.sent:
+            return Outcome(Verdict.NOT_RUN, reason=Reason.UNREACHABLE)
+        if call.idempotent:
+            return Outcome(
+                Verdict.MAY_HAVE_RUN,
+                reason=Reason.CONNECTION_LOST,
+                sent=True,
+            )
+        return await self._settle(member, call, reply_deadline)
+
     async def _settle(
         self, member: Member, call: Call, reply_deadline: float
     ) -> Outcome:
@@ -418,9 +429,11 @@
         return Response(503, [("Retry-After", f"{pause_s:.3f}")])
 
     def _without_hop_headers(self, response: Response) -> Response:
-        return Response(
+        stripped = Response(
             response.status, end_to_end(response.headers), response.body
         )
+        stripped.charge = response.charge
+        return stripped
 
     def _budget(self, service: str) -> RetryShare:
         budget = self._budgets.get(service)
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -14,6 +14,7 @@
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response_limits import ResponseLimits
+from burdockgap.resources.claim import Claim
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -23,7 +24,7 @@
     from burdockgap.forward.crash_watch import CrashWatch
     from burdockgap.forward.target_protocol import TargetProtocol
     from burdockgap.forward.target_state import TargetState
-    from burdockgap.http1.byte_budget import ByteBudget
+    from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.shards.shard_holder import ShardHolder
     from burdockgap.uplink import Uplink
 
@@ -58,7 +59,7 @@
         of service, on the event loop's clock; ``None`` if they did not.
     :param uplink: the machine's outbound link.
     :param crashes: detects requests that crash targets.
-    :param buffers: bounds the incomplete responses.
+    :param buffers: bounds requests and responses.
     :param on_event: logs a decision.
     :param on_outcome: counts an outcome and its duration in seconds.
     :ivar holder: keys that the target holds; ``None`` until known.
@@ -101,7 +102,7 @@
         out_since: Callable[[], float | None],
         uplink: Uplink,
         crashes: CrashWatch,
-        buffers: ByteBudget,
+        buffers: MemoryBudget,
         on_event: Callable[[str, dict[str, object]], None],
         on_outcome: Callable[[Outcome, float], None],
     ) -> None:
@@ -301,6 +302,11 @@
 
     async def _dispatch(self, call: Call, deadline: float) -> Outcome:
         self._check_sendable(call, deadline)
+        # Once it has run, a response that does not fit is lost.
+        expected_bytes = int(self._mean_large_bytes) if call.large else 0
+        claim = Claim.LARGE if expected_bytes else Claim.SMALL
+        if not self._buffers.fits(expected_bytes, claim):
+            raise _refusal(Reason.OVERLOADED)
         if not self._state.admit_request():
             raise _refusal(Reason.OVERLOADED)
         return await self._send(call, deadline)
@@ -314,17 +320,20 @@
             call, target_id=info.target_id, left_s=deadline - began
         )
         try:
-            async with asyncio.timeout_at(deadline):
-                response = await pool.exchange(
-                    data,
-                    accepts=lambda got: self._protocol.matches(call, got),
-                    bodiless=call.method == "HEAD",
-                    max_idle_s=None
-                    if call.idempotent
-                    else _NON_IDEMPOTENT_IDLE_S,
-                    request_id=call.request_id,
-                    before_send=lambda: self._check_sendable(call, deadline),
-                )
+            with self._buffers.hold(len(data), "requests"):
+                async with asyncio.timeout_at(deadline):
+                    response = await pool.exchange(
+                        data,
+                        accepts=lambda got: self._protocol.matches(call, got),
+                        bodiless=call.method == "HEAD",
+                        max_idle_s=None
+                        if call.idempotent
+                        else _NON_IDEMPOTENT_IDLE_S,
+                        request_id=call.request_id,
+                        before_send=lambda: self._check_sendable(
+                            call, deadline
+                        ),
+                    )
         except ExchangeError as exc:
             return self._failure_outcome(call, exc, info.born)
         except TimeoutError:
--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from typing import TYPE_CHECKING, Any, cast
 
 from loguru import logger
@@ -14,16 +14,19 @@
     PART,
     PING,
     PONG,
+    REFUSED,
     REPLY,
     FrameBuffer,
     FrameError,
     encode_frame,
+    encode_pieces,
 )
+from burdockgap.resources.write_gate import WriteGate
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
-    from burdockgap.http1.byte_budget import ByteBudget
+    from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.uplink import Uplink
 
     Handler = Callable[[Any], Awaitable[Any]]
@@ -42,14 +45,19 @@
         one adds itself.
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
-    :param budget: bounds the incomplete frames of all connections.
+    :param budget: bounds the frames of all connections.
+    :param refusals: by kind of call, returns the payload of the reply
+        to a call for which there is no memory.
     """
 
     __slots__ = (
+        "_budget",
         "_buffer",
+        "_gate",
         "_handlers",
         "_loop",
         "_others",
+        "_refusals",
         "_tasks",
         "_transport",
         "_uplink",
@@ -60,8 +68,12 @@
         handlers: dict[int, Handler],
         others: set[_PeerSession],
         uplink: Uplink | None,
-        budget: ByteBudget | None,
+        budget: MemoryBudget | None,
+        refusals: dict[int, Callable[[], Any]],
     ) -> None:
+        self._budget = budget
+        self._refusals = refusals
+        self._gate = WriteGate()
         self._uplink = uplink
         self._handlers = handlers
         self._others = others
@@ -84,13 +96,21 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports do not derive from asyncio.Transport.
         self._transport = cast("asyncio.Transport", transport)
+        self._transport.set_write_buffer_limits(high=0)
         self._others.add(self)
 
+    def pause_writing(self) -> None:
+        self._gate.pause()
+
+    def resume_writing(self) -> None:
+        self._gate.resume()
+
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         self._others.discard(self)
         self._buffer.close()
         for task in list(self._tasks.values()):
             task.cancel(CALLER_CONNECTION_LOST)
+        self._gate.resume()
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -115,9 +135,18 @@
             task = self._tasks.get(frame[1])
             if task is not None:
                 task.cancel()
+        elif frame[0] == REFUSED:
+            self._refuse(frame[2], frame[3])
         elif frame[0] == PING and self._transport is not None:
             self._transport.write(encode_frame(PONG))
 
+    def _refuse(self, call_id: int, kind: int) -> None:
+        refusal = self._refusals.get(kind)
+        if refusal is None:
+            raise FrameError("a frame does not fit into the memory limit")
+        if self._transport is not None:
+            self._transport.write(encode_frame(REPLY, call_id, refusal()))
+
     async def _run_call(self, call_id: int, kind: int, payload: Any) -> None:
         try:
             reply = await self._handlers[kind](payload)
@@ -135,16 +164,26 @@
         transport, uplink = self._transport, self._uplink
         if transport is None:
             return
-        frame = encode_frame(REPLY, call_id, reply)
-        if uplink is None or len(frame) <= uplink.part_bytes:
-            if uplink is not None:
-                uplink.count(len(frame))
-            transport.write(frame)
-            return
-        await uplink.send_in_parts(
-            frame,
-            lambda part: transport.write(encode_frame(PART, call_id, part)),
-        )
+        pieces = encode_pieces(REPLY, call_id, reply)
+        size = sum(len(piece) for piece in pieces)
+        with ExitStack() as stack:
+            if self._budget is not None:
+                stack.enter_context(self._budget.hold(size, "replies"))
+            if uplink is None or size <= uplink.part_bytes:
+                if uplink is not None:
+                    uplink.count(size)
+                for piece in pieces:
+                    transport.write(piece)
+            else:
+                for piece in pieces:
+                    await uplink.send_in_parts(
+                        piece,
+                        lambda part: transport.write(
+                            encode_frame(PART, call_id, part)
+                        ),
+                        self._gate,
+                    )
+            await self._gate.wait()
 
     def close(self) -> None:
         if self._transport is not None:
@@ -158,7 +197,8 @@
     port: int,
     *,
     uplink: Uplink | None = None,
-    budget: ByteBudget | None = None,
+    budget: MemoryBudget | None = None,
+    refusals: dict[int, Callable[[], Any]] | None = None,
 ) -> AsyncIterator[Callable[[], bool]]:
     """
     Serve calls of peers at an address until the context exits.
@@ -174,13 +214,18 @@
     :param port: port to listen at.
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
-    :param budget: bounds the incomplete frames of all connections,
-        ``None`` for no bound.
+    :param budget: bounds the frames of all connections, ``None`` for no
+        bound.
+    :param refusals: by kind of call, returns the payload of the reply
+        to a call for which there is no memory. The connection is closed
+        after one of another kind.
     """
     loop = asyncio.get_running_loop()
     connections: set[_PeerSession] = set()
     listener = await loop.create_server(
-        lambda: _PeerSession(handlers, connections, uplink, budget),
+        lambda: _PeerSession(
+            handlers, connections, uplink, budget, refusals or {}
+        ),
         host,
         port,
         reuse_address=True,
--- a/src/burdockgap/hop/peer_call_error.py
+++ b/src/burdockgap/hop/peer_call_error.py
@@ -9,8 +9,13 @@
 
     :param detail: the cause.
     :param sent: whether the call may have reached the peer.
+    :param peer_is_alive: whether the peer replied, but the reply could
+        not be received.
     """
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
+    def __init__(
+        self, detail: str, *, sent: bool, peer_is_alive: bool = False
+    ) -> None:
         super().__init__(detail)
         self.sent = sent
+        self.peer_is_alive = peer_is_alive
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -11,15 +11,17 @@
     PART,
     PING,
     PONG,
+    REFUSED,
     REPLY,
     FrameBuffer,
     FrameError,
     encode_frame,
+    encode_pieces,
 )
 from burdockgap.hop.peer_call_error import PeerCallError
 
 if TYPE_CHECKING:
-    from burdockgap.http1.byte_budget import ByteBudget
+    from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.uplink import Uplink
 
 _CONNECT_TIMEOUT_S = 0.5
@@ -65,7 +67,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         uplink: Uplink | None = None,
-        budget: ByteBudget | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._loop = loop
         self._uplink = uplink
@@ -101,6 +103,10 @@
         if frame[0] == PONG:
             return
         call_id, payload = frame[1], frame[2]
+        if frame[0] == REFUSED:
+            # Its call's number stands in the place of the payload.
+            self._fail_reply(payload, "does not fit into the memory limit")
+            return
         if call_id not in self._calls:
             return
         if frame[0] == PART:
@@ -119,11 +125,17 @@
                 self._handle_frame(reply_frame)
         except FrameError as exc:
             # The other calls of the connection can still be completed.
-            fut = self._calls.pop(call_id, None)
-            if fut is not None and not fut.done():
-                fut.set_exception(
-                    PeerCallError(f"the reply is invalid: {exc}", sent=True)
+            self._fail_reply(call_id, f"is invalid: {exc}")
+
+    def _fail_reply(self, call_id: int, detail: str) -> None:
+        """Fail a call whose reply cannot be received."""
+        fut = self._calls.pop(call_id, None)
+        if fut is not None and not fut.done():
+            fut.set_exception(
+                PeerCallError(
+                    f"the reply {detail}", sent=True, peer_is_alive=True
                 )
+            )
 
     async def call(self, kind: int, payload: Any) -> Any:
         """
@@ -144,10 +156,11 @@
             self._heard_at = self._loop.time()
         fut: asyncio.Future[Any] = self._loop.create_future()
         self._calls[call_id] = fut
-        frame = encode_frame(CALL, call_id, kind, payload)
+        pieces = encode_pieces(CALL, call_id, kind, payload)
         if self._uplink is not None:
-            self._uplink.count(len(frame))
-        self._transport.write(frame)
+            self._uplink.count(sum(len(piece) for piece in pieces))
+        for piece in pieces:
+            self._transport.write(piece)
         self._schedule_check()
         try:
             return await fut
@@ -215,7 +228,7 @@
     def __init__(
         self,
         uplink: Uplink | None = None,
-        budget: ByteBudget | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._budget = budget
         self._loop = asyncio.get_running_loop()
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from burdockgap.http1.body_step import body_step
+from burdockgap.http1.encode import first_value
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.recent_ids import RecentIds
 from burdockgap.http1.response import Response
@@ -44,6 +46,7 @@
         "_body",
         "_bodiless",
         "_bytes_since_body",
+        "_charge",
         "_fut",
         "_headers",
         "_heard_at",
@@ -54,6 +57,7 @@
         "_parser",
         "_received_bytes",
         "_status",
+        "_timer",
         "_transport",
         "_unframed",
         "idle_since",
@@ -83,7 +87,9 @@
         self._body = bytearray()
         self._received_bytes = self._bytes_since_body = 0
         self._limits = limits or ResponseLimits()
+        self._charge = self._limits.budget.charge("responses")
         self._status = 0
+        self._timer: asyncio.TimerHandle | None = None
         self._bodiless = False
         self._unframed = False
         self._is_first = True
@@ -146,6 +152,10 @@
             raise
         finally:
             self._fut = None
+            if self._timer is not None:
+                # It refers to the response.
+                self._timer.cancel()
+                self._timer = None
             self._is_first = False
             self._discard_body()
             self.idle_since = self._loop.time()
@@ -213,18 +223,24 @@
         if self._bodiless and self._status >= _FIRST_FINAL_STATUS:
             self.reusable = False
             self._complete()
+            return
+        length = first_value(self._headers, "content-length")
+        if (
+            length is not None
+            and int(length) <= self._limits.body_bytes
+            and not self._charge.grow(int(length))
+        ):
+            self._exceed_memory()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         limits = self._limits
         if len(self._body) + len(body) > limits.body_bytes:
             self._exceed(f"body exceeds {limits.body_bytes} bytes")
-        if not limits.budget.take(len(body)):
-            self._exceed(
-                "does not fit into the memory limit for incomplete "
-                f"messages, {limits.budget.max_bytes} bytes"
-            )
         self._body += body
+        step = body_step(len(self._body), self._charge.size)
+        if step and not self._charge.grow(step):
+            self._exceed_memory()
         self._bytes_since_body = 0
 
     def on_message_complete(self) -> None:
@@ -244,7 +260,7 @@
             return
         left_s = self._heard_at + read_timeout_s - self._loop.time()
         if left_s > 0:
-            self._loop.call_later(
+            self._timer = self._loop.call_later(
                 left_s, self._check_read_timeout, fut, read_timeout_s
             )
             return
@@ -266,17 +282,28 @@
             )
             self.close()
 
+    def _exceed_memory(self) -> None:
+        self._exceed(
+            "does not fit into the memory limit, "
+            f"{self._limits.budget.max_bytes} bytes"
+        )
+
     def _exceed(self, detail: str) -> None:
         """Fail the exchange and make the parser stop."""
         self._fail_exchange(f"response {detail}")
         raise httptools.HttpParserError(detail)
 
     def _discard_body(self) -> None:
-        self._limits.budget.give_back(len(self._body))
+        self._charge.release()
         self._body = bytearray()
 
     def _complete(self, *, ends_at_close: bool = False) -> None:
         response = Response(self._status, self._headers, bytes(self._body))
+        response.charge, self._charge = (
+            self._charge,
+            self._limits.budget.charge("responses"),
+        )
+        response.charge.shrink_to(len(response.body))
         response.ends_at_close = ends_at_close
         response.follows_others = not self._is_first
         self._status = 0
--- a/src/burdockgap/http1/encode.py
+++ b/src/burdockgap/http1/encode.py
@@ -55,7 +55,8 @@
     Return an encoded response, with a Content-Length.
 
     :param close: whether to announce that the connection is closed.
-    :param bodiless: whether to omit the body, as for ``HEAD``.
+    :param bodiless: whether to omit the body, as for ``HEAD`` or where
+        it is sent separately.
     """
     lines = [f"HTTP/1.1 {status} {_REASON_PHRASES.get(status, 'Unknown')}\r\n"]
     lines += [f"{name}: {value}\r\n" for name, value in headers]
--- a/src/burdockgap/http1/pipeline.py
+++ b/src/burdockgap/http1/pipeline.py
@@ -45,6 +45,12 @@
         """Whether no more requests should be read for now."""
         return len(self._entries) > _MAX_QUEUED
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the requests and of responses that wait."""
+        requests = sum(entry.req.held_bytes for entry in self._entries)
+        return requests + self._waiting_bytes
+
     @property
     def first(self) -> PipelinedRequest:
         """The request whose response is sent next."""
@@ -66,12 +72,14 @@
         if first.task is None:
             return await self._server.answer(first.req)
         response = await first.task
+        # The task would keep the response until it has been sent.
+        first.task = None
         self._waiting_bytes -= len(response.body)
         return response
 
     def remove_first(self) -> None:
         """Remove the first request after its response was sent."""
-        self._server.budget.give_back(len(self._entries.popleft().req.body))
+        self._entries.popleft().req.release()
         self._start_ahead()
 
     def cancel(self) -> None:
@@ -79,8 +87,9 @@
         for entry in self._entries:
             if entry.task is not None:
                 entry.task.cancel()
-            self._server.budget.give_back(len(entry.req.body))
+            entry.req.release()
         self._entries.clear()
+        self._waiting_bytes = 0
 
     def _start_ahead(self) -> None:
         if len(self._entries) < 2 or self._server.leaving:
--- a/src/burdockgap/http1/request.py
+++ b/src/burdockgap/http1/request.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from burdockgap.http1.encode import first_value
 
+if TYPE_CHECKING:
+    from burdockgap.resources.charge import Charge
+
 
 class Request:
     """
@@ -15,9 +20,17 @@
     :param body: the complete body.
     :param arrived_at: when its first bytes were received, in seconds of
         the event loop's clock.
+    :ivar charges: count head and body until they are released.
     """
 
-    __slots__ = ("arrived_at", "body", "headers", "method", "target")
+    __slots__ = (
+        "arrived_at",
+        "body",
+        "charges",
+        "headers",
+        "method",
+        "target",
+    )
 
     def __init__(
         self,
@@ -33,6 +46,17 @@
         self.headers = headers
         self.body = body
         self.arrived_at = arrived_at
+        self.charges: tuple[Charge, ...] = ()
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are counted for the request."""
+        return sum(charge.size for charge in self.charges)
+
+    def release(self) -> None:
+        """Credit the bytes of the request."""
+        for charge in self.charges:
+            charge.release()
 
     @property
     def path(self) -> str:
--- a/src/burdockgap/http1/request_reader.py
+++ b/src/burdockgap/http1/request_reader.py
@@ -6,6 +6,8 @@
 
 import httptools
 
+from burdockgap.http1.body_step import body_step
+from burdockgap.http1.encode import first_value
 from burdockgap.http1.request import Request
 
 if TYPE_CHECKING:
@@ -16,6 +18,9 @@
 _MAX_HEADERS = 512
 _MAX_OVERHEAD_FACTOR = 8
 """A chunk of one byte takes six bytes."""
+_HEADER_COST_BYTES = 200
+"""Memory that one header takes besides its text: two strings and their
+pair, measured with headers of a few bytes."""
 
 
 class RequestReader:
@@ -37,8 +42,10 @@
 
     __slots__ = (
         "_body",
+        "_body_charge",
         "_bytes_since_body",
         "_finished",
+        "_head_charge",
         "_header_bytes",
         "_headers",
         "_heard_at",
@@ -52,6 +59,7 @@
         "_server",
         "_started_at",
         "_target",
+        "_unparsed_bytes",
         "refused",
     )
 
@@ -74,13 +82,25 @@
         self._in_head = False
         self._is_new = False
         self._received_bytes = self._bytes_since_body = 0
-        self._header_bytes = 0
+        self._header_bytes = self._unparsed_bytes = 0
         self._target = b""
         self._headers: list[tuple[str, str]] = []
         # One object: a list of chunks of a few bytes each would take
         # ten times their size.
         self._body = bytearray()
         self.refused: int | None = None
+        self._head_charge = server.charge("heads")
+        self._body_charge = server.charge("bodies")
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are counted for an incomplete request."""
+        return self._head_charge.size + self._body_charge.size
+
+    @property
+    def started_at(self) -> float | None:
+        """When the request that is being read began, if any."""
+        return self._started_at
 
     @property
     def is_reading(self) -> bool:
@@ -111,6 +131,11 @@
                 or self._bytes_since_body > header_bytes
             ):
                 self.refuse(431)
+        if self.is_reading and self._in_head:
+            # A new request begins somewhere in the data.
+            self._unparsed_bytes += len(data)
+            if not self._count_head():
+                self.refuse(503)
 
     def is_late(self, now: float) -> bool:
         """
@@ -137,7 +162,9 @@
         """Stop reading and discard a request that is incomplete."""
         self._finished = True
         self._started_at = None
-        self._server.budget.give_back(len(self._body))
+        self._head_charge.release()
+        self._body_charge.release()
+        self._headers = []
         self._body = bytearray()
 
     def on_message_begin(self) -> None:
@@ -145,7 +172,7 @@
         self._started_at = self._server.now()
         self._in_head = self._is_new = True
         self._received_bytes = self._bytes_since_body = 0
-        self._header_bytes = 0
+        self._header_bytes = self._unparsed_bytes = 0
         self._target, self._headers = b"", []
 
     def on_url(self, url: bytes) -> None:
@@ -165,6 +192,12 @@
     def on_headers_complete(self) -> None:
         """Tell a caller that expects it to send the body."""
         self._in_head = False
+        text = first_value(self._headers, "content-length")
+        length = 0 if text is None else int(text)
+        if length > self._server.limits.body_bytes:
+            self._abort(413, "request body exceeds the size limit")
+        if length and not self._body_charge.grow(length):
+            self._abort(503, "request body does not fit into the memory")
         if any(name == "expect" for name, _ in self._headers):
             self._on_continue()
 
@@ -172,9 +205,10 @@
         """Store a part of the body; refuse it above the limits."""
         if len(self._body) + len(body) > self._server.limits.body_bytes:
             self._abort(413, "request body exceeds the size limit")
-        if not self._server.budget.take(len(body)):
-            self._abort(503, "buffered bodies exceed the memory limit")
         self._body += body
+        step = body_step(len(self._body), self._body_charge.size)
+        if step and not self._body_charge.grow(step):
+            self._abort(503, "request body does not fit into the memory")
         self._bytes_since_body = 0
 
     def on_message_complete(self) -> None:
@@ -189,12 +223,26 @@
             body=bytes(self._body),
             arrived_at=self._started_at,
         )
+        if not self._count_head():
+            self._abort(503, "request does not fit into the memory")
+        self._body_charge.shrink_to(len(self._body))
+        req.charges = self._head_charge, self._body_charge
+        self._head_charge = self._server.charge("heads")
+        self._body_charge = self._server.charge("bodies")
         keep_alive = self._parser.should_keep_alive()
         self._finished = not keep_alive
         self._started_at = None
         self._body = bytearray()
         self._on_request(req, keep_alive)
 
+    def _count_head(self) -> bool:
+        """Count the head as received; return whether it fits."""
+        # Before the end of a header only the parser holds it.
+        size = self._unparsed_bytes if self._in_head else self._header_bytes
+        size += _HEADER_COST_BYTES * len(self._headers)
+        growth = size - self._head_charge.size
+        return growth <= 0 or self._head_charge.grow(growth)
+
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits.header_bytes:
--- a/src/burdockgap/http1/response.py
+++ b/src/burdockgap/http1/response.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from burdockgap.http1.encode import first_value
 
+if TYPE_CHECKING:
+    from burdockgap.resources.charge import Charge
+
 
 class Response:
     """
@@ -13,6 +18,8 @@
     :param headers: pairs of name and value; the names of a parsed
         response are in lower case.
     :param body: the complete body.
+    :ivar charge: counts the body as long as the response exists;
+        ``None`` for one that is made here.
     :ivar ends_at_close: whether only the end of the connection showed
         the end of the body, so that a part may be missing.
     :ivar follows_others: whether other requests were sent on the same
@@ -21,6 +28,7 @@
 
     __slots__ = (
         "body",
+        "charge",
         "ends_at_close",
         "follows_others",
         "headers",
@@ -36,6 +44,7 @@
         self.status = status
         self.headers = headers or []
         self.body = body
+        self.charge: Charge | None = None
         self.ends_at_close = False
         self.follows_others = False
 
--- a/src/burdockgap/http1/response_limits.py
+++ b/src/burdockgap/http1/response_limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from burdockgap.http1.byte_budget import ByteBudget
+from burdockgap.resources.memory_budget import MemoryBudget
 
 _MAX_OVERHEAD_FACTOR = 8
 """A chunk of one byte takes six bytes."""
@@ -16,8 +16,8 @@
         line, headers, trailers and interim responses.
     :param headers: maximum number of headers and trailers.
     :param body_bytes: maximum size of a body.
-    :param budget: bounds the incomplete bodies of all connections
-        together; by default those of this object alone.
+    :param budget: bounds the bodies of all responses together, also
+        after their arrival; by default those of this object alone.
     """
 
     __slots__ = ("body_bytes", "budget", "header_bytes", "headers")
@@ -28,12 +28,12 @@
         header_bytes: int = 64 * 1024,
         headers: int = 512,
         body_bytes: int = 64 * 1024 * 1024,
-        budget: ByteBudget | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.header_bytes = header_bytes
         self.headers = headers
         self.body_bytes = body_bytes
-        self.budget = budget or ByteBudget(2 * body_bytes)
+        self.budget = budget or MemoryBudget(2 * body_bytes)
 
     def max_overhead(self, body_bytes: int) -> int:
         """
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -9,6 +9,8 @@
 from burdockgap.http1.pipeline import Pipeline
 from burdockgap.http1.request_reader import RequestReader
 from burdockgap.http1.response import Response
+from burdockgap.resources.held_connection import HeldConnection
+from burdockgap.resources.write_gate import WriteGate
 
 if TYPE_CHECKING:
     from burdockgap.http1.request import Request
@@ -18,6 +20,16 @@
 """How long the caller has to close a connection that was closed for
 writing. Closing it while bytes arrive would reset it, and the caller
 might lose the last response."""
+_COST_BYTES = 6 * 1024
+"""Memory of an idle connection: 4.3 KB, measured with 800 of them, and
+the parser's state."""
+_JOINED_BYTES = 16 * 1024
+"""Smaller bodies are sent in one write with their head; larger ones are
+not copied."""
+_MIN_WINDOW_S = 0.5
+_RETRY_AFTER = [("Retry-After", "0.500")]
+"""After a refusal for lack of memory; connections without progress are
+closed in the meantime."""
 
 
 class ServerConnection(asyncio.Protocol):
@@ -29,20 +41,27 @@
     longer waits.
 
     :param server: the server that accepted the connection.
+    :ivar idle_since: when the last response was sent, in seconds of the
+        event loop's clock.
     :ivar peer: the caller's IP address, "" if unknown.
     """
 
     __slots__ = (
+        "_charge",
         "_closed_at",
-        "_idle_since",
+        "_gate",
+        "_marks",
+        "_moved_bytes",
+        "_paused_at",
         "_pipeline",
         "_reader",
+        "_response",
         "_server",
         "_task",
         "_transport",
         "_unsent",
         "_waiter",
-        "_writable",
+        "idle_since",
         "peer",
     )
 
@@ -56,10 +75,17 @@
             on_refused=self._wake,
         )
         self._waiter: asyncio.Future[None] | None = None
-        self._writable: asyncio.Future[None] | None = None
+        self._gate = WriteGate()
+        self._paused_at: float | None = None
+        self._response: Response | None = None
+        self._charge = server.charge("connections")
+        # Bytes received and sent, and what they were at the last two
+        # checks, which are the bounds of the window for the progress.
+        self._moved_bytes = 0
+        self._marks = ((0.0, 0), (0.0, 0))
         self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
-        self._idle_since = 0.0
+        self.idle_since = 0.0
         self._closed_at: float | None = None
         self._unsent = (0, 0.0)
         self.peer = ""
@@ -86,17 +112,22 @@
         self._transport = cast("asyncio.Transport", transport)
         name = transport.get_extra_info("peername")
         self.peer = name[0] if name else ""
-        self._idle_since = self._server.now()
+        self.idle_since = now = self._server.now()
+        self._marks = ((now, 0), (now, 0))
+        if not (self._server.admits(self) and self._charge.grow(_COST_BYTES)):
+            self.abort()
+            return
+        # The rest of a large response is given to the transport when it
+        # has passed on the part before.
+        self._transport.set_write_buffer_limits(high=0)
         self._server.connections.add(self)
         self._task = self._server.loop.create_task(self._serve())
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Cancel the task, and with it the requests in progress."""
         self._server.connections.discard(self)
-        self._reader.close()
-        self._pipeline.cancel()
-        if self._task is not None:
-            self._task.cancel()
+        self._discard()
+        self._gate.resume()
 
     def eof_received(self) -> bool:
         """Close the connection, also when the caller half-closed it."""
@@ -104,17 +135,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the reader."""
+        self._moved_bytes += len(data)
         self._reader.feed(data)
 
     def pause_writing(self) -> None:
         """Send no further response until the caller has read."""
-        self._writable = self._server.loop.create_future()
+        self._gate.pause()
+        self._paused_at = self._server.now()
 
     def resume_writing(self) -> None:
         """Continue to send responses."""
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-        self._writable = None
+        self._paused_at = None
+        self._gate.resume()
 
     def close_if_overdue(self, now: float) -> bool:
         """
@@ -134,7 +166,7 @@
             overdue = now - self._closed_at > _LINGER_S
             overdue = overdue and not self._unsent_bytes
         else:
-            idle_s = now - self._idle_since
+            idle_s = now - self.idle_since
             overdue = idle_s > self._server.limits.idle_timeout_s
             overdue = overdue and not self.busy
         if overdue:
@@ -151,6 +183,60 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def shed(self) -> None:
+        """Abort the connection and free what it holds."""
+        self._server.connections.discard(self)
+        self.abort()
+        self._discard()
+
+    def note_progress(self, now: float) -> None:
+        """Note how much has been received and sent by a time."""
+        self._marks = (self._marks[1], (now, self._progress_bytes))
+
+    def describe_held(
+        self, now: float
+    ) -> HeldConnection[ServerConnection] | None:
+        """Return what is held for the caller, if it has to act."""
+        if self._paused_at is not None:
+            since = self._paused_at
+        elif self._pipeline:
+            return None
+        else:
+            since = self._reader.started_at or self.idle_since
+        held_bytes = (
+            self._charge.size
+            + self._reader.held_bytes
+            + self._pipeline.held_bytes
+        )
+        if self._response is not None:
+            held_bytes += len(self._response.body)
+        start, moved_bytes = self._marks[0]
+        return HeldConnection(
+            self,
+            held_bytes=held_bytes,
+            bytes_per_s=(self._progress_bytes - moved_bytes)
+            / max(now - start, _MIN_WINDOW_S),
+            waiting_s=now - since,
+        )
+
+    @property
+    def _progress_bytes(self) -> int:
+        return self._moved_bytes - self._unsent_bytes
+
+    def _discard(self) -> None:
+        """Cancel what is in progress and credit its bytes."""
+        self._reader.close()
+        self._pipeline.cancel()
+        task, self._task = self._task, None
+        if task is not None:
+            # Without the reference above, the traceback and what its
+            # frames refer to are freed at once, not by the collector.
+            task.cancel()
+        response, self._response = self._response, None
+        if response is not None and response.charge is not None:
+            response.charge.release()
+        self._charge.release()
+
     def _is_stalled(self, now: float) -> bool:
         """Return whether the caller has read nothing for too long."""
         unsent, since = self._unsent
@@ -179,8 +265,11 @@
             while not self._pipeline:
                 if self._reader.refused is not None:
                     self._server.on_malformed(self._reader.refused)
+                    headers = (
+                        _RETRY_AFTER if self._reader.refused == 503 else None
+                    )
                     await self._write(
-                        Response(self._reader.refused), close=True
+                        Response(self._reader.refused, headers), close=True
                     )
                     self._close_for_writing()
                     return
@@ -188,8 +277,6 @@
                 await self._waiter
             first = self._pipeline.first
             response = await self._pipeline.answer_first()
-            if self._writable is not None:
-                await self._writable
             # A stopping server still answers what it has started.
             close = not first.keep_alive or (
                 self._server.leaving and not self._pipeline.next_is_started
@@ -203,7 +290,7 @@
                 self._close_for_writing()
                 return
             self._pipeline.remove_first()
-            self._idle_since = self._server.now()
+            self.idle_since = self._server.now()
             if self._transport is not None and not self._pipeline.is_full:
                 self._transport.resume_reading()
 
@@ -219,16 +306,38 @@
     async def _write(
         self, response: Response, *, close: bool, bodiless: bool = False
     ) -> None:
-        assert self._transport is not None
+        self._response = response
+        try:
+            await self._write_parts(response, close=close, bodiless=bodiless)
+        finally:
+            self._response = None
+
+    async def _write_parts(
+        self, response: Response, *, close: bool, bodiless: bool
+    ) -> None:
+        """Write a response; return when the transport has sent it."""
+        body = b"" if bodiless else response.body
+        is_joined = len(body) <= _JOINED_BYTES
         data = encode_response(
             response.status,
             response.headers,
             response.body,
             close=close,
-            bodiless=bodiless,
+            bodiless=bodiless or not is_joined,
         )
+        await self._send(data)
+        if not is_joined:
+            await self._send(body)
+        await self._gate.wait()
+
+    async def _send(self, data: bytes) -> None:
         uplink = self._server.uplink
         if uplink is None:
-            self._transport.write(data)
+            self._write_to_transport(data)
         else:
-            await uplink.send(data, self._transport.write)
+            await uplink.send(data, self._write_to_transport, self._gate)
+
+    def _write_to_transport(self, data: bytes | memoryview) -> None:
+        assert self._transport is not None
+        self._moved_bytes += len(data)
+        self._transport.write(data)
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import tomllib
 from typing import TYPE_CHECKING, Any
 
@@ -14,9 +15,13 @@
 
 _BYTES_PER_MBIT = 125_000
 _BYTES_PER_MB = 1_000_000
-_BUFFER_SHARE = 0.25
-"""Share of the memory for incomplete messages. A message is copied when
-it is complete and again when it is sent on."""
+_PROCESS_BYTES = 45_000_000
+"""Memory of an idle daemon, 37 MB, and what is not counted."""
+_BUFFER_SHARE = 0.5
+"""Share of the other memory for messages. One message at a time is
+copied when it is complete and again when it is sent on."""
+_MIN_BUFFER_SHARE = 0.1
+"""Least share of the whole memory for messages."""
 SETTINGS_VARIABLE = "BURDOCKGAP_NODE_FILE"
 
 
@@ -62,14 +67,26 @@
         * _BYTES_PER_MBIT,
         drain_s=decode_time(require_field(bounds, "drain", str)),
         grace_s=decode_time(require_field(bounds, "grace-period", str)),
-        buffer_bytes=int(
-            require_field(limits, "memory-mb", number_types)
-            * _BYTES_PER_MB
-            * _BUFFER_SHARE
+        buffer_bytes=_buffer_bytes(
+            require_field(limits, "memory-mb", number_types) * _BYTES_PER_MB
         ),
+        descriptors=int(limits.get("file-descriptors", _soft_limit())),
     )
 
 
+def _buffer_bytes(memory_bytes: float) -> int:
+    return int(
+        max(
+            (memory_bytes - _PROCESS_BYTES) * _BUFFER_SHARE,
+            memory_bytes * _MIN_BUFFER_SHARE,
+        )
+    )
+
+
+def _soft_limit() -> int:
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
 def _first_internal_port(source: dict[str, Any]) -> int:
     ports = require_field(source, "internal-port-range", list)
     if not ports or not isinstance(ports[0], int):
--- /dev/null
+++ b/src/burdockgap/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the memory and descriptors that a process uses."""
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -2,12 +2,25 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from burdockgap.sidecar.node import Node
 
 
+_HOLDERS = (
+    "bodies",
+    "calls",
+    "connections",
+    "frames",
+    "heads",
+    "replies",
+    "requests",
+    "responses",
+)
+
+
 def add_gauges(node: Node) -> None:
     """Register the gauges, which are read when metrics are scraped."""
     gauge = node.metrics.gauge
@@ -64,9 +77,20 @@
     )
     gauge(
         "buffered_bytes",
-        "Bytes of incomplete messages and of bodies of unanswered requests.",
+        "Bytes of messages and connections that the process holds.",
         lambda: node.buffers.used,
     )
+    for holder in _HOLDERS:
+        gauge(
+            f"held_{holder}_bytes",
+            f"The part of buffered_bytes for {holder}.",
+            partial(node.buffers.held.get, holder, 0),
+        )
+    gauge(
+        "refused_for_memory",
+        "Messages and connections refused since they did not fit.",
+        lambda: node.buffers.refused,
+    )
     gauge(
         "in_flight",
         "Requests at the target.",
--- a/src/burdockgap/sidecar/metrics.py
+++ b/src/burdockgap/sidecar/metrics.py
@@ -26,6 +26,7 @@
         "outcomes",
         "registry",
         "requests",
+        "shed_connections",
         "target_time",
     )
 
@@ -55,6 +56,12 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.shed_connections = Counter(
+            "burdockgap_sidecar_shed_connections",
+            "Callers' connections closed for lack of memory or descriptors.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.events = Counter(
             "burdockgap_sidecar_events",
             "Log lines by event, dropped ones included.",
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -20,12 +20,12 @@
     RELEASE,
 )
 from burdockgap.hop.peer_connection import PeerConnections
-from burdockgap.http1.byte_budget import ByteBudget
 from burdockgap.http1.response import Response
 from burdockgap.platform.documents import PlatformDocuments
 from burdockgap.platform.names import OPERATOR_TOPIC
 from burdockgap.platform.requests import decode_request
 from burdockgap.platform.target_protocol import PlatformTargetProtocol
+from burdockgap.resources.memory_budget import MemoryBudget
 from burdockgap.routing.document_follower import DocumentFollower
 from burdockgap.routing.documents import Documents
 from burdockgap.shards.control_changes import ControlChanges
@@ -63,6 +63,11 @@
 """Below the second within which a server expects an acknowledgement."""
 
 
+_BUFFER_RESERVE_SHARE = 0.125
+"""Of the memory for messages; large ones leave it to small requests,
+half of it to heartbeats, readiness checks and scrapes alone."""
+
+
 class Node:
     """
     One daemon: creates its components and connects them.
@@ -130,7 +135,10 @@
         self.metrics = metrics
         self.clock = BootClock()
         self.uplink = Uplink(cfg.link_bytes_per_s)
-        self.buffers = ByteBudget(cfg.buffer_bytes)
+        self.buffers = MemoryBudget(
+            cfg.buffer_bytes, reserve_share=_BUFFER_RESERVE_SHARE
+        )
+        self.buffers.on_full = self._free_memory
         self.peer_connections = PeerConnections(self.uplink, self.buffers)
         self.peers_busy: Callable[[], bool] = lambda: False
         self._is_coordinator = False
@@ -403,6 +411,17 @@
         fields["control"] = list(self.view.version)
         self.event_log.write("store_restored", fields)
 
+    def _free_memory(self, missing_bytes: int) -> None:
+        if self.caller_server is not None:
+            self.caller_server.free_memory(missing_bytes)
+
+    def note_shed(self, reason: str, peer: str, held_bytes: int) -> None:
+        """Count and log a connection closed for lack of resources."""
+        self.metrics.shed_connections.labels(reason).inc()
+        self.event_log.write(
+            "shed", {"reason": reason, "peer": peer, "bytes": held_bytes}
+        )
+
     def _count_answer(self, status: int, seconds: float) -> None:
         self.metrics.requests.labels(status).inc()
         self.metrics.latency.observe(seconds)
--- a/src/burdockgap/sidecar/peer_call_handlers.py
+++ b/src/burdockgap/sidecar/peer_call_handlers.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from burdockgap.forward.call import Call
+from burdockgap.forward.outcome import Outcome
 from burdockgap.hop.call_kinds import (
     FORWARD,
     GET_CONTROL_STATE,
@@ -13,12 +14,17 @@
     RELEASE,
 )
 from burdockgap.hop.transit_clock import TransitClock
+from burdockgap.verdict import Reason, Verdict
 from burdockgap.wire.compression import compress
 
 if TYPE_CHECKING:
     from burdockgap.sidecar.node import Node
 
 
+_RETRY_AFTER_S = 0.5
+"""After a refusal for lack of memory, which is freed as calls end."""
+
+
 class PeerCallHandlers:
     """
     Handles each kind of call.
@@ -42,8 +48,30 @@
             GET_OUTCOME: self._outcome,
         }
 
+    def refusals(self) -> dict[int, Any]:
+        """Return the replies to calls that do not fit, by kind."""
+        return {FORWARD: self._refuse}
+
+    def _refuse(self) -> Any:
+        outcome = Outcome(
+            Verdict.NOT_RUN,
+            reason=Reason.OVERLOADED,
+            retry_after_s=_RETRY_AFTER_S,
+            load=self._node.gate.load,
+        )
+        return outcome.encode()
+
     async def _forward(self, payload: Any) -> Any:
         call = Call.decode(payload)
+        charge = self._node.buffers.charge("calls")
+        if not charge.grow(len(call.body)):
+            return self._refuse()
+        try:
+            return await self._run(call)
+        finally:
+            charge.release()
+
+    async def _run(self, call: Call) -> Any:
         call.shorten(
             self._transit_clock.delay_s(
                 call.sender, call.sent_at, self._node.clock.now()
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -18,11 +18,14 @@
 from burdockgap.logs.line_writer import LineWriter
 from burdockgap.platform.announcements import ControlApi
 from burdockgap.platform.store_client import StoreClient
+from burdockgap.resources.descriptor_limit import DescriptorLimit
 from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
 from burdockgap.sidecar.peer_call_handlers import PeerCallHandlers
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from burdockgap.http1.request import Request
     from burdockgap.sidecar.sidecar_settings import SidecarSettings
 
@@ -35,6 +38,8 @@
 """Share of the grace period after which the process always exits."""
 _POLL_INTERVAL_S = 0.05
 _MAX_CONTROL_BODY_BYTES = 64 * 1024
+_MAX_CONTROL_CONNECTIONS = 64
+"""For the server's heartbeats, readiness checks or scrapes."""
 METRICS_PORT = 9464
 """Also set in deploy/system.toml."""
 METRICS_PATH = "/metrics"
@@ -97,27 +102,37 @@
             uplink=node.uplink,
             budget=node.buffers,
             may_overlap=node.may_overlap,
+            max_connections=DescriptorLimit(cfg.descriptors).connections,
+            on_shed=node.note_shed,
         )
+        peer_calls = PeerCallHandlers(node)
         node.peers_busy = await stack.enter_async_context(
             open_listener(
-                PeerCallHandlers(node).handlers(),
+                peer_calls.handlers(),
                 cfg.peer_host,
                 cfg.peer_port,
                 uplink=node.uplink,
                 budget=node.buffers,
+                refusals=peer_calls.refusals(),
             )
         )
-        small = ConnectionLimits(body_bytes=_MAX_CONTROL_BODY_BYTES)
+
+        def control_server(
+            answer: Callable[[Request], Awaitable[Response]],
+        ) -> Server:
+            return Server(
+                answer,
+                limits=ConnectionLimits(body_bytes=_MAX_CONTROL_BODY_BYTES),
+                budget=node.buffers,
+                is_control=True,
+                max_connections=_MAX_CONTROL_CONNECTIONS,
+                on_shed=node.note_shed,
+            )
+
         for server, address in (
-            (Server(control_api.answer_control, limits=small), cfg.control),
-            (
-                Server(control_api.answer_readiness, limits=small),
-                cfg.readiness,
-            ),
-            (
-                Server(answer_metrics, limits=small),
-                (cfg.ip, METRICS_PORT),
-            ),
+            (control_server(control_api.answer_control), cfg.control),
+            (control_server(control_api.answer_readiness), cfg.readiness),
+            (control_server(answer_metrics), (cfg.ip, METRICS_PORT)),
             (node.caller_server, cfg.callers),
         ):
             await stack.enter_async_context(open_server(server, *address))
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -30,8 +30,9 @@
         may be sent requests.
     :param grace_s: seconds between the signal to stop and the forced
         end of the process.
-    :param buffer_bytes: limit on all bodies and frames that are
-        received and not yet handed on.
+    :param buffer_bytes: limit on all messages and connections that the
+        process holds.
+    :param descriptors: descriptors that the process may have open.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "service",
         "store",
         "data_centre",
+        "descriptors",
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         drain_s: float,
         grace_s: float,
         buffer_bytes: int,
+        descriptors: int = 4096,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -95,3 +98,4 @@
         self.drain_s = drain_s
         self.grace_s = grace_s
         self.buffer_bytes = buffer_bytes
+        self.descriptors = descriptors
--- a/src/burdockgap/uplink.py
+++ b/src/burdockgap/uplink.py
@@ -4,10 +4,13 @@
 
 import asyncio
 from collections import deque
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable
+
+    from burdockgap.resources.write_gate import WriteGate
 
 _MIN_PART_BYTES = 16 * 1024
 """Larger messages are sent in parts, so that a small message waits for
@@ -70,42 +73,66 @@
         now = self._loop.time()
         self._free_at = max(self._free_at, now) + size / self._bytes_per_s
 
-    async def send(self, data: bytes, write: Callable[[bytes], None]) -> None:
+    async def send(
+        self,
+        data: bytes,
+        write: Callable[[bytes | memoryview], None],
+        gate: WriteGate | None = None,
+    ) -> None:
         """Send a message at once if it is small, else in parts."""
         if len(data) > self.part_bytes:
-            await self.send_in_parts(data, write)
+            await self.send_in_parts(data, write, gate)
         else:
             self.count(len(data))
             write(data)
 
     async def send_in_parts(
-        self, data: bytes, write: Callable[[bytes], None]
+        self,
+        data: bytes,
+        write: Callable[[bytes | memoryview], None],
+        gate: WriteGate | None = None,
     ) -> None:
         """
         Send a large message in parts, each when the link is ready.
 
-        Cancelling it leaves the rest of the message unsent.
+        While the connection's peer does not read, others take their
+        turn. Cancelling it leaves the rest of the message unsent.
 
         :param data: the whole message.
         :param write: writes one part to the connection, without
             blocking.
+        :param gate: whether the connection has sent what was written,
+            ``None`` to write without regard to it.
         """
+        view = memoryview(data)
+        unsent = len(view)
+        self._queued_bytes += unsent
+        try:
+            while unsent:
+                if gate is not None:
+                    await gate.wait()
+                async with self._turn():
+                    while unsent and (gate is None or gate.is_open):
+                        await self._wait_until_ready()
+                        start = len(view) - unsent
+                        part = view[start : start + self.part_bytes]
+                        write(part)
+                        self.count(len(part))
+                        self._queued_bytes -= len(part)
+                        unsent -= len(part)
+        finally:
+            self._queued_bytes -= unsent
+
+    @asynccontextmanager
+    async def _turn(self) -> AsyncIterator[None]:
+        """Wait for those before; keep others waiting until it exits."""
         turn: asyncio.Future[None] = self._loop.create_future()
         self._turns.append(turn)
-        self._queued_bytes += len(data)
-        unsent_bytes = len(data)
         try:
             if self._turns[0] is not turn:
                 await turn
-            for start in range(0, len(data), self.part_bytes):
-                await self._wait_until_ready()
-                part = data[start : start + self.part_bytes]
-                write(part)
-                self.count(len(part))
-                self._queued_bytes -= len(part)
-                unsent_bytes -= len(part)
+            yield
         finally:
-            self._queued_bytes -= unsent_bytes
             self._turns.remove(turn)
             if self._turns and not self._turns[0].done():
                 self._turns[0].set_result(None)
