--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -318,13 +318,27 @@
                 return response
             if is_keyed and _is_final_for_key(last, route):
                 return self._failure_response(progress, last, deadline)
-            if not self._may_retry(last, route, service, progress, give_up_at):
+            if not await self._may_try_again(
+                req, last, route, service, progress, give_up_at
+            ):
                 return self._failure_response(progress, last, deadline)
-            if not progress.has_token:
-                # The last attempt reached a server and has used it.
-                if not await self._accounts.admit_retry(req.account):
-                    return self._failure_response(progress, last, deadline)
-                progress.has_token = True
+
+    async def _may_try_again(
+        self,
+        req: CallerRequest,
+        last: Outcome,
+        route: Route,
+        service: str,
+        progress: _Progress,
+        give_up_at: float,
+    ) -> bool:
+        """Take what another attempt needs; return whether it was there."""
+        if not self._may_retry(last, route, service, progress, give_up_at):
+            return False
+        if not progress.has_token:
+            # The last attempt reached a server and has used it.
+            progress.has_token = await self._accounts.admit_retry(req.account)
+        return progress.has_token
 
     async def _choose(
         self,
@@ -400,16 +414,7 @@
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, sent=True
             )
         except PeerCallError as exc:
-            self._roster.mark_unreachable(member.name)
-            if not exc.sent:
-                return Outcome(Verdict.NOT_RUN, reason=Reason.UNREACHABLE)
-            if call.idempotent:
-                return Outcome(
-                    Verdict.MAY_HAVE_RUN,
-                    reason=Reason.CONNECTION_LOST,
-                    sent=True,
-                )
-            return await self._settle(member, call, reply_deadline)
+            return await self._failed_call(member, call, exc, reply_deadline)
         except ValueError as exc:
             self._on_event(
                 "bad_reply", {"id": call.request_id, "why": str(exc)}
@@ -423,6 +428,26 @@
             self._roster.note_notice(member.name, outcome.notice)
         return outcome
 
+    async def _failed_call(
+        self,
+        member: Member,
+        call: Call,
+        exc: PeerCallError,
+        reply_deadline: float,
+    ) -> Outcome:
+        """Return the outcome of a call that got no reply."""
+        if not exc.peer_is_alive:
+            self._roster.mark_unreachable(member.name)
+        if not exc.sent:
+            return Outcome(Verdict.NOT_RUN, reason=Reason.UNREACHABLE)
+        if call.idempotent:
+            return Outcome(
+                Verdict.MAY_HAVE_RUN,
+                reason=Reason.CONNECTION_LOST,
+                sent=True,
+            )
+        return await self._settle(member, call, reply_deadline)
+
     async def _settle(
         self, member: Member, call: Call, reply_deadline: float
     ) -> Outcome:
@@ -502,9 +527,11 @@
         return Response(503, [("Retry-After", f"{pause_s:.3f}")])
 
     def _without_hop_headers(self, response: Response) -> Response:
-        return Response(
+        stripped = Response(
             response.status, end_to_end(response.headers), response.body
         )
+        stripped.charge = response.charge
+        return stripped
 
     def _budget(self, service: str) -> RetryShare:
         budget = self._budgets.get(service)
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -32,8 +32,9 @@
         may be sent requests.
     :param grace_s: seconds between the signal to stop and the forced
         end of the process.
-    :param buffer_bytes: limit on all bodies and frames that are
-        received and not yet handed on.
+    :param buffer_bytes: limit on all messages and connections that the
+        process holds.
+    :param descriptors: descriptors that the process may have open.
     :param quota_bounds: what may exceed the quotas of accounts.
     """
 
@@ -57,6 +58,7 @@
         "service",
         "store",
         "data_centre",
+        "descriptors",
     )
 
     def __init__(
@@ -81,6 +83,7 @@
         grace_s: float,
         buffer_bytes: int,
         quota_bounds: QuotaBounds | None = None,
+        descriptors: int = 4096,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -101,3 +104,4 @@
         self.grace_s = grace_s
         self.buffer_bytes = buffer_bytes
         self.quota_bounds = quota_bounds or QuotaBounds()
+        self.descriptors = descriptors
