--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -332,7 +332,7 @@
         progress: _Progress,
         give_up_at: float,
     ) -> bool:
-        """Take what another attempt needs; return whether it is there."""
+        """Return whether there is all that another attempt needs."""
         if not self._may_retry(last, route, service, progress, give_up_at):
             return False
         if not progress.has_token:
