--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -316,24 +316,22 @@
         assert info is not None
         assert pool is not None
         began = self._loop.time()
-        data = self._protocol.encode(
+        head = self._protocol.encode_head(
             call, target_id=info.target_id, left_s=deadline - began
         )
         try:
-            with self._buffers.hold(len(data), "requests"):
-                async with asyncio.timeout_at(deadline):
-                    response = await pool.exchange(
-                        data,
-                        accepts=lambda got: self._protocol.matches(call, got),
-                        bodiless=call.method == "HEAD",
-                        max_idle_s=None
-                        if call.idempotent
-                        else _NON_IDEMPOTENT_IDLE_S,
-                        request_id=call.request_id,
-                        before_send=lambda: self._check_sendable(
-                            call, deadline
-                        ),
-                    )
+            async with asyncio.timeout_at(deadline):
+                response = await pool.exchange(
+                    head,
+                    body=call.body,
+                    accepts=lambda got: self._protocol.matches(call, got),
+                    bodiless=call.method == "HEAD",
+                    max_idle_s=None
+                    if call.idempotent
+                    else _NON_IDEMPOTENT_IDLE_S,
+                    request_id=call.request_id,
+                    before_send=lambda: self._check_sendable(call, deadline),
+                )
         except ExchangeError as exc:
             return self._failure_outcome(call, exc, info.born)
         except TimeoutError:
--- a/src/burdockgap/forward/target_protocol.py
+++ b/src/burdockgap/forward/target_protocol.py
@@ -14,9 +14,11 @@
 class TargetProtocol(Protocol):
     """Encodes requests to a target and interprets its responses."""
 
-    def encode(self, call: Call, *, target_id: str, left_s: float) -> bytes:
+    def encode_head(
+        self, call: Call, *, target_id: str, left_s: float
+    ) -> bytes:
         """
-        Return the bytes of a call for one target.
+        Return the bytes of a call for one target that precede its body.
 
         :param left_s: time until the deadline, in seconds.
         """
--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -173,7 +173,8 @@
                 if uplink is not None:
                     uplink.count(size)
                 for piece in pieces:
-                    transport.write(piece)
+                    # The transport copies the rest of a byte string.
+                    transport.write(memoryview(piece))
             else:
                 for piece in pieces:
                     await uplink.send_in_parts(
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -160,7 +160,8 @@
         if self._uplink is not None:
             self._uplink.count(sum(len(piece) for piece in pieces))
         for piece in pieces:
-            self._transport.write(piece)
+            # The transport copies the rest of a byte string.
+            self._transport.write(memoryview(piece))
         self._schedule_check()
         try:
             return await fut
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -22,6 +22,9 @@
 # used, so that the server does not close it while a request is sent.
 _KEEP_ALIVE_SHARE = 0.8
 _MIN_KEEP_ALIVE_S = 0.2
+_JOINED_BYTES = 16 * 1024
+"""Smaller bodies are sent in one write with their head; larger ones are
+not copied."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -110,6 +113,7 @@
         self,
         data: bytes,
         *,
+        body: bytes = b"",
         accepts: Callable[[Response], bool] | None = None,
         bodiless: bool = False,
         read_timeout_s: float | None = None,
@@ -121,7 +125,8 @@
         Cancelling it closes the connection, which tells the server to
         cancel the request.
 
-        :param data: the encoded request.
+        :param data: the encoded request, or its head.
+        :param body: the body, if ``data`` is only the head.
         :param accepts: returns whether a response belongs to this
             request; one to an earlier request is skipped.
         :param bodiless: whether the response has no body, as for
@@ -141,7 +146,12 @@
         self._fut = self._loop.create_future()
         if request_id is not None:
             self.sent_ids.add(request_id, self._loop.time())
-        self._transport.write(data)
+        if len(body) <= _JOINED_BYTES:
+            self._transport.write(data + body)
+        else:
+            self._transport.write(data)
+            # The transport copies the rest of a byte string.
+            self._transport.write(memoryview(body))
         if read_timeout_s is not None:
             self._heard_at = self._loop.time()
             self._check_read_timeout(self._fut, read_timeout_s)
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -78,6 +78,7 @@
         self,
         data: bytes,
         *,
+        body: bytes = b"",
         accepts: Callable[[Response], bool] | None = None,
         bodiless: bool = False,
         max_idle_s: float | None = None,
@@ -89,7 +90,8 @@
         """
         Send a request over an idle or a new connection.
 
-        :param data: the encoded request.
+        :param data: the encoded request, or its head.
+        :param body: the body, if ``data`` is only the head.
         :param accepts: returns whether a response belongs to this
             request; one to an earlier request is skipped.
         :param bodiless: whether the response has no body, as for
@@ -124,6 +126,7 @@
                     raise
         response = await conn.exchange(
             data,
+            body=body,
             accepts=accepts,
             bodiless=bodiless,
             read_timeout_s=read_timeout_s,
--- a/src/burdockgap/http1/encode.py
+++ b/src/burdockgap/http1/encode.py
@@ -35,12 +35,22 @@
     body: bytes = b"",
 ) -> bytes:
     """Return an encoded request, with a Content-Length if needed."""
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: str,
+    target: str,
+    headers: Iterable[tuple[str, str]],
+    body_bytes: int,
+) -> bytes:
+    """Return a request without its body, which has some size."""
     lines = [f"{method} {target} HTTP/1.1\r\n"]
     lines += [f"{name}: {value}\r\n" for name, value in headers]
-    if body or method not in _BODILESS_METHODS:
-        lines.append(f"content-length: {len(body)}\r\n")
+    if body_bytes or method not in _BODILESS_METHODS:
+        lines.append(f"content-length: {body_bytes}\r\n")
     lines.append("\r\n")
-    return "".join(lines).encode("latin-1") + body
+    return "".join(lines).encode("latin-1")
 
 
 def encode_response(
--- a/src/burdockgap/http1/server.py
+++ b/src/burdockgap/http1/server.py
@@ -23,7 +23,8 @@
 
 _SWEEP_INTERVAL_S = 0.5
 _BACKLOG = 512
-_DEFAULT_BUDGET_BYTES = 64 * 1024 * 1024
+_DEFAULT_BUDGET_BYTES = 128 * 1024 * 1024
+"""For one body of the largest size and what is held besides it."""
 _MIN_IDLE_S = 1.0
 """A connection that is idle for less is likely to be used again."""
 _SHED_INTERVAL_S = 0.05
@@ -43,7 +44,7 @@
         :class:`ConnectionLimits` if ``None``.
     :param uplink: paces what is sent over the machine's network link,
         ``None`` where its bandwidth is not a limit.
-    :param budget: bounds what all connections hold together, 64 MiB if
+    :param budget: bounds what all connections hold together, 128 MiB if
         ``None``.
     :param is_control: whether requests may use the whole reserve of the
         budget.
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -340,4 +340,5 @@
     def _write_to_transport(self, data: bytes | memoryview) -> None:
         assert self._transport is not None
         self._moved_bytes += len(data)
-        self._transport.write(data)
+        # The transport copies the rest of a byte string.
+        self._transport.write(memoryview(data))
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -70,7 +70,7 @@
         buffer_bytes=_buffer_bytes(
             require_field(limits, "memory-mb", number_types) * _BYTES_PER_MB
         ),
-        descriptors=int(limits.get("file-descriptors", _soft_limit())),
+        descriptors=_descriptors(limits),
     )
 
 
@@ -83,8 +83,12 @@
     )
 
 
-def _soft_limit() -> int:
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+def _descriptors(limits: dict[str, Any]) -> int:
+    """Return the platform's limit, else that of the process."""
+    if "file-descriptors" not in limits:
+        return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    value: int = require_field(limits, "file-descriptors", int)
+    return value
 
 
 def _first_internal_port(source: dict[str, Any]) -> int:
--- a/src/burdockgap/platform/target_protocol.py
+++ b/src/burdockgap/platform/target_protocol.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from burdockgap.forward.target_notice import TargetNotice
-from burdockgap.http1.encode import encode_request
+from burdockgap.http1.encode import encode_request, encode_request_head
 from burdockgap.platform import names
 from burdockgap.platform.times import encode_time
 from burdockgap.verdict import Verdict
@@ -28,15 +28,19 @@
 
     __slots__ = ()
 
-    def encode(self, call: Call, *, target_id: str, left_s: float) -> bytes:
-        """Encode a call that has ``left_s`` until its deadline."""
+    def encode_head(
+        self, call: Call, *, target_id: str, left_s: float
+    ) -> bytes:
+        """Encode the head of a call that has ``left_s`` left."""
         headers = [
             *call.headers,
             (names.DEADLINE_MS, str(max(int(left_s * 1000), 1))),
             (names.EXPECTED_TARGET, target_id),
             (names.ORIGIN_SERVICE, call.origin),
         ]
-        return encode_request(call.method, call.target, headers, call.body)
+        return encode_request_head(
+            call.method, call.target, headers, len(call.body)
+        )
 
     def matches(self, call: Call, response: Response) -> bool:
         """
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -16,7 +16,6 @@
     "frames",
     "heads",
     "replies",
-    "requests",
     "responses",
 )
 
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -18,6 +18,7 @@
 from burdockgap.logs.line_writer import LineWriter
 from burdockgap.platform.announcements import ControlApi
 from burdockgap.platform.store_client import StoreClient
+from burdockgap.resources.allocator import return_freed_memory
 from burdockgap.resources.descriptor_limit import DescriptorLimit
 from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
@@ -55,6 +56,7 @@
     :return: exit code: 0 if all requests in flight were completed,
         else 1.
     """
+    return_freed_memory()
     return uvloop.run(_run(cfg))
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -24,12 +24,28 @@
     assert cfg.callers == ("10.1.0.8", 8304)
     assert cfg.link_bytes_per_s == 125e6
     assert cfg.store == ("10.200.1.7", 8309)
+    # (200 MB - 45 MB for the process) / 2.
+    assert cfg.buffer_bytes == 77_500_000
     assert (cfg.drain_s, cfg.grace_s, cfg.peer_port) == (2.0, 6.0, 7620)
 
 
+def test_descriptors_are_those_of_the_machine(tmp_path):
+    text = SETTINGS_TEXT.replace(
+        "memory-mb = 200", "memory-mb = 60\nfile-descriptors = 4100"
+    )
+    cfg = read_settings(write_settings(tmp_path, text))
+    assert (cfg.buffer_bytes, cfg.descriptors) == (7_500_000, 4100)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "why"),
     [
+        pytest.param(
+            "memory-mb = 200",
+            'memory-mb = 200\nfile-descriptors = "many"',
+            "file-descriptors",
+            id="no-count",
+        ),
         pytest.param('zone = "tanta"', "", "zone", id="missing"),
         pytest.param('"6s"', '"six"', "six", id="no-time"),
         pytest.param("8304", "port", "outbound|address", id="no-port"),
--- a/tests/platform/test_target_protocol.py
+++ b/tests/platform/test_target_protocol.py
@@ -124,7 +124,10 @@
 
 def test_encoded_call_has_internal_and_callers_headers():
     call = make_call(headers=[("host", "a"), ("x-other", "1")])
-    data = PlatformTargetProtocol().encode(call, target_id="i-1", left_s=0.5)
+    data = PlatformTargetProtocol().encode_head(
+        call, target_id="i-1", left_s=0.5
+    )
+    assert data.endswith(b"\r\n\r\n")
     head = data.partition(b"\r\n\r\n")[0].decode().lower()
     assert "deadline-milliseconds: 500" in head
     assert "expected-instance: i-1" in head
