--- a/tests/platform/test_target_protocol.py
+++ b/tests/platform/test_target_protocol.py
@@ -143,7 +143,7 @@
     ],
 )
 def test_target_gets_the_name_of_the_account(account, lines):
-    data = PlatformTargetProtocol().encode(
+    data = PlatformTargetProtocol().encode_head(
         make_call(account=account), target_id="i-1", left_s=1.0
     )
     got = [line for line in data.split(b"\r\n") if line.startswith(b"tenant")]
