--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -5,6 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from burdockgap.fleet.roster_entry import RosterEntry
+from burdockgap.scheduling import placement
+from burdockgap.scheduling.candidate import Candidate
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -15,71 +19,19 @@
 MEMBER_TIMEOUT_S = 3.2
 """Exceeded by a live member only if three beacons in a row are lost."""
 _EJECTION_S = 0.4
-_MAX_SLOWNESS_AGE_S = 0.4
-"""Age above which a reported slowness is ignored. According to the
-targets' users, the other workloads that slow a target down change
-about this often."""
-_CONTENTION_SHARE = 0.5
-"""Relative increase of the service time when all slots of a target are
-in use."""
 _SILENT_AFTER_S = 60.0
 _FORGET_AFTER_S = 24 * 3600.0
 """Longer than regions are cut off from each other. A member that has
 forgotten all others is found again only by a start of its daemon."""
 
 
-class RosterEntry:
-    """
-    A member and what this daemon has observed of it.
-
-    Times are seconds of the event loop's clock.
-
-    :param member: the newest announcement.
-    :param heard_at: when it was last heard, ``None`` if it is only
-        known from the store.
-    :ivar load: the newest load known.
-    :ivar load_at: when the load was received.
-    :ivar notice: the newest notice of its target that was received, if
-        any.
-    :ivar notice_at: when that was.
-    :ivar unreported_calls: calls from this daemon to it that its load
-        does not include yet.
-    :ivar ejected_until: end of its ejection after a failure.
-    """
-
-    __slots__ = (
-        "ejected_until",
-        "heard_at",
-        "known_at",
-        "load",
-        "load_at",
-        "member",
-        "notice",
-        "notice_at",
-        "unreported_calls",
-    )
-
-    def __init__(
-        self, member: Member, heard_at: float | None, known_at: float
-    ) -> None:
-        self.member = member
-        self.heard_at = heard_at
-        self.known_at = known_at
-        self.load = member.load
-        self.load_at = heard_at or 0.0
-        # The age of a stored notice is not known.
-        self.notice = member.notice if heard_at is not None else None
-        self.notice_at = heard_at or 0.0
-        self.unreported_calls = 0
-        self.ejected_until = 0.0
-
-
 class Roster:
     """
     Members by name; a newer incarnation replaces an earlier one.
 
     :param own: this daemon's own entry.
     :param on_event: logs state changes of members.
+    :ivar own_load: returns the current load of the own target.
     """
 
     __slots__ = (
@@ -88,12 +40,14 @@
         "_loop",
         "_on_event",
         "own",
+        "own_load",
     )
 
     def __init__(
         self, own: Member, on_event: Callable[[str, dict[str, object]], None]
     ) -> None:
         self._loop = asyncio.get_running_loop()
+        self.own_load: Callable[[], Load] = lambda: self.own.load
         self._on_event = on_event
         self.own = own
         self._entries: dict[str, RosterEntry] = {}
@@ -117,6 +71,7 @@
         known = entry.member
         if known.incarnation != member.incarnation:
             self._ended_incarnations.add((known.name, known.incarnation))
+            entry.forget_load()
             self._log(member, "restarted")
         elif member.sequence < known.sequence:
             return entry
@@ -128,7 +83,7 @@
             self._log(member, "changed")
         entry.member = member
         entry.heard_at = entry.known_at = now
-        entry.load, entry.unreported_calls, entry.load_at = member.load, 0, now
+        entry.note_load(member.load, now)
         if member.notice is not None:
             # A daemon that has started again may not know it any more.
             entry.notice, entry.notice_at = member.notice, now
@@ -225,8 +180,7 @@
         """Store the load from a member's reply."""
         entry = self._entries.get(name)
         if entry is not None:
-            entry.load, entry.unreported_calls = load, 0
-            entry.load_at = self._loop.time()
+            entry.note_load(load, self._loop.time())
 
     def note_notice(self, name: str, notice: KnownNotice) -> None:
         """Store the target's notice from a member's reply."""
@@ -251,11 +205,34 @@
         entry = self._entries.get(name)
         return self._loop.time() - entry.load_at if entry else 0.0
 
-    def note_call(self, name: str) -> None:
-        """Count a call to a member until its next load is received."""
+    def note_call(self, name: str) -> float:
+        """
+        Count a call to a member until it ends or a load includes it.
+
+        :return: when it was sent, for :meth:`note_call_ended`.
+        """
+        now = self._loop.time()
         entry = self._entries.get(name)
         if entry is not None:
-            entry.unreported_calls += 1
+            entry.calls_sent_at.append(now)
+        return now
+
+    def note_call_ended(self, name: str, sent_at: float) -> None:
+        """Stop counting a call to a member."""
+        entry = self._entries.get(name)
+        if entry is not None and sent_at in entry.calls_sent_at:
+            entry.calls_sent_at.remove(sent_at)
+
+    def note_refusal(self, name: str, retry_after_s: float = 0.0) -> None:
+        """
+        Skip a member until its target is expected to have room.
+
+        :param retry_after_s: least time until then, in seconds.
+        """
+        entry = self._entries.get(name)
+        if entry is not None:
+            mean_s = self._mean_service_s(entry.member.service)
+            entry.note_refusal(self._loop.time(), mean_s, retry_after_s)
 
     def mark_unreachable(self, name: str) -> None:
         """Eject a member for a short time after a failed connection."""
@@ -264,28 +241,36 @@
             entry.ejected_until = self._loop.time() + _EJECTION_S
             self._log(entry.member, "unreachable")
 
+    def candidate(self, member: Member) -> Candidate:
+        """Return what is known of a member's target."""
+        entry = self._entries.get(member.name)
+        if entry is not None and member.name != self.own.name:
+            return entry.candidate(self._loop.time())
+        load = self.own_load()
+        return Candidate(
+            member.name,
+            work=load.in_flight + load.waiting,
+            slots=load.slots,
+            service_s=load.service_s,
+            slowness=load.slowness,
+            rate_wait_s=load.rate_wait_s,
+        )
+
     def expected_latency_s(self, member: Member) -> float:
         """
         Estimate the latency of a new request at a member's target.
 
         :return: in seconds, without the network.
         """
-        load, unreported_calls, age_s = self.own.load, 0, 0.0
-        if member.name != self.own.name:
-            entry = self._entries[member.name]
-            load, unreported_calls = entry.load, entry.unreported_calls
-            age_s = self._loop.time() - entry.load_at
-        slots = max(load.slots, 1)
-        work = load.in_flight + load.waiting + unreported_calls
-        queued = max(work + 1 - slots, 0) / slots
-        slowness = load.slowness if age_s < _MAX_SLOWNESS_AGE_S else 1.0
-        contention = _CONTENTION_SHARE * min(work / slots, 1.0)
-        rate_wait_s = 0.0
-        if load.rate_limit:
-            added_s = unreported_calls / load.rate_limit
-            rate_wait_s = max(load.rate_wait_s + added_s - age_s, 0.0)
-        service_s = load.service_s * slowness * (1 + contention + queued)
-        return rate_wait_s + service_s
+        candidate = self.candidate(member)
+        return placement.latency_s(
+            candidate, placement.mean_service_s([candidate])
+        )
+
+    def _mean_service_s(self, service: str) -> float:
+        return placement.mean_service_s(
+            [self.candidate(member) for member in self.servers(service)]
+        )
 
     def _is_ejected(self, name: str, now: float) -> bool:
         entry = self._entries.get(name)
--- a/src/burdockgap/forward/chooser.py
+++ b/src/burdockgap/forward/chooser.py
@@ -5,16 +5,16 @@
 import random
 from typing import TYPE_CHECKING
 
+from burdockgap.scheduling import placement
+
 if TYPE_CHECKING:
     from burdockgap.fleet.member import Member
     from burdockgap.fleet.roster import Roster
     from burdockgap.routing.documents import Documents
     from burdockgap.routing.route import Route
+    from burdockgap.scheduling.candidate import Candidate
     from burdockgap.shards.control_view import ControlView
 
-_SAMPLE_SIZE = 3
-"""Targets compared for one request; with more, all daemons would pick
-the same one."""
 _REMOTE_COST_S = 0.008
 """Cost of a small response from another data centre: its latency and
 the price of the traffic."""
@@ -30,13 +30,20 @@
     :param roster: the members.
     :param documents: the data centres that are out of service.
     :param view: owners of keys.
+    :param rng: source of random numbers.
     """
 
-    __slots__ = ("_documents", "_roster", "_view")
+    __slots__ = ("_documents", "_rng", "_roster", "_view")
 
     def __init__(
-        self, *, roster: Roster, documents: Documents, view: ControlView
+        self,
+        *,
+        roster: Roster,
+        documents: Documents,
+        view: ControlView,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._roster = roster
         self._documents = documents
         self._view = view
@@ -49,23 +56,19 @@
 
         :param tried: names of members to skip.
         """
-        servers = [
-            member
+        servers = {
+            member.name: member
             for member in self._roster.servers(service)
             if member.name not in tried
             and member.data_centre not in self._documents.data_centres_out
             and (not route.regions or member.region in route.regions)
-        ]
-        if not servers:
-            return None
-        if route.large:
-            own = self._roster.own.data_centre
-            local = [item for item in servers if item.data_centre == own]
-            remote = [item for item in servers if item.data_centre != own]
-            servers = [*_sample(local), *_sample(remote)]
-        else:
-            servers = _sample(servers)
-        return min(servers, key=lambda member: self._cost_s(member, route))
+        }
+        choice = placement.choose(
+            [self._candidate(member, route) for member in servers.values()],
+            self._rng,
+            retry=bool(tried),
+        )
+        return servers[choice.name] if choice is not None else None
 
     def owner(self, service: str, key: int) -> Member | None:
         """Return the owner of a key, if it is known and alive."""
@@ -74,14 +77,12 @@
             return None
         return self._roster.member(shard.owner)
 
-    def _cost_s(self, member: Member, route: Route) -> float:
-        cost_s = self._roster.expected_latency_s(member)
+    def _candidate(self, member: Member, route: Route) -> Candidate:
+        candidate = self._roster.candidate(member)
         if route.large:
-            cost_s += self._roster.load(member).uplink_s
+            candidate.uplink_s = self._roster.load(member).uplink_s
         if member.data_centre != self._roster.own.data_centre:
-            cost_s += _REMOTE_LARGE_COST_S if route.large else _REMOTE_COST_S
-        return cost_s
-
-
-def _sample(members: list[Member]) -> list[Member]:
-    return random.sample(members, min(len(members), _SAMPLE_SIZE))
+            candidate.distance_s = (
+                _REMOTE_LARGE_COST_S if route.large else _REMOTE_COST_S
+            )
+        return candidate
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -38,6 +38,9 @@
 )
 """Not retried for a key: it has one owner, so no other target can serve
 it when the owner has no room."""
+_NO_ROOM_REASONS = frozenset({Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT})
+"""After these the member is skipped until it is expected to have
+room."""
 _MAX_TRIES = 4
 """Daemons tried for one request; each refusal costs one round trip."""
 _RETRY_DELAY_S = 0.03
@@ -309,7 +312,20 @@
         return outcome
 
     async def _call_member(self, member: Member, call: Call) -> Outcome:
-        self._roster.note_call(member.name)
+        sent_at = self._roster.note_call(member.name)
+        try:
+            outcome = await self._exchange(member, call)
+        finally:
+            self._roster.note_call_ended(member.name, sent_at)
+        if outcome.load is not None:
+            self._roster.note_load(member.name, outcome.load)
+        if outcome.notice is not None:
+            self._roster.note_notice(member.name, outcome.notice)
+        if outcome.reason in _NO_ROOM_REASONS:
+            self._roster.note_refusal(member.name)
+        return outcome
+
+    async def _exchange(self, member: Member, call: Call) -> Outcome:
         call.notice = self._roster.notice(member.name)
         call.sent_at = self._clock.now()
         reply_deadline = self._loop.time() + call.deadline_s + _REPLY_GRACE_S
@@ -318,7 +334,7 @@
                 reply = await self._peer_connections.call(
                     member.address, FORWARD, call.encode()
                 )
-            outcome = Outcome.decode(reply)
+            return Outcome.decode(reply)
         except TimeoutError:
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, sent=True
@@ -341,11 +357,6 @@
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.TRUNCATED, sent=True
             )
-        if outcome.load is not None:
-            self._roster.note_load(member.name, outcome.load)
-        if outcome.notice is not None:
-            self._roster.note_notice(member.name, outcome.notice)
-        return outcome
 
     async def _settle(
         self, member: Member, call: Call, reply_deadline: float
--- a/src/burdockgap/forward/load.py
+++ b/src/burdockgap/forward/load.py
@@ -14,7 +14,8 @@
     :param in_flight: requests that the target is running.
     :param waiting: requests queued for it in its daemon.
     :param slots: requests that it may run concurrently.
-    :param service_s: average service time of a request, in seconds.
+    :param service_s: average service time of a request, in seconds; 0
+        if none has run yet.
     :param slowness: how many times longer work takes now than on
         average, as reported by the target.
     :param uplink_s: time until the machine's link has sent all queued
@@ -42,7 +43,7 @@
         in_flight: int = 0,
         waiting: int = 0,
         slots: int = 1,
-        service_s: float = 0.05,
+        service_s: float = 0.0,
         slowness: float = 1.0,
         uplink_s: float = 0.0,
         rate_limit: float | None = None,
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -23,12 +23,13 @@
 _SERVICE_TIME_WEIGHT = 0.05
 """Weight of one response's time in the moving average; about a dozen
 requests run at once."""
-_INITIAL_SERVICE_S = 0.05
-"""Assumed service time until a request has run."""
 _SLOWNESS_WEIGHT = 0.02
 """Weight of one response's slowness in the moving average. The load
 of other work on the machine changes within fractions of a second, so
 the average has to span several such changes."""
+_SLOWNESS_SPAN_S = 4.0
+"""Least time that the average spans. With a weight per response alone,
+a server with 900 requests per second averaged over 0.05 s."""
 
 
 class TargetState:
@@ -68,6 +69,7 @@
         "_on_event",
         "_samples",
         "_slowness",
+        "_succeeded_at",
         "_mean_slowness",
         "ended",
         "info",
@@ -107,14 +109,15 @@
         self.limit = RateLimit()
         self._has_notice = False
         self._leaving_at: float | None = None
-        self._normalized_service_s = _INITIAL_SERVICE_S
+        self._normalized_service_s = 0.0
         self._samples = 0
+        self._succeeded_at = self._loop.time()
         self._slowness = 1.0
         self._mean_slowness: float | None = None
 
     @property
     def service_s(self) -> float:
-        """Typical time of a request at this target, in seconds."""
+        """Typical time of a request in seconds, 0 if none has run."""
         return self._normalized_service_s * (self._mean_slowness or 1.0)
 
     @property
@@ -296,11 +299,14 @@
         self._slowness = slowness
         self._samples += 1
         # Early samples weigh more, as there is no history yet.
-        weight = 1 / (self._samples + 1)
+        weight = 1 / self._samples
         mean = self._mean_slowness
         if mean is None:
             mean = slowness
-        mean += max(_SLOWNESS_WEIGHT, weight) * (slowness - mean)
+        now = self._loop.time()
+        elapsed_s, self._succeeded_at = now - self._succeeded_at, now
+        slowness_weight = min(_SLOWNESS_WEIGHT, elapsed_s / _SLOWNESS_SPAN_S)
+        mean += max(slowness_weight, weight) * (slowness - mean)
         self._mean_slowness = mean
         error_s = seconds / slowness - self._normalized_service_s
         self._normalized_service_s += (
--- /dev/null
+++ b/src/burdockgap/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, without network or clock."""
--- a/src/burdockgap/shards/assigner.py
+++ b/src/burdockgap/shards/assigner.py
@@ -25,6 +25,9 @@
 assignment; targets announce themselves about once a second."""
 _MIN_SERVICE_S = 0.005
 """Bounds the capacity of a target whose requests take no time."""
+_UNKNOWN_SERVICE_S = 0.05
+"""Used while no target of a service has run a request. All have the
+same capacity then, unless one names a rate limit."""
 
 
 class Assigner:
@@ -186,7 +189,8 @@
 
     def _servers(self, service: str, now: float) -> dict[str, Server]:
         servers = {}
-        for name, report in self._reports.fresh(now).items():
+        reports = self._reports.fresh(now)
+        for name, report in reports.items():
             member = self._roster.member(name)
             if member is None or member.service != service:
                 continue
@@ -200,8 +204,16 @@
                 servers[name] = Server(
                     name=name,
                     born=report.born,
-                    capacity=_capacity(report.load),
+                    capacity=0.0,
                 )
+        times_s = [
+            reports[name].load.service_s
+            for name in servers
+            if reports[name].load.service_s > 0
+        ]
+        mean_s = sum(times_s) / len(times_s) if times_s else _UNKNOWN_SERVICE_S
+        for name, server in servers.items():
+            server.capacity = _capacity(reports[name].load, mean_s)
         return servers
 
     def _classify_owners(
@@ -274,9 +286,13 @@
         return changed
 
 
-def _capacity(load: Load) -> float:
-    """Return the requests per second that a target can serve."""
-    capacity = load.slots / max(load.service_s, _MIN_SERVICE_S)
+def _capacity(load: Load, mean_s: float) -> float:
+    """
+    Return the requests per second that a target can serve.
+
+    :param mean_s: service time if the target has run no request.
+    """
+    capacity = load.slots / max(load.service_s or mean_s, _MIN_SERVICE_S)
     if load.rate_limit is None:
         return capacity
     return min(capacity, load.rate_limit)
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -208,6 +208,7 @@
             on_event=self.event_log.write,
             on_outcome=self._count_outcome,
         )
+        self.roster.own_load = lambda: self.gate.load
         self.forwarder = Forwarder(
             roster=self.roster,
             documents=self.documents,
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of decisions under load."""
--- /dev/null
+++ b/tests/scheduling/simulated_server.py
@@ -0,0 +1,145 @@
+"""A server with its gate, in simulated time."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from burdockgap.forward.departures import Departures
+from burdockgap.forward.load import Load
+from burdockgap.forward.target_state import TargetState
+
+_NOISE_S = 0.4
+_NOISE_SHARE = 0.2
+_NOISE_FACTOR = 3.0
+_TAIL_SHARE = 0.03
+_TAIL_FACTOR = 7.0
+
+
+class SimulatedServer:
+    """
+    A server whose slots, queue and speed vary with its load.
+
+    :param clock: the simulated clock.
+    :param name: name of the member beside it.
+    :param slots: its announced slots.
+    :param work_s: lower and upper bound of a request's work.
+    :param speed: how fast it works.
+    :param contention: how much longer work takes with all slots in use.
+    :ivar slots: slots that the gate uses.
+    :ivar disturbance: factor of service times that no response reports.
+    """
+
+    def __init__(
+        self, clock, name, *, slots, work_s, speed, contention, rng, queue=0.5
+    ):
+        self.clock = clock
+        self.name = name
+        self.announced_slots = self.slots = slots
+        self.work_s = work_s
+        self.speed = speed
+        self.contention = contention
+        self.rng = rng
+        self.queue_size = max(round(slots * queue), 1)
+        self.in_flight = 0
+        self.queue = []
+        self.ran = 0
+        self.disturbance = 1.0
+        self.limit = None
+        self._noise_until = 0.0
+        self._noise = 1.0
+        self.restart()
+
+    def restart(self):
+        """Forget what was measured, as a daemon that starts again."""
+        self._state = TargetState(
+            drain_s=1.0,
+            cold_rate=lambda: None,
+            departures=Departures(),
+            on_change=lambda: None,
+            on_event=lambda _event, _fields: None,
+        )
+        self._state._loop = self.clock
+
+    def load(self):
+        """Return the load that the gate would announce."""
+        return Load(
+            in_flight=self.in_flight,
+            waiting=len(self.queue),
+            slots=self.slots,
+            service_s=self._state.service_s,
+            slowness=self._state.slowness,
+        )
+
+    def arrive(self, patience_s, answer):
+        """Run, queue or refuse a request; ``answer(ran)`` is called."""
+        if self.in_flight < self.slots:
+            self._start(answer)
+        elif len(self.queue) >= self.queue_size:
+            answer(False)
+        else:
+            waiter = [answer]
+            self.queue.append(waiter)
+            self.clock.after(patience_s, lambda: self._time_out(waiter))
+
+    def noise(self):
+        """Return how much slower other work makes the machine now."""
+        while self._noise_until <= self.clock.now:
+            self._noise_until += _NOISE_S * self.rng.uniform(0.5, 1.5)
+            is_slow = self.rng.random() < _NOISE_SHARE
+            self._noise = _NOISE_FACTOR if is_slow else 1.0
+        return self._noise
+
+    def _start(self, answer):
+        self.in_flight += 1
+        began = self.clock.now
+        slowness = self.noise() / self.speed
+        busy = self.in_flight / self.announced_slots
+        factor = slowness * self.disturbance
+        factor *= 1 + self.contention * max(busy - 0.5, 0.0) * 2
+        work_s = self.rng.uniform(*self.work_s)
+        if self.rng.random() < _TAIL_SHARE:
+            work_s *= _TAIL_FACTOR
+        self.clock.after(
+            work_s * factor, lambda: self._end(began, slowness, answer)
+        )
+
+    def _end(self, began, slowness, answer):
+        now = self.clock.now
+        if self.limit is not None:
+            self.limit.note(
+                now,
+                in_flight=self.in_flight,
+                waiting=len(self.queue),
+                service_s=(now - began) / slowness,
+            )
+            self.slots = self.limit.slots(self.announced_slots, now)
+        self.in_flight -= 1
+        self.ran += 1
+        self._state.note_success(now - began, slowness)
+        answer(True)
+        while self.queue and self.in_flight < self.slots:
+            self._start(self.queue.pop(0)[0])
+
+    def _time_out(self, waiter):
+        if any(item is waiter for item in self.queue):
+            self.queue = [item for item in self.queue if item is not waiter]
+            waiter[0](False)
+
+
+def mean_work_s(work_s):
+    """Return the mean work of a request, with the long ones."""
+    mean_s = sum(work_s) / 2
+    return mean_s * (1 + _TAIL_SHARE * (_TAIL_FACTOR - 1))
+
+
+def mean_noise():
+    """Return the mean factor of service times by other work."""
+    return 1 + _NOISE_SHARE * (_NOISE_FACTOR - 1)
+
+
+def make_speeds(count, rng=random):
+    """Return speeds as they occur on the users' machines."""
+    speeds = [0.6, 1.0, 1.4, 1.6] * math.ceil(count / 4)
+    rng.shuffle(speeds)
+    return speeds[:count]
