--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -14,6 +14,7 @@
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response_limits import ResponseLimits
+from burdockgap.scheduling.concurrency_limit import ConcurrencyLimit
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
     :ivar holder: keys that the target holds; ``None`` until known.
     :ivar leaving: whether this daemon is about to stop; only calls with
         keys are served then, until the keys have moved.
+    :ivar concurrency: learns how many slots the target can use.
     :ivar closed: whether all calls are refused.
     :ivar ends_at: when the process ends, on the event loop's clock;
         non-idempotent calls that may take longer are refused.
@@ -86,6 +88,7 @@
         "_out_since",
         "_uplink",
         "closed",
+        "concurrency",
         "ends_at",
         "holder",
         "leaving",
@@ -119,6 +122,7 @@
         self._out_since = out_since
         self._on_event = on_event
         self._slots = Slots(size=1, queue_size=1, limit=state.limit)
+        self.concurrency = ConcurrencyLimit()
         self._dedup_cache = DedupCache()
         self._pool: ClientPool | None = None
         self.holder: ShardHolder | None = None
@@ -134,7 +138,8 @@
             waiting=self._slots.waiting,
             slots=self._slots.size,
             service_s=self._state.service_s,
-            slowness=self._state.slowness,
+            slowness=self._state.slowness
+            * self.concurrency.slowdown(self._loop.time()),
             uplink_s=self._uplink_s,
             rate_limit=self._state.limit.rate,
             rate_wait_s=self._state.limit.wait_s(
@@ -164,6 +169,8 @@
             self._state.ended or info.born != self._target_born
         ):
             self._crashes.target_ended(self._target_born)
+        if info.born != self._target_born:
+            self.concurrency = ConcurrencyLimit()
         self._target_born = info.born
         if self._pool is None or self._pool.address != info.address:
             self._pool = ClientPool(
@@ -178,7 +185,7 @@
         if not self._state.up:
             self._pool.close()
         self._slots.queue_size = max(round(info.slots * _QUEUE_PER_SLOT), 1)
-        self._slots.resize(info.slots)
+        self._slots.resize(self.concurrency.slots(info.slots))
         if not self._state.takes_work and self.holder is None:
             self._slots.refuse_waiting(Reason.DRAINING)
 
@@ -253,12 +260,27 @@
             return self._refusal_outcome(exc)
         waited_s = self._loop.time() - began
         self._large_in_flight += call.large
+        concurrency = self.concurrency
+        # Large responses take the time of the link, not of the target.
+        running = concurrency.began(
+            self._loop.time(), "large" if call.large else call.service
+        )
         try:
             outcome = await self._dispatch(call, deadline)
+            if outcome.response is not None and outcome.response.is_success:
+                concurrency.succeeded(
+                    self._loop.time(),
+                    running,
+                    self._protocol.slowness(outcome.response),
+                )
         except Refusal as exc:
             outcome = self._refusal_outcome(exc)
         finally:
             self._large_in_flight -= call.large
+            concurrency.failed(self._loop.time(), running)
+            info = self._state.info
+            if info is not None:
+                self._slots.size = self.concurrency.slots(info.slots)
             self._slots.release()
         outcome.waited_s = waited_s
         return outcome
--- a/tests/scheduling/simulated_server.py
+++ b/tests/scheduling/simulated_server.py
@@ -27,7 +27,6 @@
     :param speed: how fast it works.
     :param contention: how much longer work takes with all slots in use.
     :ivar slots: slots that the gate uses.
-    :ivar disturbance: factor of service times that no response reports.
     """
 
     def __init__(
@@ -44,7 +43,11 @@
         self.in_flight = 0
         self.queue = []
         self.ran = 0
-        self.disturbance = 1.0
+        self._disturbance = 1.0
+        self._left = []
+        self._advanced_at = 0.0
+        self._last_rate = 1.0
+        self._version = 0
         self.limit = None
         self._noise_until = 0.0
         self._noise = 1.0
@@ -68,7 +71,7 @@
             waiting=len(self.queue),
             slots=self.slots,
             service_s=self._state.service_s,
-            slowness=self._state.slowness,
+            slowness=self._state.slowness * self._slowdown(),
         )
 
     def arrive(self, patience_s, answer):
@@ -90,33 +93,77 @@
             self._noise = _NOISE_FACTOR if is_slow else 1.0
         return self._noise
 
+    def _slowdown(self):
+        if self.limit is None:
+            return 1.0
+        return self.limit.slowdown(self.clock.now)
+
     def _start(self, answer):
         self.in_flight += 1
         began = self.clock.now
+        running = None
+        if self.limit is not None:
+            running = self.limit.began(began, "r")
         slowness = self.noise() / self.speed
-        busy = self.in_flight / self.announced_slots
-        factor = slowness * self.disturbance
-        factor *= 1 + self.contention * max(busy - 0.5, 0.0) * 2
         work_s = self.rng.uniform(*self.work_s)
         if self.rng.random() < _TAIL_SHARE:
             work_s *= _TAIL_FACTOR
-        self.clock.after(
-            work_s * factor, lambda: self._end(began, slowness, answer)
-        )
+        left = [work_s * slowness, began, slowness, answer, running]
+        self._advance()
+        self._left.append(left)
+        self._schedule()
+
+    @property
+    def _rate(self):
+        """Progress of each running request per second."""
+        busy = self.in_flight / self.announced_slots
+        factor = 1 + self.contention * max(busy - 0.5, 0.0) * 2
+        return 1 / (factor * self._disturbance)
+
+    @property
+    def disturbance(self):
+        """Factor of service times that no response reports."""
+        return self._disturbance
+
+    @disturbance.setter
+    def disturbance(self, factor):
+        self._advance()
+        self._disturbance = factor
+        self._schedule()
+
+    def _advance(self):
+        """Apply the progress since the last change."""
+        done = (self.clock.now - self._advanced_at) * self._last_rate
+        self._advanced_at = self.clock.now
+        for left in self._left:
+            left[0] -= done
+
+    def _schedule(self):
+        """Plan the end of the request that ends first."""
+        self._last_rate = self._rate
+        self._version += 1
+        version = self._version
+        if self._left:
+            first = min(self._left, key=lambda left: left[0])
+            self.clock.after(
+                max(first[0], 0.0) / self._last_rate,
+                lambda: self._end(first, version),
+            )
 
-    def _end(self, began, slowness, answer):
+    def _end(self, left, version):
+        if version != self._version:
+            return
+        self._advance()
+        self._left.remove(left)
+        _, began, slowness, answer, running = left
         now = self.clock.now
-        if self.limit is not None:
-            self.limit.note(
-                now,
-                in_flight=self.in_flight,
-                waiting=len(self.queue),
-                service_s=(now - began) / slowness,
-            )
-            self.slots = self.limit.slots(self.announced_slots, now)
+        if running is not None:
+            self.limit.succeeded(now, running, slowness)
+            self.slots = self.limit.slots(self.announced_slots)
         self.in_flight -= 1
         self.ran += 1
         self._state.note_success(now - began, slowness)
+        self._schedule()
         answer(True)
         while self.queue and self.in_flight < self.slots:
             self._start(self.queue.pop(0)[0])
