--- a/src/burdockgap/fleet/beacons.py
+++ b/src/burdockgap/fleet/beacons.py
@@ -8,6 +8,7 @@
 
 from burdockgap.fleet.datagrams import BEACON
 from burdockgap.fleet.member import Member
+from burdockgap.forward.load_error import LoadError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -103,7 +104,7 @@
             )
 
     def _handle_beacon(self, values: list[Any]) -> None:
-        member = Member.from_values(values[0])
+        member, has_load = self._decode(values[0])
         if member.name == self._roster.own.name:
             return
         is_reply = bool(values[1])
@@ -114,7 +115,8 @@
             # Otherwise a member that was cut off waits for a probe.
             or not self._roster.is_alive(member.name)
         )
-        if self._roster.record_announcement(member) is None:
+        entry = self._roster.record_announcement(member, has_load=has_load)
+        if entry is None:
             return
         if is_new and not is_reply:
             self._refresh()
@@ -122,3 +124,13 @@
                 member.address, BEACON, self._roster.own.values(), True
             )
         self._on_member(member)
+
+    def _decode(self, values: list[Any]) -> tuple[Member, bool]:
+        """Return a member, and whether its load is a possible one."""
+        try:
+            return Member.from_values(values), True
+        except LoadError as exc:
+            # The member is alive even if its load is of no use.
+            member = Member.from_values(Member.without_load(values))
+            self._roster.reject_load(member.name, str(exc))
+            return member, False
--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from burdockgap.metadata.keyed_store import Position
 
+_LOAD_INDEX = 13
+"""Position of the load in a member's values."""
+
 
 class Member:
     """
@@ -143,11 +146,18 @@
         data: bytes = msgpack.packb(self.values())
         return data
 
+    @staticmethod
+    def without_load(values: list[Any]) -> list[Any]:
+        """Return the values with a load of which nothing is known."""
+        index = _LOAD_INDEX
+        return [*values[:index], Load().encode(), *values[index + 1 :]]
+
     @classmethod
     def from_values(cls, values: list[Any]) -> Member:
         """
         Return the member that :meth:`values` describes.
 
+        :raises LoadError: if only its load is impossible.
         :raises ValueError: if the values do not describe a member.
         """
         (
--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from burdockgap.fleet.roster_entry import RosterEntry
+from burdockgap.fleet.rejected_loads import RejectedLoads
+from burdockgap.fleet.roster_entry import RosterEntry, own_candidate
 from burdockgap.scheduling import placement
-from burdockgap.scheduling.candidate import Candidate
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -15,6 +15,7 @@
     from burdockgap.fleet.member import Member
     from burdockgap.forward.known_notice import KnownNotice
     from burdockgap.forward.load import Load
+    from burdockgap.scheduling.candidate import Candidate
 
 MEMBER_TIMEOUT_S = 3.2
 """Exceeded by a live member only if three beacons in a row are lost."""
@@ -31,6 +32,8 @@
 
     :param own: this daemon's own entry.
     :param on_event: logs state changes of members.
+    :ivar rejected_loads: loads that are impossible or of another
+        incarnation.
     :ivar own_load: returns the current load of the own target.
     """
 
@@ -41,6 +44,7 @@
         "_on_event",
         "own",
         "own_load",
+        "rejected_loads",
     )
 
     def __init__(
@@ -51,12 +55,17 @@
         self._on_event = on_event
         self.own = own
         self._entries: dict[str, RosterEntry] = {}
+        self.rejected_loads = RejectedLoads(on_event)
         self._ended_incarnations: set[tuple[str, int]] = set()
 
-    def record_announcement(self, member: Member) -> RosterEntry | None:
+    def record_announcement(
+        self, member: Member, *, has_load: bool = True
+    ) -> RosterEntry | None:
         """
         Update a member's entry from its own announcement.
 
+        :param has_load: whether its load is used; the last one remains
+            otherwise.
         :return: its entry, ``None`` for a late announcement of an
             earlier incarnation.
         """
@@ -83,7 +92,8 @@
             self._log(member, "changed")
         entry.member = member
         entry.heard_at = entry.known_at = now
-        entry.note_load(member.load, now)
+        if has_load:
+            entry.note_load(member.load, now)
         if member.notice is not None:
             # A daemon that has started again may not know it any more.
             entry.notice, entry.notice_at = member.notice, now
@@ -176,12 +186,24 @@
             and not self._is_ejected(member.name, now)
         ]
 
-    def note_load(self, name: str, load: Load) -> None:
-        """Store the load from a member's reply."""
+    def note_load(self, name: str, load: Load, incarnation: int) -> None:
+        """
+        Store the load from a member's reply.
+
+        :param incarnation: the incarnation that was called.
+        """
         entry = self._entries.get(name)
-        if entry is not None:
+        if entry is None:
+            return
+        if entry.member.incarnation != incarnation:
+            self.reject_load(name, "it is of another incarnation")
+        else:
             entry.note_load(load, self._loop.time())
 
+    def reject_load(self, name: str, why: str) -> None:
+        """Count and log a load that is not used."""
+        self.rejected_loads.note(name, why, self._loop.time())
+
     def note_notice(self, name: str, notice: KnownNotice) -> None:
         """Store the target's notice from a member's reply."""
         entry = self._entries.get(name)
@@ -223,16 +245,15 @@
         if entry is not None and sent_at in entry.calls_sent_at:
             entry.calls_sent_at.remove(sent_at)
 
-    def note_refusal(self, name: str, retry_after_s: float = 0.0) -> None:
-        """
-        Skip a member until its target is expected to have room.
-
-        :param retry_after_s: least time until then, in seconds.
-        """
+    def note_refusal(self, name: str) -> None:
+        """Skip a member until its target is expected to have room."""
         entry = self._entries.get(name)
         if entry is not None:
-            mean_s = self._mean_service_s(entry.member.service)
-            entry.note_refusal(self._loop.time(), mean_s, retry_after_s)
+            others = self.servers(entry.member.service)
+            mean_s = placement.mean_service_s(
+                [self.candidate(member) for member in others]
+            )
+            entry.note_refusal(self._loop.time(), mean_s)
 
     def mark_unreachable(self, name: str) -> None:
         """Eject a member for a short time after a failed connection."""
@@ -246,15 +267,7 @@
         entry = self._entries.get(member.name)
         if entry is not None and member.name != self.own.name:
             return entry.candidate(self._loop.time())
-        load = self.own_load()
-        return Candidate(
-            member.name,
-            work=load.in_flight + load.waiting,
-            slots=load.slots,
-            service_s=load.service_s,
-            slowness=load.slowness,
-            rate_wait_s=load.rate_wait_s,
-        )
+        return own_candidate(member.name, self.own_load())
 
     def expected_latency_s(self, member: Member) -> float:
         """
@@ -262,15 +275,8 @@
 
         :return: in seconds, without the network.
         """
-        candidate = self.candidate(member)
-        return placement.latency_s(
-            candidate, placement.mean_service_s([candidate])
-        )
-
-    def _mean_service_s(self, service: str) -> float:
-        return placement.mean_service_s(
-            [self.candidate(member) for member in self.servers(service)]
-        )
+        mean_s = placement.mean_service_s([self.candidate(member)])
+        return placement.latency_s(self.candidate(member), mean_s)
 
     def _is_ejected(self, name: str, now: float) -> bool:
         entry = self._entries.get(name)
--- a/src/burdockgap/fleet/roster_entry.py
+++ b/src/burdockgap/fleet/roster_entry.py
@@ -82,23 +82,19 @@
         if work < load.slots:
             self.full_until = 0.0
 
-    def note_refusal(
-        self, now: float, mean_s: float, retry_after_s: float
-    ) -> None:
+    def note_refusal(self, now: float, mean_s: float) -> None:
         """
         Note that the target has refused a call for lack of room.
 
         :param mean_s: service time if the target has run no request.
-        :param retry_after_s: least time without room.
         """
         load = self.load
-        full_s = placement.full_time_s(
+        self.full_until = now + placement.full_time_s(
             work=load.in_flight + load.waiting,
             slots=load.slots,
             service_s=load.service_s or mean_s,
             slowness=load.slowness,
         )
-        self.full_until = now + max(full_s, retry_after_s)
 
     def forget_load(self) -> None:
         """Forget what was observed of an earlier incarnation."""
@@ -127,3 +123,15 @@
             full_s=max(self.full_until - now, 0.0),
             rate_wait_s=rate_wait_s,
         )
+
+
+def own_candidate(name: str, load: Load) -> Candidate:
+    """Return what is known of this daemon's own target."""
+    return Candidate(
+        name,
+        work=load.in_flight + load.waiting,
+        slots=load.slots,
+        service_s=load.service_s,
+        slowness=load.slowness,
+        rate_wait_s=load.rate_wait_s,
+    )
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -317,8 +317,12 @@
             outcome = await self._exchange(member, call)
         finally:
             self._roster.note_call_ended(member.name, sent_at)
+        if outcome.load_error is not None:
+            self._roster.reject_load(member.name, outcome.load_error)
         if outcome.load is not None:
-            self._roster.note_load(member.name, outcome.load)
+            self._roster.note_load(
+                member.name, outcome.load, member.incarnation
+            )
         if outcome.notice is not None:
             self._roster.note_notice(member.name, outcome.notice)
         if outcome.reason in _NO_ROOM_REASONS:
--- a/src/burdockgap/forward/load.py
+++ b/src/burdockgap/forward/load.py
@@ -4,8 +4,13 @@
 
 from typing import Any
 
+from burdockgap.forward.load_error import LoadError
 from burdockgap.wire.checks import MAX_COUNT, check_integer, check_number
 
+_MAX_SECONDS = 24 * 3600
+"""No request and no queue of a link takes longer; the time-outs of
+callers are far below."""
+
 
 class Load:
     """
@@ -76,8 +81,16 @@
         """
         Return the load that ``encode`` turned into a list.
 
-        :raises ValueError: if the list is not that of a load.
+        :raises LoadError: if the list is not that of a load, or has a
+            figure that no server can have.
         """
+        try:
+            return cls._decode(values)
+        except ValueError as exc:
+            raise LoadError(str(exc)) from exc
+
+    @classmethod
+    def _decode(cls, values: list[Any]) -> Load:
         if not isinstance(values, list):
             raise ValueError(f"load is {values!r:.40}, which is no list")
         (
@@ -94,11 +107,17 @@
             in_flight=check_integer(in_flight, "in flight", most=MAX_COUNT),
             waiting=check_integer(waiting, "waiting", most=MAX_COUNT),
             slots=check_integer(slots, "slots", most=MAX_COUNT),
-            service_s=check_number(service_s, "service time"),
+            service_s=_check_seconds(service_s, "service time"),
             slowness=check_number(slowness, "slowness"),
-            uplink_s=check_number(uplink_s, "uplink time"),
+            uplink_s=_check_seconds(uplink_s, "uplink time"),
             rate_limit=None
             if rate_limit is None
             else check_number(rate_limit, "rate limit"),
             rate_wait_s=check_number(rate_wait_s, "rate wait"),
         )
+
+
+def _check_seconds(value: Any, name: str) -> float:
+    if check_number(value, name) > _MAX_SECONDS:
+        raise ValueError(f"{name} is out of range: 0 to {_MAX_SECONDS}")
+    return float(value)
--- a/src/burdockgap/forward/outcome.py
+++ b/src/burdockgap/forward/outcome.py
@@ -6,6 +6,7 @@
 
 from burdockgap.forward.known_notice import KnownNotice
 from burdockgap.forward.load import Load
+from burdockgap.forward.load_error import LoadError
 from burdockgap.http1.response import Response
 from burdockgap.verdict import Reason, Verdict
 
@@ -23,12 +24,14 @@
     :param notice: what is known of the target's notices, if anything.
     :param sent: whether the request was, or may have been, sent to a
         target.
+    :ivar load_error: why the load in a reply was rejected, if it was.
     :ivar waited_s: time spent waiting for a grant and a slot, in
         seconds; known to the target's daemon only.
     """
 
     __slots__ = (
         "load",
+        "load_error",
         "notice",
         "sent",
         "reason",
@@ -56,6 +59,7 @@
         self.load = load
         self.notice = notice
         self.sent = sent
+        self.load_error: str | None = None
         self.waited_s = 0.0
 
     def encode(self) -> list[Any]:
@@ -81,15 +85,23 @@
         :raises ValueError: if the list is not that of an outcome.
         """
         verdict, reason, retry_after_s, sent, load, notice, response = values
-        return cls(
+        decoded_load, load_error = None, None
+        try:
+            decoded_load = Load.decode(load) if load else None
+        except LoadError as exc:
+            # The response is valid without it.
+            load_error = str(exc)
+        outcome = cls(
             Verdict(verdict),
             reason=Reason(reason) if reason else None,
             retry_after_s=retry_after_s,
             sent=sent,
-            load=Load.decode(load) if load else None,
+            load=decoded_load,
             notice=KnownNotice.decode(notice) if notice else None,
             response=_response(response) if response else None,
         )
+        outcome.load_error = load_error
+        return outcome
 
 
 def _response(values: list[Any]) -> Response:
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -138,8 +138,7 @@
             waiting=self._slots.waiting,
             slots=self._slots.size,
             service_s=self._state.service_s,
-            slowness=self._state.slowness
-            * self.concurrency.slowdown(self._loop.time()),
+            slowness=self._state.slowness * self.slowdown,
             uplink_s=self._uplink_s,
             rate_limit=self._state.limit.rate,
             rate_wait_s=self._state.limit.wait_s(
@@ -147,6 +146,11 @@
             ),
         )
 
+    @property
+    def slowdown(self) -> float:
+        """How many times longer than usual requests take now."""
+        return self.concurrency.slowdown(self._loop.time())
+
     @property
     def in_flight(self) -> int:
         """Number of requests that the target is running."""
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -72,3 +72,26 @@
         "Requests at the target.",
         lambda: node.gate.in_flight,
     )
+    gauge(
+        "slots_used",
+        "Requests that the target is given at once, as learned.",
+        lambda: node.gate.load.slots,
+    )
+    gauge(
+        "target_slowdown",
+        "How many times longer than usual requests take, 1 unless slow.",
+        lambda: node.gate.slowdown,
+    )
+    gauge(
+        "members_full",
+        "Members that refused a call and are not expected to have room yet.",
+        lambda: sum(
+            node.roster.candidate(member).full_s > 0
+            for member in node.roster.live()
+        ),
+    )
+    gauge(
+        "rejected_loads",
+        "Loads not used, as impossible or of another incarnation.",
+        lambda: node.roster.rejected_loads.count,
+    )
--- a/tests/fleet/test_beacons.py
+++ b/tests/fleet/test_beacons.py
@@ -7,7 +7,9 @@
 import pytest
 
 from burdockgap.fleet.beacons import Beacons
+from burdockgap.fleet.datagrams import BEACON
 from burdockgap.fleet.roster import Roster
+from burdockgap.forward.load import Load
 from tests.gate.fakes import FakeClock
 from tests.shards.builders import make_member
 from tests.shards.control_site import ClockLoop
@@ -29,7 +31,8 @@
         self.port = port
         self.datagrams = FakeDatagrams()
         own = make_member(name, address=("127.0.0.1", port))
-        self.roster = Roster(own, lambda _event, _fields: None)
+        self.events = []
+        self.roster = Roster(own, lambda event, _: self.events.append(event))
         self.roster._loop = ClockLoop(clock)
         self.beacons = Beacons(
             self.datagrams,
@@ -43,6 +46,10 @@
         self.beacons._broadcast_own_entry()
         self.beacons._probe_silent_members()
 
+    def announce_to(self, other):
+        values = self.roster.own.values()
+        other.datagrams.handlers[BEACON]([values, True])
+
     def take_sent(self):
         sent, self.datagrams.sent = self.datagrams.sent, []
         return sent
@@ -140,3 +147,30 @@
     assert [address for address, *_ in member.take_sent()] == [
         ("127.0.0.1", 2)
     ]
+
+
+# A faulty member would draw all requests, or disappear with its keys.
+@pytest.mark.parametrize(
+    "figures",
+    [
+        pytest.param({"in_flight": -1}, id="negative"),
+        pytest.param({"service_s": float("nan")}, id="not-finite"),
+        pytest.param({"slowness": float("inf")}, id="infinite"),
+        pytest.param({"service_s": 1e9}, id="too-long"),
+    ],
+)
+async def test_impossible_load_is_counted_and_not_used(figures):
+    clock = FakeClock()
+    receiver = BeaconMember(clock, "m1", 1)
+    sender = BeaconMember(clock, "m2", 2)
+    sender.roster.own.load = Load(in_flight=2, slots=3, service_s=0.1)
+    sender.announce_to(receiver)
+    sender.roster.own.load = Load(**figures)
+    clock.seconds += 1.0
+    sender.announce_to(receiver)
+    assert receiver.roster.rejected_loads.count == 1
+    assert receiver.events.count("load_rejected") == 1
+    assert receiver.roster.is_alive("m2")
+    load = receiver.roster.load(receiver.roster.member("m2"))
+    assert (load.in_flight, load.slots, load.service_s) == (2, 3, 0.1)
+    assert receiver.roster.load_age_s("m2") == pytest.approx(1.0)
--- a/tests/scheduling/choices.py
+++ b/tests/scheduling/choices.py
@@ -62,7 +62,8 @@
     def answered(self, name, sent_at, load, *, ran):
         """Note the end of a call."""
         self.roster.note_call_ended(name, sent_at)
-        self.roster.note_load(name, load)
+        member = self.roster.member(name)
+        self.roster.note_load(name, load, member.incarnation)
         if not ran:
             self.roster.note_refusal(name)
 
