--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -17,6 +17,7 @@
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response_limits import ResponseLimits
 from burdockgap.resources.claim import Claim
+from burdockgap.scheduling.concurrency_limit import ConcurrencyLimit
 from burdockgap.scheduling.return_times import ReturnTimes
 from burdockgap.scheduling.service_times import ServiceTimes
 from burdockgap.scheduling.start_window import (
@@ -75,6 +76,7 @@
     :ivar holder: keys that the target holds; ``None`` until known.
     :ivar leaving: whether this daemon is about to stop; only calls with
         keys are served then, until the keys have moved.
+    :ivar concurrency: learns how many slots the target can use.
     :ivar closed: whether all calls are refused.
     :ivar ends_at: when the process ends, on the event loop's clock;
         non-idempotent calls that may take longer are refused.
@@ -99,6 +101,7 @@
         "_out_since",
         "_uplink",
         "closed",
+        "concurrency",
         "ends_at",
         "holder",
         "leaving",
@@ -140,6 +143,7 @@
             mean_s=lambda: self._service_times.mean_s,
         )
         self.running = RunningRequests()
+        self.concurrency = ConcurrencyLimit()
         self._dedup_cache = DedupCache()
         self._pool: ClientPool | None = None
         self.holder: ShardHolder | None = None
@@ -155,7 +159,7 @@
             waiting=self._slots.waiting,
             slots=self._slots.size,
             service_s=self._state.service_s,
-            slowness=self._state.slowness,
+            slowness=self._state.slowness * self.slowdown,
             uplink_s=self._uplink_s,
             rate_limit=self._state.limit.rate,
             rate_wait_s=self._state.limit.wait_s(
@@ -163,6 +167,11 @@
             ),
         )
 
+    @property
+    def slowdown(self) -> float:
+        """How many times longer than usual requests take now."""
+        return self.concurrency.slowdown(self._loop.time())
+
     @property
     def in_flight(self) -> int:
         """Number of requests that the target is running."""
@@ -185,6 +194,8 @@
             self._state.ended or info.born != self._target_born
         ):
             self._crashes.target_ended(self._target_born)
+        if info.born != self._target_born:
+            self.concurrency = ConcurrencyLimit()
         self._target_born = info.born
         if self._pool is None or self._pool.address != info.address:
             self._pool = ClientPool(
@@ -198,7 +209,7 @@
             )
         if not self._state.up:
             self._pool.close()
-        self._slots.resize(info.slots)
+        self._slots.resize(self.concurrency.slots(info.slots))
         if not self._state.takes_work and self.holder is None:
             self._slots.refuse_waiting(Reason.DRAINING)
 
@@ -273,13 +284,28 @@
             return self._refusal_outcome(exc, call)
         waited_s = self._loop.time() - began
         self._large_in_flight += call.large
+        concurrency = self.concurrency
+        # Large responses take the time of the link, not of the target.
+        running = concurrency.began(
+            self._loop.time(), "large" if call.large else call.route
+        )
         try:
             with self.running.run(call.request_id):
                 outcome = await self._dispatch(call, deadline)
+            if outcome.response is not None and outcome.response.is_success:
+                concurrency.succeeded(
+                    self._loop.time(),
+                    running,
+                    self._protocol.slowness(outcome.response),
+                )
         except Refusal as exc:
             outcome = self._refusal_outcome(exc, call)
         finally:
             self._large_in_flight -= call.large
+            concurrency.failed(self._loop.time(), running)
+            info = self._state.info
+            if info is not None:
+                self._slots.resize(self.concurrency.slots(info.slots))
             self._slots.release(acquired_at)
         outcome.waited_s = waited_s
         return outcome
--- /dev/null
+++ b/tests/scheduling/simulated_server.py
@@ -0,0 +1,192 @@
+"""A server with its gate, in simulated time."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from burdockgap.forward.departures import Departures
+from burdockgap.forward.load import Load
+from burdockgap.forward.target_state import TargetState
+
+_NOISE_S = 0.4
+_NOISE_SHARE = 0.2
+_NOISE_FACTOR = 3.0
+_TAIL_SHARE = 0.03
+_TAIL_FACTOR = 7.0
+
+
+class SimulatedServer:
+    """
+    A server whose slots, queue and speed vary with its load.
+
+    :param clock: the simulated clock.
+    :param name: name of the member beside it.
+    :param slots: its announced slots.
+    :param work_s: lower and upper bound of a request's work.
+    :param speed: how fast it works.
+    :param contention: how much longer work takes with all slots in use.
+    :ivar slots: slots that the gate uses.
+    """
+
+    def __init__(
+        self, clock, name, *, slots, work_s, speed, contention, rng, queue=0.5
+    ):
+        self.clock = clock
+        self.name = name
+        self.announced_slots = self.slots = slots
+        self.work_s = work_s
+        self.speed = speed
+        self.contention = contention
+        self.rng = rng
+        self.queue_size = max(round(slots * queue), 1)
+        self.in_flight = 0
+        self.queue = []
+        self.ran = 0
+        self._disturbance = 1.0
+        self._left = []
+        self._advanced_at = 0.0
+        self._last_rate = 1.0
+        self._version = 0
+        self.limit = None
+        self._noise_until = 0.0
+        self._noise = 1.0
+        self.restart()
+
+    def restart(self):
+        """Forget what was measured, as a daemon that starts again."""
+        self._state = TargetState(
+            drain_s=1.0,
+            cold_rate=lambda: None,
+            departures=Departures(),
+            on_change=lambda: None,
+            on_event=lambda _event, _fields: None,
+        )
+        self._state._loop = self.clock
+
+    def load(self):
+        """Return the load that the gate would announce."""
+        return Load(
+            in_flight=self.in_flight,
+            waiting=len(self.queue),
+            slots=self.slots,
+            service_s=self._state.service_s,
+            slowness=self._state.slowness * self._slowdown(),
+        )
+
+    def arrive(self, patience_s, answer):
+        """Run, queue or refuse a request; ``answer(ran)`` is called."""
+        if self.in_flight < self.slots:
+            self._start(answer)
+        elif len(self.queue) >= self.queue_size:
+            answer(False)
+        else:
+            waiter = [answer]
+            self.queue.append(waiter)
+            self.clock.after(patience_s, lambda: self._time_out(waiter))
+
+    def noise(self):
+        """Return how much slower other work makes the machine now."""
+        while self._noise_until <= self.clock.now:
+            self._noise_until += _NOISE_S * self.rng.uniform(0.5, 1.5)
+            is_slow = self.rng.random() < _NOISE_SHARE
+            self._noise = _NOISE_FACTOR if is_slow else 1.0
+        return self._noise
+
+    def _slowdown(self):
+        if self.limit is None:
+            return 1.0
+        return self.limit.slowdown(self.clock.now)
+
+    def _start(self, answer):
+        self.in_flight += 1
+        began = self.clock.now
+        running = None
+        if self.limit is not None:
+            running = self.limit.began(began, "r")
+        slowness = self.noise() / self.speed
+        work_s = self.rng.uniform(*self.work_s)
+        if self.rng.random() < _TAIL_SHARE:
+            work_s *= _TAIL_FACTOR
+        left = [work_s * slowness, began, slowness, answer, running]
+        self._advance()
+        self._left.append(left)
+        self._schedule()
+
+    @property
+    def _rate(self):
+        """Progress of each running request per second."""
+        busy = self.in_flight / self.announced_slots
+        factor = 1 + self.contention * max(busy - 0.5, 0.0) * 2
+        return 1 / (factor * self._disturbance)
+
+    @property
+    def disturbance(self):
+        """Factor of service times that no response reports."""
+        return self._disturbance
+
+    @disturbance.setter
+    def disturbance(self, factor):
+        self._advance()
+        self._disturbance = factor
+        self._schedule()
+
+    def _advance(self):
+        """Apply the progress since the last change."""
+        done = (self.clock.now - self._advanced_at) * self._last_rate
+        self._advanced_at = self.clock.now
+        for left in self._left:
+            left[0] -= done
+
+    def _schedule(self):
+        """Plan the end of the request that ends first."""
+        self._last_rate = self._rate
+        self._version += 1
+        version = self._version
+        if self._left:
+            first = min(self._left, key=lambda left: left[0])
+            self.clock.after(
+                max(first[0], 0.0) / self._last_rate,
+                lambda: self._end(first, version),
+            )
+
+    def _end(self, left, version):
+        if version != self._version:
+            return
+        self._advance()
+        self._left.remove(left)
+        _, began, slowness, answer, running = left
+        now = self.clock.now
+        if running is not None:
+            self.limit.succeeded(now, running, slowness)
+            self.slots = self.limit.slots(self.announced_slots)
+        self.in_flight -= 1
+        self.ran += 1
+        self._state.note_success(now - began, slowness)
+        self._schedule()
+        answer(True)
+        while self.queue and self.in_flight < self.slots:
+            self._start(self.queue.pop(0)[0])
+
+    def _time_out(self, waiter):
+        if any(item is waiter for item in self.queue):
+            self.queue = [item for item in self.queue if item is not waiter]
+            waiter[0](False)
+
+
+def mean_work_s(work_s):
+    """Return the mean work of a request, with the long ones."""
+    mean_s = sum(work_s) / 2
+    return mean_s * (1 + _TAIL_SHARE * (_TAIL_FACTOR - 1))
+
+
+def mean_noise():
+    """Return the mean factor of service times by other work."""
+    return 1 + _NOISE_SHARE * (_NOISE_FACTOR - 1)
+
+
+def make_speeds(count, rng=random):
+    """Return speeds as they occur on the users' machines."""
+    speeds = [0.6, 1.0, 1.4, 1.6] * math.ceil(count / 4)
+    rng.shuffle(speeds)
+    return speeds[:count]
