--- a/src/burdockgap/forward/dedup_cache.py
+++ b/src/burdockgap/forward/dedup_cache.py
@@ -15,6 +15,9 @@
 """Longer than any caller's deadline, which bounds the time in which a
 peer repeats a call."""
 _MAX_RUNS = 4096
+_MIN_KEPT_S = 1.0
+"""Within it, a peer that lost its connection asks for the outcome: a
+silent connection is noticed after 0.9 s."""
 
 
 class DedupCache:
@@ -26,11 +29,12 @@
     a run is never run, however often and late its call arrives.
     """
 
-    __slots__ = ("_loop", "_runs", "_settled")
+    __slots__ = ("_ended_at", "_loop", "_runs", "_settled")
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._runs: dict[str, tuple[float, asyncio.Task[Outcome]]] = {}
+        self._ended_at: dict[str, float] = {}
         self._settled: dict[tuple[str, int], float] = {}
 
     def run(
@@ -45,8 +49,34 @@
             return entry[1]
         task = self._loop.create_task(start())
         self._runs[request_id] = (self._loop.time() + _RETENTION_S, task)
+        task.add_done_callback(lambda _: self._note_end(request_id))
         return task
 
+    def free_responses(self, missing_bytes: int) -> None:
+        """
+        Drop the oldest responses, which were returned a while ago.
+
+        Their outcomes still say that the requests ran.
+
+        :param missing_bytes: size of the bodies to drop.
+        """
+        latest = self._loop.time() - _MIN_KEPT_S
+        for request_id, ended_at in list(self._ended_at.items()):
+            if ended_at > latest or missing_bytes <= 0:
+                return
+            del self._ended_at[request_id]
+            _, task = self._runs[request_id]
+            if task.cancelled() or task.exception() is not None:
+                continue
+            outcome = task.result()
+            if outcome.response is not None:
+                missing_bytes -= len(outcome.response.body)
+                outcome.response = None
+
+    def _note_end(self, request_id: str) -> None:
+        if request_id in self._runs:
+            self._ended_at[request_id] = self._loop.time()
+
     def find(self, request_id: str) -> asyncio.Task[Outcome] | None:
         """Return the task that runs or ran a request, if any."""
         entry = self._runs.get(request_id)
@@ -55,6 +85,7 @@
     def forget(self, request_id: str) -> None:
         """Remove a request that is known not to have run."""
         self._runs.pop(request_id, None)
+        self._ended_at.pop(request_id, None)
 
     def settle(self, request_id: str, attempt: int) -> None:
         """Never start an attempt that has not arrived yet."""
@@ -76,4 +107,4 @@
                 return
             if not task.done():
                 return
-            del self._runs[request_id]
+            self.forget(request_id)
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -183,6 +183,10 @@
         if not self._state.takes_work and self.holder is None:
             self._slots.refuse_waiting(Reason.DRAINING)
 
+    def free_responses(self, missing_bytes: int) -> None:
+        """Drop responses that are only kept for repeated calls."""
+        self._dedup_cache.free_responses(missing_bytes)
+
     async def serve(self, call: Call) -> Outcome:
         """Send a call to the target if admitted; return its outcome."""
         began = self._loop.time()
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -412,7 +412,10 @@
         self.event_log.write("store_restored", fields)
 
     def _free_memory(self, missing_bytes: int) -> None:
-        if self.caller_server is not None:
+        used_before = self.buffers.used
+        self.gate.free_responses(missing_bytes)
+        missing_bytes -= used_before - self.buffers.used
+        if missing_bytes > 0 and self.caller_server is not None:
             self.caller_server.free_memory(missing_bytes)
 
     def note_shed(self, reason: str, peer: str, held_bytes: int) -> None:
--- a/tests/forward/test_dedup_cache.py
+++ b/tests/forward/test_dedup_cache.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from burdockgap.forward import dedup_cache
 from burdockgap.forward.dedup_cache import DedupCache
 from burdockgap.forward.outcome import Outcome
 from burdockgap.hop.listener import CALLER_CONNECTION_LOST
+from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
 from burdockgap.verdict import Reason, Verdict
 from standins.sidecar.app_server import AppServer
@@ -38,6 +40,32 @@
     assert runs == [1]
 
 
+async def test_old_responses_make_room_but_never_run_again(monkeypatch):
+    """Kept responses must not use up memory; runs are remembered."""
+    monkeypatch.setattr(dedup_cache, "_MIN_KEPT_S", 0.05)
+    cache, runs = DedupCache(), []
+
+    async def start():
+        runs.append(1)
+        return Outcome(Verdict.RAN, response=Response(200, body=b"x" * 100))
+
+    for name in ("old-1", "old-2", "old-3"):
+        await cache.run(name, start)
+    await asyncio.sleep(0.06)
+    await cache.run("new", start)
+    await asyncio.sleep(0)
+    cache.free_responses(150)
+    kept = [
+        (await cache.run(name, start)).response is not None
+        for name in ("old-1", "old-2", "old-3", "new")
+    ]
+    assert kept == [False, False, True, True]
+    cache.free_responses(1000)
+    assert (await cache.run("new", start)).response is not None
+    assert (await cache.run("old-1", start)).verdict is Verdict.RAN
+    assert len(runs) == 4
+
+
 async def test_settled_call_never_runs_later():
     app = AppServer("i-1")
     port = free_port()
