--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -5,12 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING, cast
 
-from burdockgap.http1.encode import encode_response
 from burdockgap.http1.pipeline import Pipeline
 from burdockgap.http1.request_reader import RequestReader
 from burdockgap.http1.response import Response
+from burdockgap.http1.response_writer import ResponseWriter
 from burdockgap.resources.held_connection import HeldConnection
-from burdockgap.resources.write_gate import WriteGate
 
 if TYPE_CHECKING:
     from burdockgap.http1.request import Request
@@ -23,9 +22,6 @@
 _COST_BYTES = 6 * 1024
 """Memory of an idle connection: 4.3 KB, measured with 800 of them, and
 the parser's state."""
-_JOINED_BYTES = 16 * 1024
-"""Smaller bodies are sent in one write with their head; larger ones are
-not copied."""
 _MIN_WINDOW_S = 0.5
 _RETRY_AFTER = [("Retry-After", "0.500")]
 """After a refusal for lack of memory; connections without progress are
@@ -49,18 +45,16 @@
     __slots__ = (
         "_charge",
         "_closed_at",
-        "_gate",
         "_marks",
-        "_moved_bytes",
-        "_paused_at",
+        "_received_bytes",
         "_pipeline",
         "_reader",
-        "_response",
         "_server",
         "_task",
         "_transport",
         "_unsent",
         "_waiter",
+        "_writer",
         "idle_since",
         "peer",
     )
@@ -75,13 +69,11 @@
             on_refused=self._wake,
         )
         self._waiter: asyncio.Future[None] | None = None
-        self._gate = WriteGate()
-        self._paused_at: float | None = None
-        self._response: Response | None = None
+        self._writer: ResponseWriter | None = None
         self._charge = server.charge("connections")
         # Bytes received and sent, and what they were at the last two
         # checks, which are the bounds of the window for the progress.
-        self._moved_bytes = 0
+        self._received_bytes = 0
         self._marks = ((0.0, 0), (0.0, 0))
         self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -102,9 +94,7 @@
 
     @property
     def _unsent_bytes(self) -> int:
-        if self._transport is None:
-            return 0
-        return self._transport.get_write_buffer_size()
+        return self._writer.unsent_bytes if self._writer else 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the connection's task."""
@@ -117,9 +107,7 @@
         if not (self._server.admits(self) and self._charge.grow(_COST_BYTES)):
             self.abort()
             return
-        # The rest of a large response is given to the transport when it
-        # has passed on the part before.
-        self._transport.set_write_buffer_limits(high=0)
+        self._writer = ResponseWriter(self._server, self._transport)
         self._server.connections.add(self)
         self._task = self._server.loop.create_task(self._serve())
 
@@ -127,7 +115,6 @@
         """Cancel the task, and with it the requests in progress."""
         self._server.connections.discard(self)
         self._discard()
-        self._gate.resume()
 
     def eof_received(self) -> bool:
         """Close the connection, also when the caller half-closed it."""
@@ -135,18 +122,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the reader."""
-        self._moved_bytes += len(data)
+        self._received_bytes += len(data)
         self._reader.feed(data)
 
     def pause_writing(self) -> None:
         """Send no further response until the caller has read."""
-        self._gate.pause()
-        self._paused_at = self._server.now()
+        if self._writer is not None:
+            self._writer.pause()
 
     def resume_writing(self) -> None:
         """Continue to send responses."""
-        self._paused_at = None
-        self._gate.resume()
+        if self._writer is not None:
+            self._writer.resume()
 
     def close_if_overdue(self, now: float) -> bool:
         """
@@ -197,8 +184,11 @@
         self, now: float
     ) -> HeldConnection[ServerConnection] | None:
         """Return what is held for the caller, if it has to act."""
-        if self._paused_at is not None:
-            since = self._paused_at
+        writer = self._writer
+        if writer is None:
+            return None
+        if writer.paused_at is not None:
+            since = writer.paused_at
         elif self._pipeline:
             return None
         else:
@@ -207,9 +197,8 @@
             self._charge.size
             + self._reader.held_bytes
             + self._pipeline.held_bytes
+            + writer.held_bytes
         )
-        if self._response is not None:
-            held_bytes += len(self._response.body)
         start, moved_bytes = self._marks[0]
         return HeldConnection(
             self,
@@ -221,7 +210,8 @@
 
     @property
     def _progress_bytes(self) -> int:
-        return self._moved_bytes - self._unsent_bytes
+        sent_bytes = self._writer.sent_bytes if self._writer else 0
+        return self._received_bytes + sent_bytes
 
     def _discard(self) -> None:
         """Cancel what is in progress and credit its bytes."""
@@ -232,9 +222,8 @@
             # Without the reference above, the traceback and what its
             # frames refer to are freed at once, not by the collector.
             task.cancel()
-        response, self._response = self._response, None
-        if response is not None and response.charge is not None:
-            response.charge.release()
+        if self._writer is not None:
+            self._writer.discard()
         self._charge.release()
 
     def _is_stalled(self, now: float) -> bool:
@@ -261,6 +250,7 @@
             self._waiter.set_result(None)
 
     async def _serve(self) -> None:
+        assert self._writer is not None
         while True:
             while not self._pipeline:
                 if self._reader.refused is not None:
@@ -268,7 +258,7 @@
                     headers = (
                         _RETRY_AFTER if self._reader.refused == 503 else None
                     )
-                    await self._write(
+                    await self._writer.write(
                         Response(self._reader.refused, headers), close=True
                     )
                     self._close_for_writing()
@@ -281,7 +271,7 @@
             close = not first.keep_alive or (
                 self._server.leaving and not self._pipeline.next_is_started
             )
-            await self._write(
+            await self._writer.write(
                 response, close=close, bodiless=first.req.method == "HEAD"
             )
             if close:
@@ -302,43 +292,3 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
             self._transport.write_eof()
-
-    async def _write(
-        self, response: Response, *, close: bool, bodiless: bool = False
-    ) -> None:
-        self._response = response
-        try:
-            await self._write_parts(response, close=close, bodiless=bodiless)
-        finally:
-            self._response = None
-
-    async def _write_parts(
-        self, response: Response, *, close: bool, bodiless: bool
-    ) -> None:
-        """Write a response; return when the transport has sent it."""
-        body = b"" if bodiless else response.body
-        is_joined = len(body) <= _JOINED_BYTES
-        data = encode_response(
-            response.status,
-            response.headers,
-            response.body,
-            close=close,
-            bodiless=bodiless or not is_joined,
-        )
-        await self._send(data)
-        if not is_joined:
-            await self._send(body)
-        await self._gate.wait()
-
-    async def _send(self, data: bytes) -> None:
-        uplink = self._server.uplink
-        if uplink is None:
-            self._write_to_transport(data)
-        else:
-            await uplink.send(data, self._write_to_transport, self._gate)
-
-    def _write_to_transport(self, data: bytes | memoryview) -> None:
-        assert self._transport is not None
-        self._moved_bytes += len(data)
-        # The transport copies the rest of a byte string.
-        self._transport.write(memoryview(data))
