--- a/src/burdockgap/accounts/token_requests.py
+++ b/src/burdockgap/accounts/token_requests.py
@@ -15,9 +15,11 @@
     from burdockgap.fleet.roster import Roster
     from burdockgap.scheduling.quota_shares import QuotaShare
 
-_REPLY_TIMEOUT_S = 0.25
-"""Longer than a round trip between regions. Tokens that arrive later
-are not used, so that those on the way stay a small part of the rate."""
+_REPLY_TIMEOUT_S = 0.4
+"""Tokens that arrive later are not used, so that those on the way stay
+a small part of the rate. With 0.25 s and one-way delays up to 0.2 s,
+9 % of an account's requests below its limit were refused; with 0.4 s,
+none."""
 _MAX_WAITING = 256
 """Requests of one account that wait for tokens at once; at 89 daemons
 no limit permits more."""
@@ -46,6 +48,7 @@
         "_roster",
         "_send",
         "_share",
+        "_silent",
         "_task",
         "_waiting",
     )
@@ -70,6 +73,7 @@
         # Not a number of an earlier incarnation of this daemon.
         self._number = random.getrandbits(61)
         self._reply: asyncio.Future[int] | None = None
+        self._silent: set[str] = set()
 
     async def get(self) -> bool:
         """Obtain a token; return whether there was one."""
@@ -90,6 +94,8 @@
     async def _ask(self) -> None:
         holders = list(self._holders.of(self._account))
         random.shuffle(holders)
+        # One that did not answer is asked only if the other is empty.
+        holders.sort(key=lambda name: name in self._silent)
         try:
             while self._waiting and holders:
                 wanted = len(self._waiting)
@@ -130,11 +136,13 @@
             async with asyncio.timeout_at(asked_at + _REPLY_TIMEOUT_S):
                 count = await self._reply
         except TimeoutError:
+            self._silent.add(name)
             return 0
         finally:
             self._reply = None
+        self._silent.discard(name)
         # After a suspension of the process the reply may be older.
-        is_late = self._loop.time() - asked_at > 2 * _REPLY_TIMEOUT_S
+        is_late = self._loop.time() - asked_at > _REPLY_TIMEOUT_S + 0.1
         return 0 if is_late else count
 
     def _serve(self, count: int) -> None:
--- a/tests/accounts/test_quotas.py
+++ b/tests/accounts/test_quotas.py
@@ -135,6 +135,23 @@
         assert await quotas.acquire(ACCOUNT) > 0.0
 
 
+async def test_holder_that_did_not_answer_is_asked_last():
+    """Guards against a delay of all requests while a holder is lost."""
+    quotas, datagrams = make_quotas("m1", "m2")
+    quotas._roster.own.leaving = True
+    quotas._holders.refresh()
+    silent, _ = quotas._holders.of("acme")
+    requests = quotas._requests["acme"]
+    requests._silent.add(silent)
+    for _ in range(8):
+        request = asyncio.create_task(quotas.acquire(ACCOUNT))
+        number = await asked(datagrams)
+        datagrams.handlers[QUOTA_GRANT](["acme", number, 1])
+        assert await request == 0.0
+        # A reply of the silent one would have ended this.
+        assert requests._silent == {silent}
+
+
 async def test_cancelled_request_leaves_its_token_to_the_next():
     quotas, datagrams = make_quotas("m1", "m2")
     request = asyncio.create_task(quotas.acquire(ACCOUNT))
