--- a/src/burdockgap/forward/chooser.py
+++ b/src/burdockgap/forward/chooser.py
@@ -15,6 +15,10 @@
     from burdockgap.scheduling.candidate import Candidate
     from burdockgap.shards.control_view import ControlView
 
+_SAMPLE_SIZE = 20
+"""Targets that are compared for a first attempt. A comparison of 40
+took 0.6 ms, and one of 195 took 2.3 ms. With 12, the least of 40
+shares over 60 s was 0.77, with 20 it was 0.87."""
 _REMOTE_COST_S = 0.008
 """Cost of a small response from another data centre: its latency and
 the price of the traffic."""
@@ -63,8 +67,11 @@
             and member.data_centre not in self._documents.data_centres_out
             and (not route.regions or member.region in route.regions)
         }
+        members = list(servers.values())
+        if not tried and len(members) > _SAMPLE_SIZE:
+            members = self._rng.sample(members, _SAMPLE_SIZE)
         choice = placement.choose(
-            [self._candidate(member, route) for member in servers.values()],
+            [self._candidate(member, route) for member in members],
             self._rng,
             retry=bool(tried),
         )
