--- a/src/burdockgap/forward/outcome.py
+++ b/src/burdockgap/forward/outcome.py
@@ -25,10 +25,13 @@
         target.
     :ivar waited_s: time spent waiting for a grant and a slot, in
         seconds; known to the target's daemon only.
+    :ivar nested: whether a running request made the call; known to the
+        target's daemon only.
     """
 
     __slots__ = (
         "load",
+        "nested",
         "notice",
         "sent",
         "reason",
@@ -57,6 +60,7 @@
         self.notice = notice
         self.sent = sent
         self.waited_s = 0.0
+        self.nested = False
 
     def encode(self) -> list[Any]:
         """Return the fields as the list that ``decode`` reads."""
--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -25,6 +25,8 @@
     :param limit: bounds the rate of admissions; no limit by default.
     :param mean_s: returns the mean service time of the running
         requests, in seconds.
+    :param on_wait: counts the predicted and the actual wait of a
+        request that was admitted from the queue, in seconds.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "_limit_timer",
         "_loop",
         "_mean_s",
+        "_on_wait",
         "_queue",
         "_slots",
     )
@@ -45,7 +48,9 @@
         queue_size: int | None = None,
         limit: RateLimit | None = None,
         mean_s: Callable[[], float] = lambda: 0.0,
+        on_wait: Callable[[float, float], None] = lambda *_: None,
     ) -> None:
+        self._on_wait = on_wait
         self._loop = asyncio.get_running_loop()
         self._limit = limit or RateLimit()
         self._limit_timer: asyncio.TimerHandle | None = None
@@ -163,11 +168,16 @@
                 self._admit_in(limit_s)
                 return
             call = self._queue.pop(now)
+            if call is None:
+                return
             # A call that was cancelled is removed in a later turn; one
             # whose latest start has passed is refused by its timer.
-            fut = self._futures.get(call) if call else None
+            fut = self._futures.get(call)
             if fut is None or fut.done():
                 continue
+            self._on_wait(
+                call.predicted_start - call.offered_at, now - call.offered_at
+            )
             self._limit.take(now)
             self._slots.start(now)
             fut.set_result(now)
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -70,6 +70,8 @@
     :param buffers: bounds the incomplete responses.
     :param on_event: logs a decision.
     :param on_outcome: counts an outcome and its duration in seconds.
+    :param on_wait: counts the predicted and the actual time in the
+        queue, in seconds.
     :ivar running: the requests that the target is running.
     :ivar holder: keys that the target holds; ``None`` until known.
     :ivar leaving: whether this daemon is about to stop; only calls with
@@ -117,6 +119,7 @@
         buffers: ByteBudget,
         on_event: Callable[[str, dict[str, object]], None],
         on_outcome: Callable[[Outcome, float], None],
+        on_wait: Callable[[float, float], None] = lambda *_: None,
     ) -> None:
         self._uplink = uplink
         self._buffers = buffers
@@ -137,6 +140,7 @@
             size=1,
             limit=state.limit,
             mean_s=lambda: self._service_times.mean_s,
+            on_wait=on_wait,
         )
         self.running = RunningRequests()
         self._dedup_cache = DedupCache()
@@ -454,6 +458,7 @@
 
     def _log(self, call: Call, outcome: Outcome, began: float) -> None:
         info = self._state.info
+        outcome.nested = call.nested
         self._on_outcome(outcome, self._loop.time() - began)
         self._on_event(
             "gate",
@@ -462,6 +467,7 @@
                 "service": call.service,
                 "key": call.key,
                 "attempt": call.attempt,
+                "nested": call.nested,
                 "verdict": outcome.verdict.value,
                 "reason": outcome.reason.value if outcome.reason else None,
                 "status": outcome.response.status
--- a/src/burdockgap/scheduling/slot_queue.py
+++ b/src/burdockgap/scheduling/slot_queue.py
@@ -19,9 +19,10 @@
 """A request that has run for this multiple of the mean is one of the
 few that take several times as long: its slot is not expected to become
 free."""
-_MARGIN_FACTOR = 2.0
-"""Margin of a new request's start before its latest start, as a
-multiple of the mean service time, if all new requests were refused."""
+_MARGIN_SHARE = 0.8
+"""Margin of a new request's start before its latest start, as a share
+of its longest wait, if all new requests were refused. A margin that is
+the same for all would keep out those with short objectives first."""
 
 
 class SlotQueue:
@@ -91,7 +92,7 @@
                 now - since > _SLOW_FACTOR * mean_s for since in self._started
             )
             slow = max(min(slow, self.size - 1), 0)
-        margin_s = 0.0 if nested else self._margin_s(mean_s)
+        margin_s = 0.0 if nested else self._margin_s(call.latest_start - now)
         self.queue.running_s = mean_s
         refused = self.queue.offer(
             call, now, self.in_flight - slow, self.size - slow, margin_s
@@ -110,9 +111,9 @@
             call, now, self.in_flight, self.size
         )
         window_s = call.latest_start - call.offered_at
-        excess_s = start - now + self._margin_s(mean_s) - window_s
+        excess_s = start - now + self._margin_s(window_s) - window_s
         # One more request has to end, as its place is not free now.
         return max(excess_s, 0.0) + mean_s / max(self.size, 1)
 
-    def _margin_s(self, mean_s: float) -> float:
-        return _MARGIN_FACTOR * self._refusals.value * mean_s
+    def _margin_s(self, window_s: float) -> float:
+        return _MARGIN_SHARE * self._refusals.value * max(window_s, 0.0)
--- a/src/burdockgap/scheduling/start_window.py
+++ b/src/burdockgap/scheduling/start_window.py
@@ -10,11 +10,11 @@
 _UNREACHABLE_SHARE = 0.5
 """Share of the objective within which a request starts that would miss
 its objective even without a wait, as its route takes longer."""
-_RETURN_SHARE = 0.5
+_RETURN_SHARE = 0.2
 """Share of the time that is not needed to run it in which a refused
 request has to return; in the rest it may wait for a slot. In the
-simulation at 1.6 of capacity, 3 slots served 0.49 of the requests in
-time with it, 0.42 with a share of 1 and 0.39 without."""
+simulation at 1.6 of capacity, 3 slots served 0.55 of the requests in
+time with it, 0.48 with 0.5 and 0.39 without a limit."""
 
 
 def longest_wait_s(
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -67,6 +67,11 @@
         "Bytes of incomplete messages and of bodies of unanswered requests.",
         lambda: node.buffers.used,
     )
+    gauge(
+        "nested_in_flight",
+        "Calls that requests at the own target have made, in progress.",
+        lambda: node.gate.running.nested_calls,
+    )
     gauge(
         "in_flight",
         "Requests at the target.",
--- a/src/burdockgap/sidecar/metrics.py
+++ b/src/burdockgap/sidecar/metrics.py
@@ -17,13 +17,21 @@
     :ivar outcomes: calls to the local target by verdict and reason.
     :ivar target_time: seconds per call to the local target, including
         the time in its queue.
+    :ivar nested_outcomes: the outcomes of calls that running requests
+        made.
+    :ivar predicted_wait: seconds in the target's queue as predicted,
+        per call that was queued and started.
+    :ivar queue_wait: the actual seconds.
     :ivar events: log lines by event, including dropped ones.
     """
 
     __slots__ = (
         "events",
         "latency",
+        "nested_outcomes",
         "outcomes",
+        "predicted_wait",
+        "queue_wait",
         "registry",
         "requests",
         "target_time",
@@ -55,6 +63,24 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.nested_outcomes = Counter(
+            "burdockgap_sidecar_nested_outcomes",
+            "Calls of running requests at the own target, as above.",
+            ["verdict", "reason"],
+            registry=self.registry,
+        )
+        self.predicted_wait = Histogram(
+            "burdockgap_sidecar_predicted_wait_seconds",
+            "Predicted time in the own target's queue of started calls.",
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.queue_wait = Histogram(
+            "burdockgap_sidecar_queue_wait_seconds",
+            "Actual time in the own target's queue of started calls.",
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
         self.events = Counter(
             "burdockgap_sidecar_events",
             "Log lines by event, dropped ones included.",
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -207,6 +207,7 @@
             buffers=self.buffers,
             on_event=self.event_log.write,
             on_outcome=self._count_outcome,
+            on_wait=self._count_wait,
         )
         self.forwarder = Forwarder(
             roster=self.roster,
@@ -411,6 +412,14 @@
         reason = outcome.reason.value if outcome.reason else ""
         self.metrics.outcomes.labels(outcome.verdict.value, reason).inc()
         self.metrics.target_time.observe(seconds)
+        if outcome.nested:
+            self.metrics.nested_outcomes.labels(
+                outcome.verdict.value, reason
+            ).inc()
+
+    def _count_wait(self, predicted_s: float, actual_s: float) -> None:
+        self.metrics.predicted_wait.observe(predicted_s)
+        self.metrics.queue_wait.observe(actual_s)
 
     def _cold_rate(self) -> float | None:
         config = self.documents.config
