--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -369,3 +369,28 @@
     assert outcome.verdict is verdict
     call = make_call(request_id="r2", deadline_s=0.4)
     assert (await harness.gate.serve(call)).verdict is Verdict.RAN
+
+
+# QUEUE: calls made by running requests were refused behind two waiting
+# new requests, after half of their objective at the latest.
+async def test_nested_call_waits_longer_than_a_new_request_may(harness):
+    harness.app.work_s = 0.3
+    running = [
+        asyncio.create_task(harness.gate.serve(make_call(request_id=f"r{n}")))
+        for n in range(4)
+    ]
+    await asyncio.sleep(0.05)
+    with harness.gate.running.nested("r1.1") as nested:
+        assert nested
+    new = await harness.gate.serve(
+        make_call(request_id="new", objective_s=0.02)
+    )
+    assert new.reason is Reason.QUEUE_TIMEOUT
+    assert new.retry_after_s >= 0.1
+    call = make_call(request_id="r1.1", nested=True, objective_s=0.02)
+    outcome = await harness.gate.serve(call)
+    assert outcome.verdict is Verdict.RAN
+    assert outcome.waited_s > 0.1
+    await asyncio.gather(*running)
+    with harness.gate.running.nested("r1.1") as nested:
+        assert not nested
