--- a/src/burdockgap/forward/outcome.py
+++ b/src/burdockgap/forward/outcome.py
@@ -27,11 +27,14 @@
     :ivar load_error: why the load in a reply was rejected, if it was.
     :ivar waited_s: time spent waiting for a grant and a slot, in
         seconds; known to the target's daemon only.
+    :ivar nested: whether a running request made the call; known to the
+        target's daemon only.
     """
 
     __slots__ = (
         "load",
         "load_error",
+        "nested",
         "notice",
         "sent",
         "reason",
@@ -61,6 +64,7 @@
         self.sent = sent
         self.load_error: str | None = None
         self.waited_s = 0.0
+        self.nested = False
 
     def encode(self) -> list[Any]:
         """Return the fields as the list that ``decode`` reads."""
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -95,6 +95,11 @@
         "Unused requests of accounts' quotas that are held for all members.",
         lambda: node.quotas.pooled,
     )
+    gauge(
+        "nested_in_flight",
+        "Calls that requests at the own target have made, in progress.",
+        lambda: node.gate.running.nested_calls,
+    )
     gauge(
         "in_flight",
         "Requests at the target.",
