--- a/src/burdockgap/http1/request_reader.py
+++ b/src/burdockgap/http1/request_reader.py
@@ -234,6 +234,7 @@
         keep_alive = self._parser.should_keep_alive()
         self._finished = not keep_alive
         self._started_at = None
+        self._target, self._headers = b"", []
         self._body = bytearray()
         self._on_request(req, keep_alive)
 
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -280,6 +280,9 @@
                 self._close_for_writing()
                 return
             self._pipeline.remove_first()
+            # Otherwise this frame refers to their bodies until the next
+            # request arrives.
+            del first, response
             self.idle_since = self._server.now()
             if self._transport is not None and not self._pipeline.is_full:
                 self._transport.resume_reading()
