--- a/src/burdockgap/accounts/token_requests.py
+++ b/src/burdockgap/accounts/token_requests.py
@@ -83,7 +83,12 @@
         self._waiting.append(waiter)
         if self._task is None:
             self._task = self._loop.create_task(self._ask())
-        return await waiter
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled() and waiter.result():
+                self._share.give_back()
+            raise
 
     def granted(self, number: int, count: int) -> None:
         """Process the reply of a holder; late ones are ignored."""
--- a/tests/accounts/test_quotas.py
+++ b/tests/accounts/test_quotas.py
@@ -184,3 +184,16 @@
     holders = Holders(roster)
     assert holders.known == 10
     assert not {"m0", "m1", "gone"} & set(holders.of("acme"))
+
+
+async def test_token_of_a_cancelled_request_is_kept():
+    """A client that leaves as its token arrives must not use it up."""
+    quotas, _ = make_quotas("other")
+    requests = quotas._requests[ACCOUNT.name]
+    waiter = asyncio.create_task(requests.get())
+    await asyncio.sleep(0)
+    requests._serve(1)
+    waiter.cancel()
+    await asyncio.gather(waiter, return_exceptions=True)
+    assert waiter.cancelled()
+    assert await quotas.acquire(ACCOUNT) == 0.0
