--- a/tests/scheduling/test_concurrency_limit.py
+++ b/tests/scheduling/test_concurrency_limit.py
@@ -121,3 +121,23 @@
     assert limit.slots(3) == 1
     limit.limit = 5
     assert limit.slots(3) == 3
+
+
+# With little load, a limit rises past the announced slots. It is not
+# lowered from there, as no request is measured at these levels.
+async def test_limit_is_lowered_again_after_a_time_of_little_load():
+    learned, again = 0, 0
+    for seed in range(10):
+        server = LimitedServer(contention=3.0, load=0.4, seed=seed)
+        rate = server.rate
+        server.run(120)
+        if server.lowest == 3:
+            continue
+        learned += 1
+        server.rate = 0.5
+        server.run(90)
+        server.rate, server.lowest = rate, 3
+        server.run(120)
+        again += server.lowest == 2
+    assert learned >= 4
+    assert again >= learned / 2
