--- a/src/burdockgap/forward/dedup_cache.py
+++ b/src/burdockgap/forward/dedup_cache.py
@@ -5,12 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from burdockgap.forward.outcome import Outcome
+from burdockgap.verdict import Reason, Verdict
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
     from typing import Any
 
-    from burdockgap.forward.outcome import Outcome
-
 _RETENTION_S = 10.0
 """Longer than any caller's deadline, which bounds the time in which a
 peer repeats a call."""
@@ -45,9 +46,10 @@
         """Return the task that runs a request, started if new."""
         self._evict_expired()
         entry = self._runs.get(request_id)
-        if entry is not None:
+        # A task that was cancelled before its start has sent nothing.
+        if entry is not None and not entry[1].cancelled():
             return entry[1]
-        task = self._loop.create_task(start())
+        task = self._loop.create_task(_outcome(start))
         self._runs[request_id] = (self._loop.time() + _RETENTION_S, task)
         task.add_done_callback(lambda _: self._note_end(request_id))
         return task
@@ -108,3 +110,19 @@
             if not task.done():
                 return
             self.forget(request_id)
+
+
+async def _outcome(
+    start: Callable[[], Coroutine[Any, Any, Outcome]],
+) -> Outcome:
+    """
+    Return the outcome of a run, also if it is cancelled.
+
+    Whoever else waits for it would be cancelled as well.
+    """
+    try:
+        return await start()
+    except asyncio.CancelledError:
+        return Outcome(
+            Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, sent=True
+        )
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -402,3 +402,31 @@
     await asyncio.gather(*running)
     with harness.gate.running.nested("r1.1") as nested:
         assert not nested
+
+
+async def test_repeat_of_a_cancelled_request_gets_an_outcome():
+    """
+    Guards a client that gives up and repeats its request under one id.
+
+    The cancelled run cancelled whoever waited for its outcome: the
+    repeat got no response at all, and its connection stayed open.
+    """
+    release = asyncio.Event()
+
+    async def script(reader, _writer):
+        await read_head(reader)
+        await release.wait()
+
+    async with open_scripted_server(script) as address:
+        harness = GateHarness()
+        harness.state.announced(make_info(address=address))
+        first = asyncio.create_task(harness.gate.serve(make_call()))
+        await asyncio.sleep(0.05)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        repeat = asyncio.create_task(harness.gate.serve(make_call()))
+        await asyncio.wait({repeat}, timeout=2)
+        release.set()
+    assert repeat.done()
+    assert not repeat.cancelled()
+    assert repeat.result().verdict is Verdict.MAY_HAVE_RUN
