--- a/src/burdockgap/scheduling/concurrency_limit.py
+++ b/src/burdockgap/scheduling/concurrency_limit.py
@@ -93,9 +93,11 @@
 
     def slots(self, announced: int) -> int:
         """Return the slots to use, from 1 to the announced ones."""
-        if self.limit is None:
-            return announced
-        return max(min(self.limit, announced), 1)
+        if self.limit is not None and self.limit >= announced:
+            # No request is measured above the announced slots, so that
+            # such a limit would never be lowered again.
+            self.limit = None
+        return announced if self.limit is None else max(self.limit, 1)
 
     def began(self, now: float, route: str) -> RunningRequest:
         """Note that a request is sent to the server."""
