--- a/src/burdockgap/resources/charge.py
+++ b/src/burdockgap/resources/charge.py
@@ -43,8 +43,8 @@
     def grow(self, size: int) -> bool:
         """Count more bytes; return whether they fit."""
         if self._is_control and self.size + size <= _SMALL_BYTES:
-            # Replies to peers may exceed the limit until a slow link has
-            # sent them.
+            # Replies to peers may exceed the limit until a slow link
+            # has sent them.
             self.force(size)
             return True
         if self._is_control:
