--- a/src/burdockgap/fleet/roster.py
+++ b/src/burdockgap/fleet/roster.py
@@ -248,12 +248,15 @@
     def note_refusal(self, name: str) -> None:
         """Skip a member until its target is expected to have room."""
         entry = self._entries.get(name)
-        if entry is not None:
+        if entry is None:
+            return
+        mean_s = entry.load.service_s
+        if not mean_s:
             others = self.servers(entry.member.service)
             mean_s = placement.mean_service_s(
                 [self.candidate(member) for member in others]
             )
-            entry.note_refusal(self._loop.time(), mean_s)
+        entry.note_refusal(self._loop.time(), mean_s)
 
     def mark_unreachable(self, name: str) -> None:
         """Eject a member for a short time after a failed connection."""
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -116,3 +116,22 @@
     assert roster.candidate(member).full_s == pytest.approx(0.1, abs=0.05)
     roster.note_load("m1", Load(slots=3), member.incarnation)
     assert roster.candidate(member).full_s == 0
+
+
+class RosterWithoutScans(Roster):
+    """Fails if all servers of a service are examined."""
+
+    def servers(self, service):
+        raise AssertionError(f"servers of {service} were examined")
+
+
+async def test_refusal_takes_no_scan_if_the_service_time_is_known():
+    """Each refused attempt cost 0.8 ms of CPU time at 195 members."""
+    roster = RosterWithoutScans(
+        make_member("own"), lambda _event, _fields: None
+    )
+    member = make_member("m1")
+    member.load = Load(in_flight=3, slots=3, service_s=0.1)
+    roster.record_announcement(member)
+    roster.note_refusal("m1")
+    assert roster.candidate(member).full_s > 0
