--- a/src/burdockgap/platform/requests.py
+++ b/src/burdockgap/platform/requests.py
@@ -65,7 +65,8 @@
     if value is None:
         return None
     wait_s = float(value) / 1000
-    if wait_s <= 0:
+    # Not "<= 0", which is false for NaN.
+    if not wait_s > 0:
         raise ValueError("header Deadline-Milliseconds is not positive")
     return wait_s
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -42,6 +42,9 @@
         pytest.param(
             make_request(("deadline-milliseconds", "0")), id="deadline-passed"
         ),
+        pytest.param(
+            make_request(("deadline-milliseconds", "nan")), id="deadline-nan"
+        ),
         pytest.param(make_request(target="http://a/x/"), id="absolute"),
         pytest.param(
             Request(method="GET", target="/", headers=HEADERS[:1]), id="no-id"
