--- a/src/burdockgap/http1/server.py
+++ b/src/burdockgap/http1/server.py
@@ -142,7 +142,8 @@
         Return whether a new connection may stay open.
 
         At the limit of connections, the longest idle ones are closed
-        for it, as they could be at any time.
+        for it, as they could be at any time, and those whose request is
+        the longest unfinished if none is idle.
         """
         limit = self._max_connections
         if limit is None or len(self.connections) < limit:
@@ -151,16 +152,17 @@
         if now < self._next_eviction_at:
             return False
         idle = [
-            (other.idle_since, id(other), other)
+            (other.busy, since, id(other), other)
             for other in self.connections
-            if not other.busy and now - other.idle_since > _MIN_IDLE_S
+            if (since := other.waits_since) is not None
+            and now - since > _MIN_IDLE_S
         ]
         if not idle:
             self._next_eviction_at = now + _SHED_INTERVAL_S
             self._on_shed("descriptors", conn.peer, 0)
             return False
         # Some at once, so that not every new connection takes a scan.
-        for _, _, other in sorted(idle)[: max(limit // _EVICTED_SHARE, 1)]:
+        for *_, other in sorted(idle)[: max(limit // _EVICTED_SHARE, 1)]:
             self._shed(other, "idle", 0)
         return True
 
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -92,6 +92,18 @@
             or self._unsent_bytes
         )
 
+    @property
+    def waits_since(self) -> float | None:
+        """
+        Since when only the caller can continue, ``None`` if not so.
+
+        Nothing has been received since the last response, or a part of
+        a request and nothing else is in progress.
+        """
+        if self._reader.is_reading and not self._pipeline:
+            return self._reader.started_at
+        return None if self.busy else self.idle_since
+
     @property
     def _unsent_bytes(self) -> int:
         return self._writer.unsent_bytes if self._writer else 0
