--- a/src/burdockgap/forward/member_calls.py
+++ b/src/burdockgap/forward/member_calls.py
@@ -136,7 +136,10 @@
                 return Outcome.decode(reply)
             except TimeoutError:
                 break
-            except PeerCallError:
+            except PeerCallError as exc:
+                if exc.peer_is_alive:
+                    # The reply does not fit into the memory here.
+                    break
                 await asyncio.sleep(_RETRY_DELAY_S)
         return Outcome(
             Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, sent=True
