--- a/src/burdockgap/forward/slots.py
+++ b/src/burdockgap/forward/slots.py
@@ -115,8 +115,8 @@
             raise Refusal(Verdict.NOT_RUN, Reason.RATE_LIMITED)
         call = QueuedCall(rank, now + wait_s, service_s)
         fut = self._enqueue(call, now, nested=nested)
-        self._admit()
         timer = self._loop.call_at(call.latest_start, self._time_out, call)
+        self._admit()
         try:
             return await fut
         except asyncio.CancelledError:
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -432,8 +432,8 @@
     assert repeat.result().verdict is Verdict.MAY_HAVE_RUN
 
 
-# Requests were started while the calls that they make found no room, and
-# failed after their target had worked on them.
+# Requests were started while the calls that they make found no room.
+# They failed after their target had worked on them.
 async def test_request_is_refused_while_the_calls_of_its_route_fail(harness):
     app_answer = harness.app.answer
     running = harness.gate.running
