--- a/src/burdockgap/forward/attempts.py
+++ b/src/burdockgap/forward/attempts.py
@@ -236,9 +236,6 @@
         progress: Progress,
         give_up_at: float,
     ) -> bool:
-        if outcome.reason is Reason.DEPENDENCY_OVERLOADED:
-            # The calls of a run at another target would fail as well.
-            return False
         if outcome.verdict is Verdict.NOT_RUN:
             if not outcome.sent:
                 return (
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -29,9 +29,6 @@
     from burdockgap.shards.control_view import ControlView
 
 
-_SERVER_ERROR = 500
-
-
 class Forwarder:
     """
     Forwards callers' requests to targets and returns the responses.
@@ -170,12 +167,12 @@
                     nested=nested,
                 )
         except asyncio.CancelledError:
-            self._note_end(req, route, service, progress, None, config.version)
+            self._log(req, route, service, progress, None, config.version)
             raise
         finally:
             self.in_flight -= 1
             self._settle_token(req, progress)
-        self._note_end(req, route, service, progress, response, config.version)
+        self._log(req, route, service, progress, response, config.version)
         return response
 
     async def _attribute(
@@ -211,7 +208,7 @@
             headers = [("Retry-After", f"{RETRY_AFTER_S[1]:.3f}")]
         return Response(status, headers)
 
-    def _note_end(
+    def _log(
         self,
         req: CallerRequest,
         route: Route,
@@ -220,9 +217,6 @@
         response: Response | None,
         version: int,
     ) -> None:
-        """Log the end of a request; note one that a run has made."""
-        if response is None or response.status >= _SERVER_ERROR:
-            self._gate.running.note_failed_call(req.request_id)
         took_s = self._loop.time() - req.arrived_at
         if response is not None:
             self._on_answer(response.status, took_s)
--- a/src/burdockgap/forward/running_requests.py
+++ b/src/burdockgap/forward/running_requests.py
@@ -17,23 +17,19 @@
 an id full of dots takes."""
 
 
-class RunningRequest:
+class _Running:
     """
     A request that runs, perhaps several times.
 
     :ivar runs: how often it runs now.
     :ivar nested: calls made by it that have precedence.
-    :ivar has_made_calls: whether it has made any.
-    :ivar has_failed_call: whether one of them has failed.
     """
 
-    __slots__ = ("has_failed_call", "has_made_calls", "nested", "runs")
+    __slots__ = ("nested", "runs")
 
     def __init__(self) -> None:
         self.runs = 0
         self.nested = 0
-        self.has_made_calls = False
-        self.has_failed_call = False
 
 
 class RunningRequests:
@@ -48,16 +44,16 @@
     __slots__ = ("_running", "nested_calls")
 
     def __init__(self) -> None:
-        self._running: dict[str, RunningRequest] = {}
+        self._running: dict[str, _Running] = {}
         self.nested_calls = 0
 
     @contextlib.contextmanager
-    def run(self, request_id: str) -> Iterator[RunningRequest]:
+    def run(self, request_id: str) -> Iterator[None]:
         """Count a request as running while the context is open."""
-        entry = self._running.setdefault(request_id, RunningRequest())
+        entry = self._running.setdefault(request_id, _Running())
         entry.runs += 1
         try:
-            yield entry
+            yield
         finally:
             entry.runs -= 1
             if not entry.runs:
@@ -75,7 +71,6 @@
         if entry is None:
             yield False
             return
-        entry.has_made_calls = True
         entry.nested += 1
         self.nested_calls += 1
         try:
@@ -84,13 +79,7 @@
             entry.nested -= 1
             self.nested_calls -= 1
 
-    def note_failed_call(self, request_id: str) -> None:
-        """Note that a call of a running request has failed."""
-        entry = self._find(request_id)
-        if entry is not None:
-            entry.has_failed_call = True
-
-    def _find(self, request_id: str) -> RunningRequest | None:
+    def _find(self, request_id: str) -> _Running | None:
         """Return the running request that made a call, if it may."""
         if not self._running:
             return None
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -15,7 +15,6 @@
 from burdockgap.forward.target_exchange import TargetExchange
 from burdockgap.forward.target_queue import TargetQueue
 from burdockgap.scheduling.concurrency_limit import ConcurrencyLimit
-from burdockgap.scheduling.nested_throttle import NestedThrottle
 from burdockgap.verdict import Reason, Refusal
 
 if TYPE_CHECKING:
@@ -24,7 +23,6 @@
     from burdockgap.forward.call import Call
     from burdockgap.forward.crash_watch import CrashWatch
     from burdockgap.forward.outcome import Outcome
-    from burdockgap.forward.running_requests import RunningRequest
     from burdockgap.forward.target_protocol import TargetProtocol
     from burdockgap.forward.target_state import TargetState
     from burdockgap.resources.memory_budget import MemoryBudget
@@ -72,7 +70,6 @@
         "_protocol",
         "_queue",
         "_single_runs",
-        "_throttle",
         "_slots",
         "_state",
         "_target_born",
@@ -126,7 +123,6 @@
             on_outcome=on_outcome,
         )
         self._single_runs = SingleRuns()
-        self._throttle = NestedThrottle()
         self.running = RunningRequests()
         self.concurrency = ConcurrencyLimit()
         self.holder: ShardHolder | None = None
@@ -209,7 +205,12 @@
     async def _attempt(self, call: Call, deadline: float) -> Outcome:
         began = self._loop.time()
         try:
-            self._check_arrival(call, deadline)
+            self._crashes.check(call)
+            if deadline > self.ends_at and not call.idempotent:
+                raise not_run(Reason.DRAINING)
+            self._check_open(call)
+            if call.large and self._large_responses.uplink_s > call.patience_s:
+                raise not_run(Reason.OVERLOADED)
             if self.holder is not None and call.key is not None:
                 self.holder.samples.add(call.key)
                 await self.holder.wait_until_held(
@@ -226,9 +227,8 @@
             self._loop.time(), "large" if call.large else call.route
         )
         try:
-            with self.running.run(call.request_id) as request:
+            with self.running.run(call.request_id):
                 outcome = await self._dispatch(call, deadline)
-            self._note_calls_made(call, request)
             if outcome.response is not None and outcome.response.is_success:
                 concurrency.succeeded(
                     self._loop.time(),
@@ -247,26 +247,6 @@
         outcome.waited_s = waited_s
         return outcome
 
-    def _check_arrival(self, call: Call, deadline: float) -> None:
-        """Refuse a call that has no chance before it waits."""
-        self._crashes.check(call)
-        if deadline > self.ends_at and not call.idempotent:
-            raise not_run(Reason.DRAINING)
-        self._check_open(call)
-        if call.large and self._large_responses.uplink_s > call.patience_s:
-            raise not_run(Reason.OVERLOADED)
-        now = self._loop.time()
-        if not call.nested and not self._throttle.admits(call.route, now):
-            raise not_run(Reason.DEPENDENCY_OVERLOADED)
-
-    def _note_calls_made(self, call: Call, request: RunningRequest) -> None:
-        if request.has_made_calls:
-            self._throttle.note(
-                call.route,
-                self._loop.time(),
-                succeeded=not request.has_failed_call,
-            )
-
     def _check_open(self, call: Call) -> None:
         if call.service != self.service:
             raise not_run(Reason.UNKNOWN_SERVICE)
--- a/src/burdockgap/verdict/reason.py
+++ b/src/burdockgap/verdict/reason.py
@@ -18,7 +18,6 @@
     DRAINING = "draining"
     DATA_CENTRE_OUT = "data-centre-out"
     OVERLOADED = "overloaded"
-    DEPENDENCY_OVERLOADED = "dependency-overloaded"
     RATE_LIMITED = "rate-limited"
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
