Log why a lease ran out and count datagrams by kind

A refusal says no-lease, but no line said whether the coordinator had not answered, denied the lease, required a newer assignment, or answered after the lease had expired. Nothing showed what the coordinator sends.

Change: lease lines and gauges of the answers by effect (shards.lease_monitor); gauges of sent bytes by kind of datagram and of the ranges of keys; assigned lines name the size of the announcement, the time of the write, and how many of the voters report. No decision changes.

--- a/src/burdockgap/fleet/datagrams.py
+++ b/src/burdockgap/fleet/datagrams.py
@@ -23,6 +23,16 @@
 """The tokens that a holder grants."""
 QUOTA_POOL = 8
 """Tokens of accounts for a holder."""
+KIND_NAMES = {
+    BEACON: "beacon",
+    REPORT: "report",
+    LEASE: "lease",
+    SUSPECTS: "suspects",
+    CHANGES: "changes",
+    QUOTA_ASK: "quota_ask",
+    QUOTA_GRANT: "quota_grant",
+    QUOTA_POOL: "quota_pool",
+}
 
 
 class Datagrams(asyncio.DatagramProtocol):
@@ -31,14 +41,16 @@
 
     :ivar handlers: callback for the values of a message, by its kind.
     :ivar bad: number of malformed datagrams received.
+    :ivar sent_bytes: bytes of payload sent so far, by kind.
     """
 
-    __slots__ = ("_transport", "bad", "handlers")
+    __slots__ = ("_transport", "bad", "handlers", "sent_bytes")
 
     def __init__(self) -> None:
         self._transport: asyncio.DatagramTransport | None = None
         self.handlers: dict[int, Callable[[list[Any]], None]] = {}
         self.bad = 0
+        self.sent_bytes = dict.fromkeys(KIND_NAMES, 0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -59,7 +71,9 @@
     def send(self, address: tuple[str, int], kind: int, *values: Any) -> None:
         """Send a message without delivery guarantee."""
         if self._transport is not None:
-            self._transport.sendto(msgpack.packb([kind, *values]), address)
+            data = msgpack.packb([kind, *values])
+            self.sent_bytes[kind] += len(data)
+            self._transport.sendto(data, address)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore errors of single datagrams; peers may be down."""
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -479,8 +479,9 @@
                 await asyncio.sleep(_TICK_INTERVAL_S)
                 continue
             self._failing_since = None
+            write_s = self._clock.now() - sent_at
             self._note_write(state, sent_at)
-            self._broadcast_changes(before, state)
+            size = self._broadcast_changes(before, state)
             self._view.adopt(state)
             self._on_event(
                 "assigned",
@@ -489,24 +490,30 @@
                     "revision": state.revision,
                     "why": reasons,
                     "ranges": sum(map(len, state.shards.values())),
+                    "bytes": size,
+                    "write_ms": round(write_s * 1000),
+                    "reports": self._reports.count_fresh(self._clock.now()),
+                    "voters": len(state.voters),
                 },
             )
             return
 
     def _broadcast_changes(
         self, before: ControlState, after: ControlState
-    ) -> None:
+    ) -> int:
         """
         Send the changes of a revision to all members, best effort.
 
         Changes too large for a datagram are not sent; members fetch the
         whole state instead.
+
+        :return: the size of the changes, in bytes.
         """
         data = ControlChanges.between(before, after).encode()
-        if len(data) > MAX_DATAGRAM_BYTES:
-            return
-        for entry in self._roster.entries():
-            self._datagrams.send(entry.member.address, CHANGES, data)
+        if len(data) <= MAX_DATAGRAM_BYTES:
+            for entry in self._roster.entries():
+                self._datagrams.send(entry.member.address, CHANGES, data)
+        return len(data)
 
     async def _resolve_failed_write(self, state: ControlState) -> bool:
         """
--- a/src/burdockgap/shards/latest_reports.py
+++ b/src/burdockgap/shards/latest_reports.py
@@ -68,6 +68,10 @@
             if now - self._received[name] < MAX_REPORT_AGE_S
         }
 
+    def count_fresh(self, now: float) -> int:
+        """Return the number of members that report."""
+        return len(self.fresh(now))
+
     def is_awaited(self, shard: Shard, now: float) -> bool:
         """
         Return whether an unusable owner keeps its range for now.
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -13,6 +13,7 @@
     CLOCK_RATE,
     REPORT_INTERVAL_S,
 )
+from burdockgap.shards.lease_monitor import LeaseAnswer, LeaseMonitor
 from burdockgap.shards.reports import TARGET_UNKNOWN, Report
 
 if TYPE_CHECKING:
@@ -63,6 +64,7 @@
     :param pull: fetches the control state from a member that knows a
         given term and revision.
     :param on_event: logs state changes.
+    :ivar monitor: reports when the lease runs out.
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "_tasks",
         "_term",
         "_view",
+        "monitor",
     )
 
     def __init__(
@@ -119,6 +122,9 @@
         self._claim = claim
         self._pull = pull
         self._on_event = on_event
+        self.monitor = LeaseMonitor(
+            clock=clock, lease=lease, on_event=on_event
+        )
         self._started_at = clock.now()
         self._answered_at = clock.now()
         self._term = 0
@@ -145,6 +151,8 @@
         await self._read_stored_state()
         while True:
             self._report()
+            if self._holder() is not None:
+                self.monitor.check(self._view.version)
             pause_s = REPORT_INTERVAL_S
             if self._coordinator_is_lost():
                 pause_s = min(await self._try_claim(), REPORT_INTERVAL_S)
@@ -230,6 +238,21 @@
                 self._pull(member, (term, revision))
         if required_revision <= state.revision:
             self._lease.extend(sent_at, lease_s)
+        self.monitor.note(
+            self._classify(required_revision, sent_at, lease_s), sent_at
+        )
+
+    def _classify(
+        self, required_revision: int, sent_at: float, lease_s: float
+    ) -> LeaseAnswer:
+        """Return what an answer did to the lease."""
+        if required_revision > self._view.state.revision:
+            return LeaseAnswer.OUTDATED
+        if lease_s <= 0:
+            return LeaseAnswer.DENIED
+        if sent_at + lease_s <= self._clock.now():
+            return LeaseAnswer.LATE
+        return LeaseAnswer.EXTENDED
 
     def _coordinator_is_lost(self) -> bool:
         state = self._view.state
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -5,6 +5,9 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from burdockgap.fleet.datagrams import KIND_NAMES
+from burdockgap.shards.lease_monitor import LeaseAnswer
+
 if TYPE_CHECKING:
     from burdockgap.sidecar.node import Node
 
@@ -69,6 +72,24 @@
         "Keys that the target holds now.",
         lambda: node.holder.held_key_count if node.holder else 0,
     )
+    gauge(
+        "key_ranges",
+        "Ranges of keys in the newest assignment known, of all servers.",
+        lambda: sum(map(len, node.view.state.shards.values())),
+    )
+    for answer in LeaseAnswer:
+        if answer is not LeaseAnswer.NONE:
+            gauge(
+                f"lease_answers_{answer.value}",
+                f"Answers of the coordinator to reports: {answer.value}.",
+                partial(node.reporter.monitor.answers.get, answer, 0),
+            )
+    for kind, name in KIND_NAMES.items():
+        gauge(
+            f"datagrams_{name}_bytes",
+            f"Bytes sent in datagrams of the kind {name}.",
+            partial(node.datagrams.sent_bytes.get, kind, 0),
+        )
     gauge(
         "target_rate_limit",
         "Requests per second that the target named as its limit, 0 if none.",
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -80,6 +80,7 @@
     :param datagrams: sends and receives datagrams of other daemons.
     :param event_log: writer of structured log lines.
     :param metrics: the daemon's metrics.
+    :ivar datagrams: sends and receives datagrams of other daemons.
     :ivar buffers: limits the bodies and frames of all connections.
     :ivar caller_server: the HTTP server for callers, ``None`` before it
         is created.
@@ -101,6 +102,7 @@
         "cfg",
         "clock",
         "coordinator",
+        "datagrams",
         "discovery",
         "documents",
         "follower",
@@ -135,6 +137,7 @@
     ) -> None:
         self.cfg = cfg
         self.store = store
+        self.datagrams = datagrams
         store.generation.on_restored = self._store_restored
         self.event_log = event_log
         self.metrics = metrics
