Ask the voters before the coordinator's role is claimed

Callers saw: on a site of 195 to 248 machines no key is served for seconds (CONFIG: added routes lead to the service that is divided by key).

Cause: a member took the coordinator for lost if it had not processed an answer for 1.1 s. The first to notice is the one whose own process is slowest, so a daemon without processor time took the role from a coordinator that answered all others, and then lacked the time for its work.

Evidence: test_slow_member_does_not_depose_a_coordinator failed with a member that processes its datagrams 1.7, 2.5 and 6 s late.

Change: a member that finds the coordinator lost asks the voters (one small datagram each); it claims if a majority answers within 0.5 s that it misses the coordinator as well. A slow member gets no such majority. Members that hear no majority of the voters wait as before. ClaimTurn (order, backoff, consent) is split from the reporter, the count of voters from the coordinator.

--- a/src/burdockgap/fleet/datagrams.py
+++ b/src/burdockgap/fleet/datagrams.py
@@ -23,6 +23,10 @@
 """The tokens that a holder grants."""
 QUOTA_POOL = 8
 """Tokens of accounts for a holder."""
+CLAIM_QUESTION = 9
+"""Ask a voter whether it misses the coordinator."""
+CLAIM_SUPPORT = 10
+"""The voter's answer if it does."""
 KIND_NAMES = {
     BEACON: "beacon",
     REPORT: "report",
@@ -32,6 +36,8 @@
     QUOTA_ASK: "quota_ask",
     QUOTA_GRANT: "quota_grant",
     QUOTA_POOL: "quota_pool",
+    CLAIM_QUESTION: "claim_question",
+    CLAIM_SUPPORT: "claim_support",
 }
 
 
--- a/src/burdockgap/shards/coordinator.py
+++ b/src/burdockgap/shards/coordinator.py
@@ -21,6 +21,7 @@
 from burdockgap.shards.required_revisions import RequiredRevisions
 from burdockgap.shards.takeover import TakeoverWait
 from burdockgap.shards.term_start import TermStart, most_cautious
+from burdockgap.shards.voters import heard_names, hears_majority
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,9 +38,6 @@
 """After this time without a majority, the members that still report
 become the voters. Before that, a majority that is only cut off from
 this member can elect another coordinator."""
-_HEARD_WITHIN_S = 1.25
-"""Age of a voter's last beacon above which it is not counted on to
-vote; slightly more than the interval of beacons."""
 _VOTER_TIMEOUT_S = 10.0
 _VOTER_SETTLE_S = 0.6
 """Time for other members to report before the voters change."""
@@ -214,7 +212,7 @@
             return None
         claimed = self._claimed_state(base, start)
         is_first = start is TermStart.FIRST
-        if not is_first and not self._hears_majority(claimed.voters):
+        if not is_first and not hears_majority(self._roster, claimed.voters):
             self._awaited_voters = claimed.voters
             if not self._may_take_over(base, answered_at):
                 self._on_event(
@@ -223,24 +221,15 @@
                 self._on_deferred()
                 return None
             start = TermStart.REPLACEMENT
-            claimed.voters = tuple(sorted(self._heard_names()))
+            claimed.voters = tuple(sorted(heard_names(self._roster)))
         return claimed, start
 
     def _must_wait(self) -> bool:
         """Return whether a claim is known to be too early."""
-        return self.is_claim_deferred and not self._hears_majority(
-            self._awaited_voters
+        return self.is_claim_deferred and not hears_majority(
+            self._roster, self._awaited_voters
         )
 
-    def _heard_names(self) -> set[str]:
-        """Return the names of the members that were just heard."""
-        return {member.name for member in self._roster.live(_HEARD_WITHIN_S)}
-
-    def _hears_majority(self, voters: tuple[str, ...]) -> bool:
-        heard_names = self._heard_names()
-        heard_count = sum(name in heard_names for name in voters)
-        return heard_count > len(voters) // 2
-
     def _may_take_over(self, state: ControlState, answered_at: float) -> bool:
         """Return whether this member may replace a state's voters."""
         return self._takeover_wait.is_over(
--- a/src/burdockgap/shards/lease_monitor.py
+++ b/src/burdockgap/shards/lease_monitor.py
@@ -68,16 +68,29 @@
         self._lost_at: float | None = None
         self.answers = dict.fromkeys(LeaseAnswer, 0)
 
-    def note(self, answer: LeaseAnswer, sent_at: float) -> None:
+    def note(
+        self, sent_at: float, lease_s: float, *, is_outdated: bool = False
+    ) -> None:
         """
         Note an answer of the coordinator.
 
         :param sent_at: when the answered report was sent, in seconds.
+        :param lease_s: duration of the lease from then on, in seconds.
+        :param is_outdated: whether the lease requires an assignment
+            that is not known here yet.
         """
-        self._answer = answer
-        self._answered_at = self._clock.now()
-        self._round_trip_s = self._answered_at - sent_at
-        self.answers[answer] += 1
+        now = self._clock.now()
+        self._answered_at = now
+        self._round_trip_s = now - sent_at
+        if is_outdated:
+            self._answer = LeaseAnswer.OUTDATED
+        elif lease_s <= 0:
+            self._answer = LeaseAnswer.DENIED
+        elif sent_at + lease_s <= now:
+            self._answer = LeaseAnswer.LATE
+        else:
+            self._answer = LeaseAnswer.EXTENDED
+        self.answers[self._answer] += 1
 
     def check(self, version: tuple[int, int]) -> None:
         """
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -8,12 +8,19 @@
 
 from burdockgap.fleet.datagrams import LEASE, REPORT
 from burdockgap.metadata.store_error import StoreError
+from burdockgap.shards.claim_support import ClaimSupport
+from burdockgap.shards.claim_turn import ClaimTurn
+from burdockgap.shards.coordinator_watch import (
+    DOUBTFUL_AFTER_S,
+    LOST_AFTER_S,
+    CoordinatorWatch,
+)
 from burdockgap.shards.lease import (
     AUTHORITY_S,
     CLOCK_RATE,
     REPORT_INTERVAL_S,
 )
-from burdockgap.shards.lease_monitor import LeaseAnswer, LeaseMonitor
+from burdockgap.shards.lease_monitor import LeaseMonitor
 from burdockgap.shards.reports import TARGET_UNKNOWN, Report
 
 if TYPE_CHECKING:
@@ -30,15 +37,7 @@
     from burdockgap.shards.lease import Lease
     from burdockgap.shards.shard_holder import ShardHolder
 
-_COORDINATOR_TIMEOUT_S = 1.1
-"""Slightly more than three report intervals without an answer."""
-_CLAIM_STAGGER_S = 0.25
-"""Delay between the claims of two members; a claim takes two calls to
-the store."""
 _READ_RETRY_S = 0.3
-_CLAIM_BACKOFF_S = 0.5
-"""Shortest backoff after a failed claim, since the store may be down
-for all members."""
 _TARGET_GRACE_S = 2.5
 """Time after the start in which a silent target is reported as unknown
 instead of down."""
@@ -68,11 +67,7 @@
     """
 
     __slots__ = (
-        "_answered_at",
         "_claim",
-        "_claim_base_term",
-        "_claim_at",
-        "_claim_not_before",
         "_clock",
         "_datagrams",
         "_echo",
@@ -88,7 +83,9 @@
         "_target",
         "_tasks",
         "_term",
+        "_turn",
         "_view",
+        "_watch",
         "monitor",
     )
 
@@ -126,11 +123,22 @@
             clock=clock, lease=lease, on_event=on_event
         )
         self._started_at = clock.now()
-        self._answered_at = clock.now()
+        self._watch = CoordinatorWatch(clock.now())
+        self._turn = ClaimTurn(
+            roster=roster,
+            view=view,
+            clock=clock,
+            support=ClaimSupport(
+                roster=roster,
+                view=view,
+                datagrams=datagrams,
+                clock=clock,
+                misses_coordinator=lambda: self._misses_coordinator(
+                    DOUBTFUL_AFTER_S
+                ),
+            ),
+        )
         self._term = 0
-        self._claim_at: float | None = None
-        self._claim_base_term = 0
-        self._claim_not_before = 0.0
         self._echo = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         datagrams.handlers[LEASE] = self._handle_lease
@@ -157,7 +165,7 @@
             if self._coordinator_is_lost():
                 pause_s = min(await self._try_claim(), REPORT_INTERVAL_S)
             else:
-                self._claim_at = None
+                self._turn.reset()
             await asyncio.sleep(pause_s)
 
     async def _read_stored_state(self) -> None:
@@ -180,16 +188,16 @@
             self._view.adopt(state)
         if self._store.has_lost(state):
             await asyncio.sleep(AUTHORITY_S * CLOCK_RATE)
-        self._answered_at = self._clock.now()
+        self._watch.begin_term(self._clock.now())
 
     def _report(self) -> None:
-        state = self._view.state
+        state, now = self._view.state, self._clock.now()
+        if state.term != self._term:
+            self._term, self._echo = state.term, 0.0
+            self._watch.begin_term(now)
         member = self._roster.member(state.coordinator)
         if member is None:
             return
-        if state.term != self._term:
-            self._term, self._echo = state.term, 0.0
-            self._answered_at = self._clock.now()
         holder = self._holder()
         seen, keys = holder.samples.take() if holder else (0, [])
         report = Report(
@@ -198,7 +206,7 @@
             term=state.term,
             # A daemon without a configuration applies no assignment.
             revision=state.revision if holder else 0,
-            sent_at=self._clock.now(),
+            sent_at=now,
             echo=self._echo,
             born=self._reported_born(),
             takes_work=self._target.takes_work
@@ -230,7 +238,7 @@
         state = self._view.state
         if term != state.term or incarnation != state.incarnation:
             return
-        self._answered_at = self._clock.now()
+        self._watch.note_answer(self._clock.now())
         self._echo = max(self._echo, coordinator_time)
         if revision > state.revision:
             member = self._roster.member(state.coordinator)
@@ -239,21 +247,11 @@
         if required_revision <= state.revision:
             self._lease.extend(sent_at, lease_s)
         self.monitor.note(
-            self._classify(required_revision, sent_at, lease_s), sent_at
+            sent_at,
+            lease_s,
+            is_outdated=required_revision > state.revision,
         )
 
-    def _classify(
-        self, required_revision: int, sent_at: float, lease_s: float
-    ) -> LeaseAnswer:
-        """Return what an answer did to the lease."""
-        if required_revision > self._view.state.revision:
-            return LeaseAnswer.OUTDATED
-        if lease_s <= 0:
-            return LeaseAnswer.DENIED
-        if sent_at + lease_s <= self._clock.now():
-            return LeaseAnswer.LATE
-        return LeaseAnswer.EXTENDED
-
     def _coordinator_is_lost(self) -> bool:
         state = self._view.state
         own = self._roster.own
@@ -261,48 +259,39 @@
             return not self._is_active()
         if state.term == 0:
             return True
-        coordinator = self._roster.member(state.coordinator)
-        if coordinator is not None:
-            if coordinator.incarnation != state.incarnation:
-                return True
-            if coordinator.resigning or coordinator.leaving:
-                return self._clock.now() >= self._claim_not_before
-        return self._clock.now() - self._answered_at > _COORDINATOR_TIMEOUT_S
+        if self._is_stepping_down(state.coordinator):
+            return not self._turn.is_backing_off
+        return self._misses_coordinator(LOST_AFTER_S)
 
-    async def _try_claim(self) -> float:
+    def _is_stepping_down(self, name: str) -> bool:
+        """Return whether a coordinator asks to be replaced."""
+        member = self._roster.member(name)
+        return member is not None and (member.resigning or member.leaving)
+
+    def _misses_coordinator(self, after_s: float) -> bool:
         """
-        Claim the coordinator's role once this member's delay is over.
+        Return whether the coordinator does not answer this member.
 
-        :return: time until the next attempt, in seconds.
+        :param after_s: time without an answer from which on that is
+            so, in seconds.
         """
-        now, term = self._clock.now(), self._view.state.term
-        if self._claim_at is None or self._claim_base_term != term:
-            self._claim_base_term = term
-            self._claim_at = now + self._claim_delay_s()
-        if now < self._claim_at:
-            return self._claim_at - now
-        self._claim_at = None
-        if not await self._claim(self._answered_at):
-            pause_s = _CLAIM_BACKOFF_S * random.uniform(1, 2)
-            self._claim_not_before = self._clock.now() + pause_s
-        return REPORT_INTERVAL_S
+        state = self._view.state
+        member = self._roster.member(state.coordinator)
+        if member is not None and member.incarnation != state.incarnation:
+            return True
+        if self._is_stepping_down(state.coordinator):
+            return True
+        return self._watch.unanswered_s(self._clock.now()) > after_s
 
-    def _claim_delay_s(self) -> float:
+    async def _try_claim(self) -> float:
         """
-        Return the delay before a claim, in seconds.
+        Claim the coordinator's role once it is this member's turn.
 
-        Members claim one after another, in order of their names.
+        :return: time until the next attempt, in seconds.
         """
-        state = self._view.state
-        own = self._roster.own.name
-        if own == state.coordinator:
-            return 0.0
-        live = sorted(
-            member.name
-            for member in self._roster.live(_COORDINATOR_TIMEOUT_S * 2)
-            if member.name != state.coordinator and not member.leaving
-        )
-        rank = live.index(own) if own in live else len(live)
-        if state.term == 0:
-            rank += 2
-        return rank * _CLAIM_STAGGER_S
+        pause_s = self._turn.wait_s()
+        if pause_s > 0:
+            return pause_s
+        if not await self._claim(self._watch.answered_at):
+            self._turn.note_failure()
+        return REPORT_INTERVAL_S
--- a/tests/shards/control_site.py
+++ b/tests/shards/control_site.py
@@ -205,7 +205,7 @@
         if self.reporter._coordinator_is_lost():
             pause_s = min(await self.reporter._try_claim(), pause_s)
         else:
-            self.reporter._claim_at = None
+            self.reporter._turn.reset()
         self._next_report_at = self.site.clock.now() + pause_s
 
 
--- a/tests/shards/test_lease_monitor.py
+++ b/tests/shards/test_lease_monitor.py
@@ -28,7 +28,7 @@
     def extend(self):
         now = self.clock.now()
         self.lease.extend(now, 1.5)
-        self.monitor.note(LeaseAnswer.EXTENDED, now)
+        self.monitor.note(now, 1.5)
         self.monitor.check(VERSION)
 
     def advance(self, seconds):
@@ -37,13 +37,19 @@
 
 
 @pytest.mark.parametrize(
-    "answer",
-    [LeaseAnswer.LATE, LeaseAnswer.DENIED, LeaseAnswer.OUTDATED],
+    ("lease_s", "is_outdated", "answer"),
+    [
+        (1.5, False, LeaseAnswer.LATE),
+        (0.0, False, LeaseAnswer.DENIED),
+        (1.5, True, LeaseAnswer.OUTDATED),
+    ],
 )
-def test_loss_names_the_last_answer(answer):
+def test_loss_names_the_last_answer(lease_s, is_outdated, answer):
     item = MonitoredLease()
     item.clock.seconds += 1.6
-    item.monitor.note(answer, sent_at=item.clock.now() - 1.55)
+    item.monitor.note(
+        item.clock.now() - 1.55, lease_s, is_outdated=is_outdated
+    )
     item.advance(0.0)
     ((event, fields),) = item.lines
     assert event == "lease"
