Replace a coordinator whose answers come too late

Cause: a member judged the coordinator by the time of the last answer that arrived. A coordinator that lags answers every report, each of them after the lease that it extends has expired, so nobody missed it. The class of fault: a liveness check that any sign of life satisfies, instead of the service that depends on it.

Evidence: test_coordinator_that_answers_too_late_is_replaced: with answers that take 1.7 and 2.5 s no member had a lease, and nobody replaced the coordinator.

Change: the age of the oldest unanswered report counts (CoordinatorWatch).

--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -195,6 +195,7 @@
         if state.term != self._term:
             self._term, self._echo = state.term, 0.0
             self._watch.begin_term(now)
+        self._watch.note_report(now)
         member = self._roster.member(state.coordinator)
         if member is None:
             return
@@ -238,7 +239,7 @@
         state = self._view.state
         if term != state.term or incarnation != state.incarnation:
             return
-        self._watch.note_answer(self._clock.now())
+        self._watch.note_answer(sent_at, self._clock.now())
         self._echo = max(self._echo, coordinator_time)
         if revision > state.revision:
             member = self._roster.member(state.coordinator)
@@ -270,10 +271,10 @@
 
     def _misses_coordinator(self, after_s: float) -> bool:
         """
-        Return whether the coordinator does not answer this member.
+        Return whether the coordinator is of no use to this member.
 
-        :param after_s: time without an answer from which on that is
-            so, in seconds.
+        :param after_s: age of an unanswered report from which on that
+            is so, in seconds.
         """
         state = self._view.state
         member = self._roster.member(state.coordinator)
