Choose the coordinator among machines that are large enough

Callers saw: 500 and 503 for most keys after the coordinator had been stopped, and stopped again, on a site whose machines mostly have 0.43 of a core.

Cause: the role passed on by name. The coordinator of 195 to 248 members used 24 to 47 % of a core on a large machine; the third in line by name, sidecar-damanhour-10, has 0.43 of a core.

Change: members announce how many members their machine can serve, from the processor time and the link of the settings; claims go in that order, and a coordinator that is too small gives way to a member that has at least twice its capacity. A beacon grows by at most five bytes.

--- a/src/burdockgap/fleet/member.py
+++ b/src/burdockgap/fleet/member.py
@@ -50,11 +50,14 @@
         0 if there is none.
     :param term: newest coordinator's term that it knows.
     :param revision: newest revision of the control state that it knows.
+    :param capacity: how many members its machine can serve as
+        coordinator, 0 if that is not known.
     """
 
     __slots__ = (
         "address",
         "born",
+        "capacity",
         "config_version",
         "documents",
         "incarnation",
@@ -96,6 +99,7 @@
         config_version: int = 0,
         term: int = 0,
         revision: int = 0,
+        capacity: int = 0,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -116,6 +120,7 @@
         self.config_version = config_version
         self.term = term
         self.revision = revision
+        self.capacity = capacity
 
     def values(self) -> list[Any]:
         """Return the member as a list that can be serialized."""
@@ -139,6 +144,7 @@
             self.config_version,
             self.term,
             self.revision,
+            self.capacity,
         ]
 
     def encode(self) -> bytes:
@@ -180,6 +186,7 @@
             config_version,
             term,
             revision,
+            capacity,
         ) = values
         return cls(
             name=check_text(name, "name"),
@@ -204,6 +211,7 @@
             config_version=check_integer(config_version, "config version"),
             term=check_integer(term, "term"),
             revision=check_integer(revision, "revision"),
+            capacity=check_integer(capacity, "capacity", most=MAX_COUNT),
         )
 
     @classmethod
--- a/src/burdockgap/platform/settings.py
+++ b/src/burdockgap/platform/settings.py
@@ -73,6 +73,7 @@
             require_field(limits, "memory-mb", number_types) * _BYTES_PER_MB
         ),
         descriptors=_descriptors(limits),
+        cores=_cores(limits),
         quota_bounds=_read_quota_bounds(bounds),
     )
 
@@ -115,6 +116,18 @@
     return value
 
 
+def _cores(limits: dict[str, Any]) -> float:
+    """Return the processor time, that of a whole core by default."""
+    limits = {"cpu-share": 1.0, "cpu-cores": 1, **limits}
+    share, cores = (
+        check_number(
+            require_field(limits, name, (int, float)), f"field {name!r}"
+        )
+        for name in ("cpu-share", "cpu-cores")
+    )
+    return share * cores
+
+
 def _first_internal_port(source: dict[str, Any]) -> int:
     ports = require_field(source, "internal-port-range", list)
     if not ports or not isinstance(ports[0], int):
--- a/src/burdockgap/shards/claim_support.py
+++ b/src/burdockgap/shards/claim_support.py
@@ -12,6 +12,7 @@
 
     from burdockgap.clock import Clock
     from burdockgap.fleet.datagrams import Datagrams
+    from burdockgap.fleet.member import Member
     from burdockgap.fleet.roster import Roster
     from burdockgap.shards.control_view import ControlView
 
@@ -32,17 +33,17 @@
     :param view: the newest control state that this daemon knows.
     :param datagrams: sends questions and answers.
     :param clock: keeps counting while the machine is suspended.
-    :param misses_coordinator: returns whether this member's reports
-        have been without an answer for some time.
+    :param supports: returns whether this member consents to a claim of
+        a given member.
     """
 
     __slots__ = (
         "_asked_at",
         "_clock",
         "_datagrams",
-        "_misses_coordinator",
         "_roster",
         "_supporters",
+        "_supports",
         "_view",
     )
 
@@ -53,13 +54,13 @@
         view: ControlView,
         datagrams: Datagrams,
         clock: Clock,
-        misses_coordinator: Callable[[], bool],
+        supports: Callable[[Member], bool],
     ) -> None:
         self._roster = roster
         self._view = view
         self._datagrams = datagrams
         self._clock = clock
-        self._misses_coordinator = misses_coordinator
+        self._supports = supports
         self._asked_at = 0.0
         self._supporters: set[str] = set()
         datagrams.handlers[CLAIM_QUESTION] = self._handle_question
@@ -104,7 +105,7 @@
         if member is None or term < own_term:
             return
         # A member that does not know the term cannot object to its end.
-        if term > own_term or self._misses_coordinator():
+        if term > own_term or self._supports(member):
             self._datagrams.send(
                 member.address,
                 CLAIM_SUPPORT,
--- a/src/burdockgap/shards/claim_turn.py
+++ b/src/burdockgap/shards/claim_turn.py
@@ -105,18 +105,21 @@
         """
         Return the delay before a claim, in seconds.
 
-        Members claim one after another, in order of their names.
+        Members claim one after another, those first whose machine has
+        the largest capacity.
         """
         state = self._view.state
         own = self._roster.own.name
         if own == state.coordinator:
             return 0.0
-        live = sorted(
-            member.name
+        live = [
+            member
             for member in self._roster.live(_LIVE_WITHIN_S)
             if member.name != state.coordinator and not member.leaving
-        )
-        rank = live.index(own) if own in live else len(live)
+        ]
+        live.sort(key=lambda member: (-member.capacity, member.name))
+        names = [member.name for member in live]
+        rank = names.index(own) if own in names else len(names)
         if state.term == 0:
             rank += 2
         return rank * _STAGGER_S
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -10,11 +10,7 @@
 from burdockgap.metadata.store_error import StoreError
 from burdockgap.shards.claim_support import ClaimSupport
 from burdockgap.shards.claim_turn import ClaimTurn
-from burdockgap.shards.coordinator_watch import (
-    DOUBTFUL_AFTER_S,
-    LOST_AFTER_S,
-    CoordinatorWatch,
-)
+from burdockgap.shards.coordinator_watch import CoordinatorWatch
 from burdockgap.shards.lease import (
     AUTHORITY_S,
     CLOCK_RATE,
@@ -123,7 +119,7 @@
             clock=clock, lease=lease, on_event=on_event
         )
         self._started_at = clock.now()
-        self._watch = CoordinatorWatch(clock.now())
+        self._watch = CoordinatorWatch(roster=roster, view=view, clock=clock)
         self._turn = ClaimTurn(
             roster=roster,
             view=view,
@@ -133,9 +129,7 @@
                 view=view,
                 datagrams=datagrams,
                 clock=clock,
-                misses_coordinator=lambda: self._misses_coordinator(
-                    DOUBTFUL_AFTER_S
-                ),
+                supports=self._watch.supports,
             ),
         )
         self._term = 0
@@ -188,13 +182,13 @@
             self._view.adopt(state)
         if self._store.has_lost(state):
             await asyncio.sleep(AUTHORITY_S * CLOCK_RATE)
-        self._watch.begin_term(self._clock.now())
+        self._watch.begin_term()
 
     def _report(self) -> None:
         state, now = self._view.state, self._clock.now()
         if state.term != self._term:
             self._term, self._echo = state.term, 0.0
-            self._watch.begin_term(now)
+            self._watch.begin_term()
         self._watch.note_report(now)
         member = self._roster.member(state.coordinator)
         if member is None:
@@ -239,7 +233,7 @@
         state = self._view.state
         if term != state.term or incarnation != state.incarnation:
             return
-        self._watch.note_answer(sent_at, self._clock.now())
+        self._watch.note_answer(sent_at)
         self._echo = max(self._echo, coordinator_time)
         if revision > state.revision:
             member = self._roster.member(state.coordinator)
@@ -258,31 +252,11 @@
         own = self._roster.own
         if state.coordinator == own.name:
             return not self._is_active()
-        if state.term == 0:
+        if state.term == 0 or self._watch.is_lost():
             return True
-        if self._is_stepping_down(state.coordinator):
-            return not self._turn.is_backing_off
-        return self._misses_coordinator(LOST_AFTER_S)
-
-    def _is_stepping_down(self, name: str) -> bool:
-        """Return whether a coordinator asks to be replaced."""
-        member = self._roster.member(name)
-        return member is not None and (member.resigning or member.leaving)
-
-    def _misses_coordinator(self, after_s: float) -> bool:
-        """
-        Return whether the coordinator is of no use to this member.
-
-        :param after_s: age of an unanswered report from which on that
-            is so, in seconds.
-        """
-        state = self._view.state
-        member = self._roster.member(state.coordinator)
-        if member is not None and member.incarnation != state.incarnation:
-            return True
-        if self._is_stepping_down(state.coordinator):
-            return True
-        return self._watch.unanswered_s(self._clock.now()) > after_s
+        return not self._turn.is_backing_off and (
+            self._watch.is_stepping_down() or self._watch.is_outranked_by(own)
+        )
 
     async def _try_claim(self) -> float:
         """
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -35,6 +35,7 @@
 from burdockgap.shards.control_store import ControlStore
 from burdockgap.shards.control_view import ControlView
 from burdockgap.shards.coordinator import Coordinator
+from burdockgap.shards.coordinator_capacity import coordinator_capacity
 from burdockgap.shards.lease import Lease
 from burdockgap.shards.reporter import Reporter
 from burdockgap.shards.shard_holder import ShardHolder
@@ -161,6 +162,7 @@
             data_centre=cfg.data_centre,
             region=cfg.region,
             service=cfg.service,
+            capacity=coordinator_capacity(cfg.cores, cfg.link_bytes_per_s),
         )
         self.roster = Roster(own, event_log.write)
         self._add_state()
--- a/src/burdockgap/sidecar/sidecar_settings.py
+++ b/src/burdockgap/sidecar/sidecar_settings.py
@@ -28,6 +28,7 @@
         together.
     :param budget_window_s: window of the retry budget, in seconds.
     :param link_bytes_per_s: rate of the machine's network link.
+    :param cores: processor time of the machine, in seconds per second.
     :param drain_s: seconds after its notice for which a draining target
         may be sent requests.
     :param grace_s: seconds between the signal to stop and the forced
@@ -45,6 +46,7 @@
         "buffer_bytes",
         "callers",
         "control",
+        "cores",
         "drain_s",
         "grace_s",
         "ip",
@@ -84,6 +86,7 @@
         buffer_bytes: int,
         quota_bounds: QuotaBounds | None = None,
         descriptors: int = 4096,
+        cores: float = 1.0,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -105,3 +108,4 @@
         self.buffer_bytes = buffer_bytes
         self.quota_bounds = quota_bounds or QuotaBounds()
         self.descriptors = descriptors
+        self.cores = cores
--- a/tests/shards/control_site.py
+++ b/tests/shards/control_site.py
@@ -97,7 +97,10 @@
         self.lease = Lease(site.clock)
         self.lease_term = 0
         own = make_member(
-            name, address=site.address(name), incarnation=incarnation
+            name,
+            address=site.address(name),
+            incarnation=incarnation,
+            capacity=site.capacities.get(name, 0),
         )
         self.roster = Roster(own, lambda _event, _fields: None)
         self.roster._loop = self.loop
@@ -214,19 +217,22 @@
     Members, the store and the links between them.
 
     :param names: the members that start.
+    :param capacities: how many members they can serve as coordinator.
     :ivar cut_pairs: pairs of sender and receiver that are cut.
     :ivar without_store: members that do not reach the store.
+    :ivar capacities: of the members that start, 0 if not given.
     :ivar delays: how late members process datagrams, in seconds.
     :ivar log: time, member, event and fields of each decision.
     """
 
-    def __init__(self, names):
+    def __init__(self, names, capacities=None):
         self.clock = FakeClock()
         self.store = FakeStore()
         self.log = []
         self.cut_pairs = set()
         self.without_store = set()
         self.delays = {}
+        self.capacities = capacities or {}
         self._delayed = []
         self.members = {}
         self._ticks = 0
