Skip the assignment of ranges that all have an owner

Cause: each tick of the coordinator, ten a second, worked out the utilisation of all servers and copied all ranges, although no range lacked an owner.

Change: assign_unowned returns at once then. Decisions are the same.

--- a/src/burdockgap/shards/planner.py
+++ b/src/burdockgap/shards/planner.py
@@ -66,16 +66,15 @@
     if not rows:
         state.shards[service] = _even_split(state, servers)
         return True
+    if all(_is_usable(shard, servers) for shard in rows):
+        return False
     utilisation = _utilisation_by_server(rows, servers, rates)
     result: list[Shard] = []
-    changed = False
     total_rate = rates.range_rate(0, KEY_COUNT - 1)
     for shard in rows:
-        server = servers.get(shard.owner)
-        if server is not None and server.born == shard.born:
+        if _is_usable(shard, servers):
             result.append(shard)
             continue
-        changed = True
         share = rates.range_rate(shard.first, shard.last) / total_rate
         # A range with a small share of the requests is split less.
         count = min(len(servers), 1 + int(share * len(servers) * 2))
@@ -85,7 +84,7 @@
             rate = rates.range_rate(subrange.first, subrange.last)
             utilisation[name] += rate / servers[name].capacity
     state.shards[service] = result
-    return changed
+    return True
 
 
 def balance(
@@ -137,6 +136,12 @@
     return moves
 
 
+def _is_usable(shard: Shard, servers: dict[str, Server]) -> bool:
+    """Return whether the server that owns a range may go on."""
+    server = servers.get(shard.owner)
+    return server is not None and server.born == shard.born
+
+
 def _even_split(
     state: ControlState, servers: dict[str, Server]
 ) -> list[Shard]:
@@ -161,10 +166,9 @@
 ) -> dict[str, float]:
     utilisation = dict.fromkeys(servers, 0.0)
     for shard in rows:
-        server = servers.get(shard.owner)
-        if server is not None and server.born == shard.born:
+        if _is_usable(shard, servers):
             rate = rates.range_rate(shard.first, shard.last)
-            utilisation[server.name] += rate / server.capacity
+            utilisation[shard.owner] += rate / servers[shard.owner].capacity
     return utilisation
 
 
