Ask a second member if a reply stalls

Callers saw: CONFIG, a version that is not in force in time while the store is slow and the member that told of it is slow as well.

Pongs are no progress. While bytes arrive no second copy is fetched, which would take half of a slow link. PeerConnections has a module of its own.

The new tests for assignments and for slow replies cover the two sides.

--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -22,7 +22,7 @@
     from burdockgap.fleet.roster import Roster
     from burdockgap.forward.caller_request import CallerRequest
     from burdockgap.forward.target_gate import TargetGate
-    from burdockgap.hop.peer_connection import PeerConnections
+    from burdockgap.hop.peer_connections import PeerConnections
     from burdockgap.routing.documents import Documents
     from burdockgap.routing.route import Route
     from burdockgap.routing.routing_config import RoutingConfig
--- a/src/burdockgap/forward/member_calls.py
+++ b/src/burdockgap/forward/member_calls.py
@@ -18,7 +18,7 @@
     from burdockgap.fleet.member import Member
     from burdockgap.fleet.roster import Roster
     from burdockgap.forward.call import Call
-    from burdockgap.hop.peer_connection import PeerConnections
+    from burdockgap.hop.peer_connections import PeerConnections
 
 REPLY_GRACE_S = 0.05
 """How long after the deadline a target's daemon may still reply."""
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -21,11 +21,11 @@
 from burdockgap.hop.peer_call_error import PeerCallError
 
 if TYPE_CHECKING:
+    from burdockgap.hop.reply_progress import ReplyProgress
     from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.uplink import Uplink
 
-_CONNECT_TIMEOUT_S = 0.5
-"""Allows for a 40 ms round trip between regions and a lost packet."""
+_PONG_FRAME = encode_frame(PONG)
 _CHECK_INTERVAL_S = 0.2
 _PING_AFTER_SILENCE_S = 0.3
 _SILENCE_TIMEOUT_S = 0.9
@@ -47,6 +47,8 @@
     :param budget: bounds the incomplete frames of all connections,
         ``None`` for no bound.
     :ivar lost: whether the connection is closed or has failed.
+    :ivar progress: notes what arrives of a reply, if set; for a
+        connection of a single call.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "_transport",
         "_uplink",
         "lost",
+        "progress",
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         self._heard_at = loop.time()
         self._checker: asyncio.TimerHandle | None = None
         self.lost = False
+        self.progress: ReplyProgress | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -93,6 +97,8 @@
     def data_received(self, data: bytes) -> None:
         """Deliver received replies to the pending calls."""
         self._heard_at = self._loop.time()
+        if self.progress is not None and data != _PONG_FRAME:
+            self.progress.note()
         try:
             for frame in self._buffer.feed(data):
                 self._handle_frame(frame)
@@ -206,94 +212,3 @@
         for fut in calls.values():
             if not fut.done():
                 fut.set_exception(PeerCallError(detail, sent=True))
-
-
-class PeerConnections:
-    """
-    Connections to peers by address, opened on demand.
-
-    :param uplink: paces what is sent over the machine's network link,
-        ``None`` where its bandwidth is not a limit.
-    :param budget: bounds the incomplete frames of all connections,
-        ``None`` for no bound.
-    """
-
-    __slots__ = (
-        "_budget",
-        "_connect_locks",
-        "_connections",
-        "_loop",
-        "_uplink",
-    )
-
-    def __init__(
-        self,
-        uplink: Uplink | None = None,
-        budget: MemoryBudget | None = None,
-    ) -> None:
-        self._budget = budget
-        self._loop = asyncio.get_running_loop()
-        self._uplink = uplink
-        self._connections: dict[tuple[str, int], PeerConnection] = {}
-        self._connect_locks: dict[tuple[str, int], asyncio.Lock] = {}
-
-    async def call(
-        self, address: tuple[str, int], kind: int, payload: Any
-    ) -> Any:
-        """
-        Call a peer and return the payload of its reply.
-
-        :param address: the peer's host and port.
-        :param kind: a number of :mod:`burdockgap.hop.call_kinds`.
-        :param payload: any value that msgpack can encode.
-        :raises PeerCallError: if no reply is received.
-        """
-        conn = self._connections.get(address)
-        if conn is None or conn.lost:
-            conn = await self._open(address)
-        return await conn.call(kind, payload)
-
-    async def call_once(
-        self, address: tuple[str, int], kind: int, payload: Any
-    ) -> Any:
-        """
-        Call a peer over a connection of its own.
-
-        For rare calls that must not wait until an open connection that
-        has fallen silent is noticed. Parameters and errors are those of
-        :meth:`call`.
-        """
-        conn = await self._connect(address)
-        try:
-            return await conn.call(kind, payload)
-        finally:
-            conn.close()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for conn in self._connections.values():
-            conn.close()
-        self._connections.clear()
-
-    async def _open(self, address: tuple[str, int]) -> PeerConnection:
-        async with self._connect_locks.setdefault(address, asyncio.Lock()):
-            conn = self._connections.get(address)
-            if conn is not None and not conn.lost:
-                return conn
-            conn = await self._connect(address)
-            self._connections[address] = conn
-            return conn
-
-    async def _connect(self, address: tuple[str, int]) -> PeerConnection:
-        try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                _, conn = await self._loop.create_connection(
-                    lambda: PeerConnection(
-                        self._loop, self._uplink, self._budget
-                    ),
-                    *address,
-                )
-        except (OSError, TimeoutError) as exc:
-            detail = f"connecting to the peer failed: {exc!r}"
-            raise PeerCallError(detail, sent=False) from exc
-        return conn
--- /dev/null
+++ b/src/burdockgap/hop/peer_connections.py
@@ -0,0 +1,116 @@
+"""The connections to other daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from burdockgap.hop.peer_call_error import PeerCallError
+from burdockgap.hop.peer_connection import PeerConnection
+
+if TYPE_CHECKING:
+    from burdockgap.hop.reply_progress import ReplyProgress
+    from burdockgap.resources.memory_budget import MemoryBudget
+    from burdockgap.uplink import Uplink
+
+_CONNECT_TIMEOUT_S = 0.5
+"""Allows for a 40 ms round trip between regions and a lost packet."""
+
+
+class PeerConnections:
+    """
+    Connections to peers by address, opened on demand.
+
+    :param uplink: paces what is sent over the machine's network link,
+        ``None`` where its bandwidth is not a limit.
+    :param budget: bounds the incomplete frames of all connections,
+        ``None`` for no bound.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_connect_locks",
+        "_connections",
+        "_loop",
+        "_uplink",
+    )
+
+    def __init__(
+        self,
+        uplink: Uplink | None = None,
+        budget: MemoryBudget | None = None,
+    ) -> None:
+        self._budget = budget
+        self._loop = asyncio.get_running_loop()
+        self._uplink = uplink
+        self._connections: dict[tuple[str, int], PeerConnection] = {}
+        self._connect_locks: dict[tuple[str, int], asyncio.Lock] = {}
+
+    async def call(
+        self, address: tuple[str, int], kind: int, payload: Any
+    ) -> Any:
+        """
+        Call a peer and return the payload of its reply.
+
+        :param address: the peer's host and port.
+        :param kind: a number of :mod:`burdockgap.hop.call_kinds`.
+        :param payload: any value that msgpack can encode.
+        :raises PeerCallError: if no reply is received.
+        """
+        conn = self._connections.get(address)
+        if conn is None or conn.lost:
+            conn = await self._open(address)
+        return await conn.call(kind, payload)
+
+    async def call_once(
+        self,
+        address: tuple[str, int],
+        kind: int,
+        payload: Any,
+        *,
+        progress: ReplyProgress | None = None,
+    ) -> Any:
+        """
+        Call a peer over a connection of its own.
+
+        For rare calls that must not wait until an open connection that
+        has fallen silent is noticed. The other parameters and the
+        errors are those of :meth:`call`.
+
+        :param progress: notes when bytes of the reply arrive.
+        """
+        conn = await self._connect(address)
+        conn.progress = progress
+        try:
+            return await conn.call(kind, payload)
+        finally:
+            conn.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for conn in self._connections.values():
+            conn.close()
+        self._connections.clear()
+
+    async def _open(self, address: tuple[str, int]) -> PeerConnection:
+        async with self._connect_locks.setdefault(address, asyncio.Lock()):
+            conn = self._connections.get(address)
+            if conn is not None and not conn.lost:
+                return conn
+            conn = await self._connect(address)
+            self._connections[address] = conn
+            return conn
+
+    async def _connect(self, address: tuple[str, int]) -> PeerConnection:
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, conn = await self._loop.create_connection(
+                    lambda: PeerConnection(
+                        self._loop, self._uplink, self._budget
+                    ),
+                    *address,
+                )
+        except (OSError, TimeoutError) as exc:
+            detail = f"connecting to the peer failed: {exc!r}"
+            raise PeerCallError(detail, sent=False) from exc
+        return conn
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -22,7 +22,7 @@
 from burdockgap.hop.call_kinds import (
     RELEASE,
 )
-from burdockgap.hop.peer_connection import PeerConnections
+from burdockgap.hop.peer_connections import PeerConnections
 from burdockgap.http1.response import Response
 from burdockgap.platform.documents import PlatformDocuments
 from burdockgap.platform.names import OPERATOR_TOPIC
--- a/src/burdockgap/sidecar/peer_fetcher.py
+++ b/src/burdockgap/sidecar/peer_fetcher.py
@@ -4,18 +4,20 @@
 
 import asyncio
 import random
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from burdockgap.hop.call_kinds import GET_CONTROL_STATE, GET_DOCUMENTS
-from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.shards.control_state import ControlState
+from burdockgap.sidecar.fetch_group import FetchGroup
 from burdockgap.wire.compression import decompress
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
     from burdockgap.fleet.member import Member
-    from burdockgap.hop.peer_connection import PeerConnections
+    from burdockgap.hop.peer_connections import PeerConnections
+    from burdockgap.hop.reply_progress import ReplyProgress
     from burdockgap.routing.documents import Documents
     from burdockgap.shards.control_view import ControlView
 
@@ -33,7 +35,7 @@
 
 class PeerFetcher:
     """
-    Fetches control state and documents, one fetch of each at a time.
+    Fetches control state and documents from other members.
 
     :param peer_connections: connections to other daemons.
     :param view: the control state known to this daemon.
@@ -44,11 +46,10 @@
     """
 
     __slots__ = (
+        "_control_fetches",
+        "_document_fetches",
         "_documents",
         "_peer_connections",
-        "_on_event",
-        "_in_progress",
-        "_spawn",
         "_store_lost",
         "_view",
     )
@@ -67,23 +68,29 @@
         self._view = view
         self._documents = documents
         self._store_lost = store_lost
-        self._spawn = spawn
-        self._on_event = on_event
-        self._in_progress: set[str] = set()
+        self._control_fetches = FetchGroup(
+            "table", spawn=spawn, on_event=on_event
+        )
+        self._document_fetches = FetchGroup(
+            "documents", spawn=spawn, on_event=on_event
+        )
 
     def request_control_state(
         self, member: Member, version: tuple[int, int]
     ) -> None:
         """Fetch a member's control state, if its version is newer."""
         if version > self._view.version:
-            self._start_fetch(
-                "table", self._fetch_control_state(member, version)
+            self._control_fetches.start(
+                member,
+                partial(self._fetch_control_state, member, version),
             )
 
     def request_documents(self, member: Member) -> None:
         """Fetch all documents from a member if it has newer ones."""
         if self._has_newer_documents(member):
-            self._start_fetch("documents", self._fetch_documents(member))
+            self._document_fetches.start(
+                member, partial(self._fetch_documents, member)
+            )
 
     def _has_newer_documents(self, member: Member) -> bool:
         # A restored store may have lost a configuration that the member
@@ -93,46 +100,34 @@
             or member.config_version > self._documents.config_version
         )
 
-    def _start_fetch(
-        self, what: str, fetch: Coroutine[Any, Any, None]
-    ) -> None:
-        if what in self._in_progress:
-            fetch.close()
-            return
-        self._in_progress.add(what)
-        self._spawn(self._run_fetch(what, fetch))
-
-    async def _run_fetch(
-        self, what: str, fetch: Coroutine[Any, Any, None]
-    ) -> None:
-        try:
-            await fetch
-        except (PeerCallError, TimeoutError, ValueError) as exc:
-            self._on_event("pull_failed", {"what": what, "why": repr(exc)})
-        finally:
-            self._in_progress.discard(what)
-
     async def _fetch_control_state(
-        self, member: Member, version: tuple[int, int]
+        self,
+        member: Member,
+        version: tuple[int, int],
+        progress: ReplyProgress,
     ) -> None:
         await asyncio.sleep(random.uniform(0, _MAX_JITTER_S))
         if version <= self._view.version:
             return
+        progress.note()
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
             data = await self._peer_connections.call_once(
-                member.address, GET_CONTROL_STATE, None
+                member.address, GET_CONTROL_STATE, None, progress=progress
             )
         self._view.adopt(ControlState.decode(decompress(data)))
 
-    async def _fetch_documents(self, member: Member) -> None:
+    async def _fetch_documents(
+        self, member: Member, progress: ReplyProgress
+    ) -> None:
         if self._documents.config is not None:
             await asyncio.sleep(_DOCUMENTS_DELAY_S)
         elif not self._store_lost():
             await asyncio.sleep(_FIRST_DOCUMENTS_DELAY_S)
         if not self._has_newer_documents(member):
             return
+        progress.note()
         async with asyncio.timeout(_FETCH_TIMEOUT_S):
             values, position = await self._peer_connections.call_once(
-                member.address, GET_DOCUMENTS, None
+                member.address, GET_DOCUMENTS, None, progress=progress
             )
         self._documents.replace(values, tuple(position), member.name)
--- a/tests/sidecar/test_peer_fetcher.py
+++ b/tests/sidecar/test_peer_fetcher.py
@@ -6,10 +6,13 @@
 
 import pytest
 
+from burdockgap.hop.call_kinds import GET_CONTROL_STATE
 from burdockgap.platform.documents import PlatformDocuments
 from burdockgap.routing.documents import Documents
+from burdockgap.shards.control_state import ControlState
 from burdockgap.shards.control_view import ControlView
 from burdockgap.sidecar.peer_fetcher import PeerFetcher
+from burdockgap.wire.compression import compress
 from standins.sidecar.documents import make_site_config
 from tests.shards.builders import make_member
 
@@ -33,11 +36,17 @@
 
     def __init__(self):
         self.calls = []
+        self.sends_slowly = False
 
-    async def call_once(self, address, _kind, _payload):
+    async def call_once(self, address, kind, _payload, *, progress):
         self.calls.append(address)
         if address == SLOW.address:
-            await asyncio.sleep(4.0)
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                if self.sends_slowly:
+                    progress.note()
+        if kind == GET_CONTROL_STATE:
+            return compress(ControlState(term=1, revision=5).encode())
         return {"config": make_site_config()}, [0, 5]
 
 
@@ -47,6 +56,7 @@
     def __init__(self):
         self.peers = FakePeers()
         self.tasks = []
+        self.view = ControlView(lambda: None)
         self.documents = Documents(
             PlatformDocuments(),
             on_change=lambda: None,
@@ -54,7 +64,7 @@
         )
         self.fetcher = PeerFetcher(
             peer_connections=self.peers,
-            view=ControlView(lambda: None),
+            view=self.view,
             documents=self.documents,
             store_lost=lambda: True,
             spawn=lambda coro: self.tasks.append(asyncio.create_task(coro)),
@@ -87,3 +97,31 @@
         harness.fetcher.request_documents(SLOW)
     await asyncio.sleep(0.1)
     assert harness.peers.calls == [OTHER.address]
+
+
+# A second copy would take as much of the receiver's slow link.
+async def test_no_other_member_is_asked_while_a_reply_arrives(harness):
+    harness.peers.sends_slowly = True
+    harness.fetcher.request_documents(SLOW)
+    for _ in range(10):
+        await asyncio.sleep(BEACON_INTERVAL_S)
+        harness.fetcher.request_documents(OTHER)
+    assert harness.peers.calls == [SLOW.address]
+
+
+# CONFIG: members that wait for an assignment get no lease.
+async def test_slow_member_does_not_hold_up_an_assignment(harness):
+    harness.fetcher.request_control_state(SLOW, (1, 5))
+    async with asyncio.timeout(APPLY_S):
+        while harness.view.version < (1, 5):
+            await asyncio.sleep(BEACON_INTERVAL_S)
+            harness.fetcher.request_control_state(OTHER, (1, 5))
+
+
+async def test_first_complete_reply_ends_the_other_fetch(harness):
+    harness.fetcher.request_documents(SLOW)
+    while harness.documents.config is None:
+        await asyncio.sleep(BEACON_INTERVAL_S)
+        harness.fetcher.request_documents(OTHER)
+    await asyncio.sleep(0.05)
+    assert all(task.done() for task in harness.tasks)
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -7,7 +7,7 @@
 import pytest
 
 from burdockgap.hop.listener import open_listener
-from burdockgap.hop.peer_connection import PeerConnections
+from burdockgap.hop.peer_connections import PeerConnections
 from burdockgap.uplink import Uplink
 from tests.ports import HOST, free_port
 
