Count a departure in the soak only for the process that left

Cause: the check, not the daemon. A server that is stopped and started again while its DELETE or its draining heartbeat is being answered had the acknowledgement credited to the new process, which never said that it leaves.

Change: the incarnation is compared again after the answer.

--- a/soak/server.py
+++ b/soak/server.py
@@ -149,9 +149,14 @@
         while True:
             is_running = self.is_up or self._is_endless
             if is_running and not self.deregisters:
-                draining = self.draining
+                draining, incarnation = self.draining, self.incarnation
                 acked = await self._send_heartbeat(pool, draining=draining)
-                if acked and draining and self._draining_since is None:
+                if (
+                    acked
+                    and draining
+                    and self.incarnation == incarnation
+                    and self._draining_since is None
+                ):
                     self._draining_since = self._loop.time()
             await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
 
@@ -177,7 +182,9 @@
         deadline = self._loop.time() + _DEREGISTER_TIMEOUT_S
         while self._loop.time() < deadline and self.incarnation == incarnation:
             if await self._is_acknowledged(pool, data):
-                self._left_at = self._loop.time()
+                # It may have started anew, and that one has not left.
+                if self.incarnation == incarnation:
+                    self._left_at = self._loop.time()
                 break
             await asyncio.sleep(_DEREGISTER_INTERVAL_S)
         pool.close()
