Count every process that began before a DELETE as left

Cause: the server started again under its id and sent its DELETE 0.05 s later, before its first heartbeat. The daemon took it, as it names no born, for that of the process that it knew, and a late heartbeat made the new one usable.

Change: the rule for ids of which nothing was heard holds for all: for 30 s a process under the id that began before the DELETE counts as left. What kept this open, a sound process whose clock was set back, is settled by comparing on the event loop's clock: server and daemon share the machine's clock.

Evidence: test_process_that_began_before_the_deregistration_has_left fails without the change.

Measured: tests of forward/test_departures pass (10).

--- a/src/burdockgap/forward/departures.py
+++ b/src/burdockgap/forward/departures.py
@@ -23,17 +23,22 @@
 
 class _UnheardTarget:
     """
-    A process that left before any of its heartbeats was heard.
+    A process that left, of which no heartbeat need have been heard.
+
+    Times in seconds are on the event loop's clock.
 
     :param left_ms: Unix time of its deregistration, in milliseconds.
-    :param known_at: when this daemon learned of it, on the event loop's
-        clock.
+    :param left_at: when that was.
+    :param known_at: when this daemon learned of it.
     """
 
-    __slots__ = ("known_at", "left_ms")
+    __slots__ = ("known_at", "left_at", "left_ms")
 
-    def __init__(self, left_ms: int, known_at: float) -> None:
+    def __init__(
+        self, left_ms: int, *, left_at: float, known_at: float
+    ) -> None:
         self.left_ms = left_ms
+        self.left_at = left_at
         self.known_at = known_at
 
 
@@ -72,12 +77,14 @@
         """
         Note that a process left whose start time is not known.
 
-        One under an id that left before may have started since, so the
-        newest time counts.
+        A deregistration names only the id. It may be that of a process
+        that has just started and was not heard yet, so all that began
+        before count as left. The newest time counts.
         """
+        now = self._loop.time()
         self._unheard.pop(target_id, None)
         self._unheard[target_id] = _UnheardTarget(
-            time.time_ns() // 1_000_000, self._loop.time()
+            _unix_ms(), left_at=now, known_at=now
         )
         self._changed()
 
@@ -89,10 +96,20 @@
         return (
             unheard is not None
             # A process may start again under the id that it had.
-            and info.born <= unheard.left_ms
+            and self._time_of(info.born) <= unheard.left_at
             and self._loop.time() - unheard.known_at <= _MAX_LATENESS_S
         )
 
+    def _time_of(self, unix_ms: int) -> float:
+        """
+        Return a Unix time on the event loop's clock, in seconds.
+
+        The target's machine is this one. Had its clock been set back
+        since the departure, a process that started later would seem to
+        be older.
+        """
+        return self._loop.time() - (_unix_ms() - unix_ms) / 1000
+
     def encode(self) -> bytes:
         """Return the departures as bytes for the store."""
         rows: list[list[Any]] = [[*process, None] for process in self._heard]
@@ -117,8 +134,11 @@
                 if born is not None:
                     heard[target_id, check_integer(born, "born")] = None
                     continue
+                left_ms = check_integer(left_ms, "left_ms")
                 unheard[target_id] = _UnheardTarget(
-                    check_integer(left_ms, "left_ms"), self._loop.time()
+                    left_ms,
+                    left_at=self._time_of(left_ms),
+                    known_at=self._loop.time(),
                 )
         except (TypeError, ValueError) as exc:
             raise ValueError(f"malformed departures: {exc}") from exc
@@ -136,3 +156,7 @@
             del self._heard[next(iter(self._heard))]
         while len(self._unheard) > _MAX_DEPARTURES:
             del self._unheard[next(iter(self._unheard))]
+
+
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -230,6 +230,7 @@
         if not self.left:
             self.left = True
             self._note_leaving(self._loop.time())
+            self._departures.note_unheard(target_id)
             self._log("target", state="left")
             self._on_change()
 
