Give a restarted server of a test a start after its departure

Cause: the test. It let the new process begin at Unix time 1001 ms, in 1970 and before the DELETE of the earlier one; born is the Unix time of a process's start. What began before a DELETE counts as left now.

Change: the new process begins when it is started. The test requires the same: it is used, after a restart of its daemon.

--- a/tests/sidecar/test_target_notices.py
+++ b/tests/sidecar/test_target_notices.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from contextlib import asynccontextmanager
 
 import pytest
@@ -306,7 +307,7 @@
         await site.wait_until_ready()
         left.node.on_target_left(left.app.target_id)
         assert await left.node.confirm_departures()
-        left.born += 1
+        left.born = time.time_ns() // 1_000_000
         left.sequence = 0
         await restart([left])
         await site.wait_until(lambda: caller.node.roster.servers("dispatch"))
