Count a kept response after its client has left

Seen: a response that is kept 10 s for repeats of a request that may run once shares its charge with the one that is being sent; when the client left, both were credited: 10 MB held, 0 counted.

Change: receivers of a run's outcome get a copy with a share of the charge. The bytes are credited when the last share and the kept response are gone.

Evidence: test_kept_response_is_counted_after_its_client_left.

--- a/src/burdockgap/forward/single_runs.py
+++ b/src/burdockgap/forward/single_runs.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 from typing import TYPE_CHECKING
 
 from burdockgap.forward.dedup_cache import DedupCache
 from burdockgap.forward.outcome import Outcome
 from burdockgap.hop.listener import CALLER_CONNECTION_LOST
+from burdockgap.resources.charge import Charge
+from burdockgap.resources.charge_share import ChargeShare
 from burdockgap.verdict import Reason, Verdict
 
 if TYPE_CHECKING:
@@ -67,7 +70,23 @@
             # second copy of the rejection, which may come on any
             # connection, could not be told from the next response.
             self._dedup_cache.forget(call.run_id)
+        return _shared(outcome)
+
+
+def _shared(outcome: Outcome) -> Outcome:
+    """
+    Return a copy of an outcome for one of its receivers.
+
+    The receiver releases its response's charge when the client has read
+    it or has left. The body is counted on while it is kept for others.
+    """
+    kept = outcome.response
+    if kept is None or not isinstance(kept.charge, Charge):
         return outcome
+    shared = copy.copy(outcome)
+    shared.response = copy.copy(kept)
+    shared.response.charge = ChargeShare(kept.charge)
+    return shared
 
 
 def _lost_before_run() -> Outcome:
--- a/src/burdockgap/http1/response.py
+++ b/src/burdockgap/http1/response.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from burdockgap.resources.charge import Charge
+    from burdockgap.resources.charge_share import ChargeShare
 
 
 class Response:
@@ -44,7 +45,7 @@
         self.status = status
         self.headers = headers or []
         self.body = body
-        self.charge: Charge | None = None
+        self.charge: Charge | ChargeShare | None = None
         self.ends_at_close = False
         self.follows_others = False
 
--- a/tests/resources/test_kept_responses.py
+++ b/tests/resources/test_kept_responses.py
@@ -42,7 +42,7 @@
     async with open_scripted_server(run_once) as address:
         harness = GateHarness()
         harness.state.announced(make_info(address=address))
-        budget = harness.gate._buffers
+        budget = harness.gate._exchange._buffers
 
         async def answer(_req):
             return (await harness.gate.serve(make_call())).response
