Send long calls to members in parts

Cause: a call was written to the connection whole and counted as sent. After it had been cancelled, its bytes stayed in the transport's buffer and in the account of the link, which held back all large responses.

Change: calls above the size of a part go out like large replies, in parts, first in first out and in turn with them. Cancelling a call, or an early refusal, ends the sending and tells the peer to drop what has arrived. The peer counts a call against its memory from the first part on, as before.

--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -57,6 +57,7 @@
         "_handlers",
         "_loop",
         "_others",
+        "_parts",
         "_refusals",
         "_tasks",
         "_transport",
@@ -79,6 +80,7 @@
         self._others = others
         self._loop = asyncio.get_running_loop()
         self._buffer = FrameBuffer(budget)
+        self._parts: dict[int, FrameBuffer] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._transport: asyncio.Transport | None = None
 
@@ -108,6 +110,8 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         self._others.discard(self)
         self._buffer.close()
+        for buffer in self._parts.values():
+            buffer.close()
         for task in list(self._tasks.values()):
             task.cancel(CALLER_CONNECTION_LOST)
         self._gate.resume()
@@ -131,7 +135,12 @@
             # Not in the coroutine, no part of which runs if the task is
             # cancelled before it starts.
             started.add_done_callback(lambda _: self._tasks.pop(call_id, None))
+        elif frame[0] == PART:
+            self._add_part(frame[1], frame[2])
         elif frame[0] == CANCEL:
+            parts = self._parts.pop(frame[1], None)
+            if parts is not None:
+                parts.close()
             task = self._tasks.get(frame[1])
             if task is not None:
                 task.cancel()
@@ -140,6 +149,18 @@
         elif frame[0] == PING and self._transport is not None:
             self._transport.write(encode_frame(PONG))
 
+    def _add_part(self, call_id: int, part: bytes) -> None:
+        """Add a part of a long call, which begins once it is whole."""
+        buffer = self._parts.get(call_id)
+        if buffer is None:
+            buffer = self._parts[call_id] = FrameBuffer(self._budget)
+        for frame in buffer.feed(part):
+            if frame[0] == CALL:
+                del self._parts[call_id]
+            elif frame[0] != REFUSED:
+                raise FrameError("a part of a call contains another frame")
+            self._handle_frame(frame)
+
     def _refuse(self, call_id: int, kind: int) -> None:
         refusal = self._refusals.get(kind)
         if refusal is None:
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -19,6 +19,7 @@
     encode_pieces,
 )
 from burdockgap.hop.peer_call_error import PeerCallError
+from burdockgap.resources.write_gate import WriteGate
 
 if TYPE_CHECKING:
     from burdockgap.hop.reply_progress import ReplyProgress
@@ -56,6 +57,7 @@
         "_buffer",
         "_calls",
         "_checker",
+        "_gate",
         "_heard_at",
         "_loop",
         "_next_id",
@@ -75,6 +77,7 @@
         self._loop = loop
         self._uplink = uplink
         self._budget = budget
+        self._gate = WriteGate()
         self._parts: dict[int, FrameBuffer] = {}
         self._buffer = FrameBuffer(budget)
         self._calls: dict[int, asyncio.Future[Any]] = {}
@@ -89,6 +92,17 @@
         """Store the transport."""
         # uvloop's transports do not derive from asyncio.Transport.
         self._transport = cast("asyncio.Transport", transport)
+        # Only while a long call is sent does it matter whether the
+        # transport has sent all.
+        self._transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        """Hold back the next part of a long call."""
+        self._gate.pause()
+
+    def resume_writing(self) -> None:
+        """Go on with long calls."""
+        self._gate.resume()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail all pending calls."""
@@ -162,25 +176,62 @@
             self._heard_at = self._loop.time()
         fut: asyncio.Future[Any] = self._loop.create_future()
         self._calls[call_id] = fut
-        pieces = encode_pieces(CALL, call_id, kind, payload)
-        if self._uplink is not None:
-            self._uplink.count(sum(len(piece) for piece in pieces))
-        for piece in pieces:
-            # The transport copies the rest of a byte string.
-            self._transport.write(memoryview(piece))
+        sending = self._send(
+            call_id, encode_pieces(CALL, call_id, kind, payload)
+        )
         self._schedule_check()
         try:
             return await fut
-        except asyncio.CancelledError:
-            if not self.lost:
-                self._transport.write(encode_frame(CANCEL, call_id))
-            raise
         finally:
+            # An early reply, which refuses the call, ends it as well.
+            is_incomplete = sending is not None and sending.cancel()
+            if (is_incomplete or fut.cancelled()) and not self.lost:
+                self._transport.write(encode_frame(CANCEL, call_id))
             self._calls.pop(call_id, None)
             parts = self._parts.pop(call_id, None)
             if parts is not None:
                 parts.close()
 
+    def _send(
+        self, call_id: int, pieces: list[bytes]
+    ) -> asyncio.Task[None] | None:
+        """
+        Send a call, at once if it is short.
+
+        :return: the task that sends a long one in parts, so that the
+            rest stays unsent if the call is cancelled.
+        """
+        size = sum(len(piece) for piece in pieces)
+        uplink, transport = self._uplink, self._transport
+        if transport is None:
+            return None
+        if uplink is None or size <= uplink.part_bytes:
+            if uplink is not None:
+                uplink.count(size)
+            for piece in pieces:
+                # The transport copies the rest of a byte string.
+                transport.write(memoryview(piece))
+            return None
+        return self._loop.create_task(
+            self._send_in_parts(call_id, pieces, uplink, transport)
+        )
+
+    async def _send_in_parts(
+        self,
+        call_id: int,
+        pieces: list[bytes],
+        uplink: Uplink,
+        transport: asyncio.Transport,
+    ) -> None:
+        for piece in pieces:
+            await uplink.send_in_parts(
+                piece,
+                lambda part: transport.write(
+                    encode_frame(PART, call_id, part)
+                ),
+                self._gate,
+            )
+
     def close(self) -> None:
         """Abort the connection and fail all pending calls."""
         self._abort("connection to the peer was closed locally")
@@ -205,6 +256,7 @@
 
     def _abort(self, detail: str) -> None:
         self.lost = True
+        self._gate.resume()
         self._buffer.close()
         if self._transport is not None:
             self._transport.abort()
