Log which lost requests the end of a target was not blamed on

target_ended names the process, the requests that are blamed for its end and those that are not, with the time since their connections were lost.

--- a/src/burdockgap/forward/crash_watch.py
+++ b/src/burdockgap/forward/crash_watch.py
@@ -77,13 +77,12 @@
 
         :param born: start time of the target process.
         """
-        since = self._clock.now() - _BLAME_WINDOW_S
-        blamed = [
-            entry
-            for entry in self._lost
-            if entry[1] == born and entry[0] > since
-        ]
+        now = self._clock.now()
+        since = now - _BLAME_WINDOW_S
+        lost = [entry for entry in self._lost if entry[1] == born]
+        blamed = [entry for entry in lost if entry[0] > since]
         self._lost = [entry for entry in self._lost if entry[1] != born]
+        self._log_end(born, lost, now)
         if not blamed:
             return
         self._quarantine.crashed(str(born), [entry[2] for entry in blamed])
@@ -102,6 +101,22 @@
             ]
         )
 
+    def _log_end(
+        self, born: int, lost: list[tuple[float, int, int, str]], now: float
+    ) -> None:
+        """Log which lost requests an end was and was not blamed on."""
+        since = now - _BLAME_WINDOW_S
+        fields: dict[str, object] = {
+            "born": born,
+            "blamed_ids": [entry[3] for entry in lost if entry[0] > since],
+            "not_blamed": [
+                [entry[3], round(now - entry[0], 3)]
+                for entry in lost
+                if entry[0] <= since
+            ],
+        }
+        self._on_event("target_ended", fields)
+
     def merge(self, values: list[Any]) -> None:
         """Merge another daemon's suspects."""
         service, entries = values
