Blame requests for a crash however late it is detected

Cause: a lost connection counted only if the end of the process was detected within 1.5 s. It is detected by the next refused connection or by the next heartbeat.

Change: the limit holds only for processes that are known to have lived on after the loss, by a heartbeat or a response. Heartbeats and deregistrations move out of node.py into a class of their own.

--- a/src/burdockgap/forward/crash_watch.py
+++ b/src/burdockgap/forward/crash_watch.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from burdockgap.forward.lost_request import LostRequest
+from burdockgap.forward.lost_requests import LostRequests
 from burdockgap.gate.fingerprint import fingerprint_of
 from burdockgap.gate.messages.suspect import Suspect
 from burdockgap.gate.messages.suspects import Suspects
@@ -15,11 +17,8 @@
     from burdockgap.clock import Clock
     from burdockgap.forward.call import Call
 
-_BLAME_WINDOW_S = 1.5
-"""A request whose connection was lost at most this long before the end
-of the target is detected may have caused it. The end is detected at the
-next connection or announcement."""
-_MAX_LOST_REQUESTS = 256
+_MAX_HEARTBEAT_DELAY_S = 0.3
+"""A heartbeat may be sent before a crash and arrive this much later."""
 
 
 class CrashWatch:
@@ -33,7 +32,7 @@
     :param on_event: logs a crash.
     """
 
-    __slots__ = ("_clock", "_lost", "_on_event", "_quarantine", "_broadcast")
+    __slots__ = ("_broadcast", "_clock", "_lost", "_on_event", "_quarantine")
 
     def __init__(
         self,
@@ -47,7 +46,7 @@
         self._broadcast = broadcast
         self._on_event = on_event
         self._quarantine = Quarantine(service=service, clock=clock)
-        self._lost: list[tuple[float, int, int, str]] = []
+        self._lost = LostRequests()
 
     def check(self, call: Call) -> None:
         """
@@ -67,9 +66,32 @@
 
         :param born: start time of the target process.
         """
-        now = self._clock.now()
-        self._lost.append((now, born, _fingerprint(call), call.request_id))
-        del self._lost[:-_MAX_LOST_REQUESTS]
+        self._lost.add(
+            LostRequest(
+                request_id=call.request_id,
+                fingerprint=_fingerprint(call),
+                born=born,
+                at=self._clock.now(),
+            )
+        )
+
+    def target_responded(self, born: int, took_s: float) -> None:
+        """
+        Note the response of a process to a request.
+
+        :param born: start time of the process.
+        :param took_s: time since the request was sent, in seconds.
+        """
+        self._lost.note_alive(born, self._clock.now() - took_s)
+
+    def target_announced(self, born: int) -> None:
+        """
+        Note the heartbeat of a process.
+
+        :param born: start time of the process.
+        """
+        sent_at = self._clock.now() - _MAX_HEARTBEAT_DELAY_S
+        self._lost.note_alive(born, sent_at)
 
     def target_ended(self, born: int) -> None:
         """
@@ -78,18 +100,21 @@
         :param born: start time of the target process.
         """
         now = self._clock.now()
-        since = now - _BLAME_WINDOW_S
-        lost = [entry for entry in self._lost if entry[1] == born]
-        blamed = [entry for entry in lost if entry[0] > since]
-        self._lost = [entry for entry in self._lost if entry[1] != born]
-        self._log_end(born, lost, now)
+        blamed, others = self._lost.take(born, now)
+        if blamed or others:
+            fields: dict[str, object] = {
+                "born": born,
+                "blamed": _ages(blamed, now),
+                "not_blamed": _ages(others, now),
+            }
+            self._on_event("target_ended", fields)
         if not blamed:
             return
-        self._quarantine.crashed(str(born), [entry[2] for entry in blamed])
-        self._on_event(
-            "target_crashed",
-            {"born": born, "in_flight_ids": [entry[3] for entry in blamed]},
+        self._quarantine.crashed(
+            str(born), [lost.fingerprint for lost in blamed]
         )
+        ids = [lost.request_id for lost in blamed]
+        self._on_event("target_crashed", {"born": born, "in_flight_ids": ids})
         suspects = self._quarantine.export()
         self._broadcast(
             [
@@ -101,22 +126,6 @@
             ]
         )
 
-    def _log_end(
-        self, born: int, lost: list[tuple[float, int, int, str]], now: float
-    ) -> None:
-        """Log which lost requests an end was and was not blamed on."""
-        since = now - _BLAME_WINDOW_S
-        fields: dict[str, object] = {
-            "born": born,
-            "blamed_ids": [entry[3] for entry in lost if entry[0] > since],
-            "not_blamed": [
-                [entry[3], round(now - entry[0], 3)]
-                for entry in lost
-                if entry[0] <= since
-            ],
-        }
-        self._on_event("target_ended", fields)
-
     def merge(self, values: list[Any]) -> None:
         """Merge another daemon's suspects."""
         service, entries = values
@@ -131,5 +140,10 @@
         )
 
 
+def _ages(lost: list[LostRequest], now: float) -> list[list[object]]:
+    """Return ids and the times since the loss, in seconds."""
+    return [[item.request_id, round(now - item.at, 3)] for item in lost]
+
+
 def _fingerprint(call: Call) -> int:
     return fingerprint_of(call.method, call.target, call.body)
--- /dev/null
+++ b/src/burdockgap/forward/lost_requests.py
@@ -0,0 +1,64 @@
+"""Requests whose connections to the target were lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from burdockgap.forward.lost_request import LostRequest
+
+_BLAME_WINDOW_S = 1.5
+"""A process that was alive after it had closed a connection may still
+have been about to end for this long."""
+_MAX_LOST_REQUESTS = 256
+
+
+class LostRequests:
+    """
+    Decides which lost requests the end of a target is blamed on.
+
+    Where nothing else is sent to a target, its end may be detected only
+    when its successor starts. So a request is blamed however late the
+    end is detected, unless the process is known to have lived on.
+
+    Times are in seconds of any one clock.
+    """
+
+    __slots__ = ("_lost",)
+
+    def __init__(self) -> None:
+        self._lost: list[LostRequest] = []
+
+    def add(self, lost: LostRequest) -> None:
+        """Add a request; the oldest ones give way to newer ones."""
+        self._lost.append(lost)
+        del self._lost[:-_MAX_LOST_REQUESTS]
+
+    def note_alive(self, born: int, at: float) -> None:
+        """
+        Note that a process was alive at a time.
+
+        :param born: start time of the process.
+        """
+        for lost in self._lost:
+            if lost.born == born and lost.at < at:
+                lost.outlived = True
+
+    def take(
+        self, born: int, now: float
+    ) -> tuple[list[LostRequest], list[LostRequest]]:
+        """
+        Remove the lost requests of a process that has ended.
+
+        :param born: start time of the process.
+        :return: those that are blamed for the end, and the others.
+        """
+        blamed: list[LostRequest] = []
+        others: list[LostRequest] = []
+        for lost in self._lost:
+            if lost.born != born:
+                continue
+            recent = now - lost.at < _BLAME_WINDOW_S
+            (blamed if recent or not lost.outlived else others).append(lost)
+        self._lost = [lost for lost in self._lost if lost.born != born]
+        return blamed, others
--- a/src/burdockgap/forward/target_exchange.py
+++ b/src/burdockgap/forward/target_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from burdockgap.forward.end_detector import EndDetector
 from burdockgap.forward.not_run import not_run
 from burdockgap.forward.outcome import Outcome
 from burdockgap.http1.client_pool import ClientPool
@@ -48,6 +49,7 @@
     __slots__ = (
         "_buffers",
         "_crashes",
+        "_end_detector",
         "_large_responses",
         "_loop",
         "_on_event",
@@ -72,6 +74,7 @@
         self._state = state
         self._protocol = protocol
         self._crashes = crashes
+        self._end_detector = EndDetector(state)
         self._buffers = buffers
         self._service_times = service_times
         self._large_responses = large_responses
@@ -138,7 +141,7 @@
                     before_send=before_send,
                 )
         except ExchangeError as exc:
-            return self._failure_outcome(call, exc, info.born)
+            return self._failure_outcome(call, exc, info.born, pool)
         except TimeoutError:
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, sent=True
@@ -150,6 +153,7 @@
         verdict = self._protocol.verdict(response)
         if verdict is Verdict.NOT_RUN:
             return Outcome(verdict, reason=Reason.TARGET_SHED, sent=True)
+        self._crashes.target_responded(info.born, self._loop.time() - began)
         if not self._protocol.is_complete(response):
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.TRUNCATED, sent=True
@@ -165,7 +169,7 @@
         return Outcome(verdict, response=response, sent=True)
 
     def _failure_outcome(
-        self, call: Call, exc: ExchangeError, born: int
+        self, call: Call, exc: ExchangeError, born: int, pool: ClientPool
     ) -> Outcome:
         if exc.refused:
             self._state.refused_connection(born)
@@ -176,6 +180,7 @@
         if not exc.sent:
             return Outcome(Verdict.NOT_RUN, reason=Reason.TARGET_DOWN)
         self._crashes.connection_lost(call, born)
+        self._end_detector.connection_lost(pool, born)
         return Outcome(
             Verdict.MAY_HAVE_RUN, reason=Reason.CONNECTION_LOST, sent=True
         )
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -44,6 +44,7 @@
 from burdockgap.sidecar.gauges import add_gauges
 from burdockgap.sidecar.peer_fetcher import PeerFetcher
 from burdockgap.sidecar.supervision import keep_running
+from burdockgap.sidecar.target_heartbeats import TargetHeartbeats
 from burdockgap.uplink import Uplink
 
 if TYPE_CHECKING:
@@ -51,7 +52,6 @@
 
     from burdockgap.fleet.datagrams import Datagrams
     from burdockgap.forward.outcome import Outcome
-    from burdockgap.forward.target_info import TargetInfo
     from burdockgap.http1.request import Request
     from burdockgap.http1.server import Server
     from burdockgap.logs.line_writer import LineWriter
@@ -85,6 +85,7 @@
     :ivar buffers: limits the bodies and frames of all connections.
     :ivar caller_server: the HTTP server for callers, ``None`` before it
         is created.
+    :ivar heartbeats: processes those of the target.
     :ivar holder: holds the target's keys, ``None`` unless its service
         is known to be keyed.
     :ivar leaving: whether the daemon is shutting down.
@@ -97,7 +98,6 @@
         "_departure_store",
         "_is_coordinator",
         "_key_audit",
-        "_pending_heartbeats",
         "buffers",
         "caller_server",
         "cfg",
@@ -109,6 +109,7 @@
         "follower",
         "forwarder",
         "gate",
+        "heartbeats",
         "holder",
         "leaving",
         "lease",
@@ -151,7 +152,6 @@
         self.peer_connections = PeerConnections(self.uplink, self.buffers)
         self.peers_busy: Callable[[], bool] = lambda: False
         self._is_coordinator = False
-        self._pending_heartbeats: dict[str, TargetInfo] = {}
         self.leaving = False
         self.holder: ShardHolder | None = None
         self.caller_server: Server | None = None
@@ -195,7 +195,7 @@
             departures=departures,
             knows_peers=lambda: len(self.roster.live()) > 1,
             on_event=self.event_log.write,
-            on_read=self._departures_read,
+            on_read=lambda: self.heartbeats.departures_read(),
         )
         self.target = TargetState(
             drain_s=self.cfg.drain_s - _DRAIN_MARGIN_S,
@@ -223,6 +223,13 @@
             broadcast=self._send_suspects,
             on_event=self.event_log.write,
         )
+        self.heartbeats = TargetHeartbeats(
+            service=self.cfg.service,
+            target=self.target,
+            crashes=self._crashes,
+            knows_departures=lambda: self._departure_store.loaded,
+            on_event=self.event_log.write,
+        )
         self.gate = TargetGate(
             service=self.cfg.service,
             state=self.target,
@@ -328,27 +335,6 @@
         """Return whether a request may run beside pipelined others."""
         return self.forwarder.is_idempotent(req.header("host") or "", req.path)
 
-    def on_heartbeat(self, info: TargetInfo) -> None:
-        """Process a heartbeat; ignore those of other services."""
-        if info.service != self.cfg.service:
-            self.event_log.write(
-                "foreign_heartbeat",
-                {"target": info.target_id, "service": info.service},
-            )
-            return
-        if self._departure_store.loaded or info.draining:
-            self.target.announced(info)
-        else:
-            # It may be a late one of a process that has left.
-            self._pending_heartbeats[info.target_id] = info
-
-    def on_target_left(self, target_id: str) -> None:
-        """Process a server's deregistration."""
-        pending = self._pending_heartbeats.pop(target_id, None)
-        if pending is not None:
-            self.target.announced(pending)
-        self.target.leaving(target_id)
-
     async def confirm_departures(self) -> bool:
         """Wait until the store has all departures, within a limit."""
         return await self._departure_store.wait_until_saved(_CONFIRM_TIMEOUT_S)
@@ -412,12 +398,6 @@
             await asyncio.sleep(_CHECK_INTERVAL_S)
         await self.holder.run()
 
-    def _departures_read(self) -> None:
-        self.target.apply_departures()
-        for info in self._pending_heartbeats.values():
-            self.target.announced(info)
-        self._pending_heartbeats.clear()
-
     def _send_suspects(self, values: list[Any]) -> None:
         self._beacons.broadcast(SUSPECTS, values)
 
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -103,8 +103,8 @@
             return Response(200, _METRICS_HEADERS, metrics.expose())
 
         control_api = ControlApi(
-            on_heartbeat=node.on_heartbeat,
-            on_target_left=node.on_target_left,
+            on_heartbeat=node.heartbeats.receive,
+            on_target_left=node.heartbeats.target_left,
             confirm_departures=node.confirm_departures,
             is_ready=lambda: node.is_ready,
             on_event=event_log.write,
--- a/standins/sidecar/app_server.py
+++ b/standins/sidecar/app_server.py
@@ -9,6 +9,8 @@
 from burdockgap.http1.response import Response
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.http1.request import Request
 
 
@@ -35,6 +37,8 @@
     :ivar arrivals: event loop time of each request, oldest first.
     :ivar in_flight: number of requests that are running.
     :ivar padding: bytes at the end of each response's body.
+    :ivar before_run: called before a request is run; it may stop
+        the server.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         self.arrivals: list[float] = []
         self.in_flight = 0
         self.padding = b""
+        self.before_run: Callable[[Request], None] = lambda _req: None
 
     async def answer(self, req: Request) -> Response:
         """Handle a request, a grant or a release."""
@@ -147,6 +152,7 @@
             return Response(503, [*headers, ("Not-Executed", "1")])
         self.runs.append(request_id)
         self.requests.append(req)
+        self.before_run(req)
         self.in_flight += 1
         try:
             await asyncio.sleep(self.work_s)
--- a/tests/forward/builders.py
+++ b/tests/forward/builders.py
@@ -43,7 +43,7 @@
 class GateHarness:
     """A gate and its target's state; records events and suspects."""
 
-    def __init__(self, *, drain_s=0.2, cold_rate=20.0):
+    def __init__(self, *, drain_s=0.2, cold_rate=20.0, clock=None):
         self.events = []
         self.suspects = []
         self.out_since = None
@@ -57,7 +57,7 @@
         )
         self.crashes = CrashWatch(
             service=SERVICE,
-            clock=BootClock(),
+            clock=clock or BootClock(),
             broadcast=self.suspects.append,
             on_event=self._note,
         )
--- a/tests/forward/test_crash_watch.py
+++ b/tests/forward/test_crash_watch.py
@@ -6,6 +6,7 @@
 
 from burdockgap.verdict import Reason, Refusal
 from tests.forward.builders import GateHarness, make_call
+from tests.gate.fakes import FakeClock
 
 pytestmark = pytest.mark.anyio
 
@@ -54,3 +55,49 @@
         harness.crashes.connection_lost(call, 1)
     harness.crashes.check(call)
     assert not harness.suspects
+
+
+# BUDGET: an end that was detected late was blamed on nothing.
+async def test_late_detection_of_a_crash_counts():
+    clock = FakeClock()
+    harness, call = GateHarness(clock=clock), make_call()
+    for born in (1, 2):
+        harness.crashes.connection_lost(call, born)
+        clock.seconds += 30
+        harness.crashes.target_ended(born)
+    with pytest.raises(Refusal):
+        harness.crashes.check(call)
+
+
+@pytest.mark.parametrize("sign", ["announced", "responded"])
+async def test_target_that_lived_on_is_not_blamed_on_a_request(sign):
+    clock = FakeClock()
+    harness, call = GateHarness(clock=clock), make_call()
+    for born in (1, 2):
+        harness.crashes.connection_lost(call, born)
+        clock.seconds += 1
+        if sign == "announced":
+            harness.crashes.target_announced(born)
+        else:
+            harness.crashes.target_responded(born, 0.5)
+        clock.seconds += 1
+        harness.crashes.target_ended(born)
+    harness.crashes.check(call)
+
+
+# The heartbeat of a process that has crashed may arrive afterwards.
+@pytest.mark.parametrize("sign", ["announced", "responded"])
+async def test_earlier_sign_of_life_does_not_count(sign):
+    clock = FakeClock()
+    harness, call = GateHarness(clock=clock), make_call()
+    for born in (1, 2):
+        harness.crashes.connection_lost(call, born)
+        clock.seconds += 0.2
+        if sign == "announced":
+            harness.crashes.target_announced(born)
+        else:
+            harness.crashes.target_responded(born, 0.5)
+        clock.seconds += 3
+        harness.crashes.target_ended(born)
+    with pytest.raises(Refusal):
+        harness.crashes.check(call)
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -57,13 +57,20 @@
         self.node = None
         self._stack = AsyncExitStack()
         self._app_stack = AsyncExitStack()
+        self._app_server = None
         self._tasks = []
 
     async def start_app(self):
+        self._app_server = Server(self.app.answer)
         await self._app_stack.enter_async_context(
-            open_server(Server(self.app.answer), HOST, self.app_port)
+            open_server(self._app_server, HOST, self.app_port)
         )
 
+    def cut_app_connections(self):
+        """Close the connections of the server, which goes on."""
+        for conn in list(self._app_server.connections):
+            conn.close()
+
     async def stop_app(self):
         await self._app_stack.aclose()
 
@@ -137,7 +144,7 @@
 
     def send_heartbeat(self, **fields):
         self.sequence += 1
-        self.node.on_heartbeat(
+        self.node.heartbeats.receive(
             make_info(
                 target_id=self.app.target_id,
                 born=self.born,
--- a/tests/sidecar/test_target_notices.py
+++ b/tests/sidecar/test_target_notices.py
@@ -242,7 +242,7 @@
         await site.wait_until_ready()
         left.sends_heartbeats = False
         await restart([left])
-        left.node.on_target_left(left.app.target_id)
+        left.node.heartbeats.target_left(left.app.target_id)
         assert await left.node.confirm_departures()
         await asyncio.sleep(0.5)
         left.send_heartbeat()
@@ -265,7 +265,7 @@
         if says_so == "drains":
             left.send_heartbeat(draining=True)
         else:
-            left.node.on_target_left(left.app.target_id)
+            left.node.heartbeats.target_left(left.app.target_id)
         assert await left.node.confirm_departures()
         await restart(site.machines)
         left.send_heartbeat()
@@ -288,7 +288,7 @@
         await site.wait_until_ready()
         copy = site.store.copy()
         left.sends_heartbeats = False
-        left.node.on_target_left(left.app.target_id)
+        left.node.heartbeats.target_left(left.app.target_id)
         assert await left.node.confirm_departures()
         site.store.restore(copy)
         await left.node.store.newest("keyed.op")
@@ -305,7 +305,7 @@
     async with open_site("dispatch", "alerts") as site:
         left, caller = site.machines
         await site.wait_until_ready()
-        left.node.on_target_left(left.app.target_id)
+        left.node.heartbeats.target_left(left.app.target_id)
         assert await left.node.confirm_departures()
         left.born = time.time_ns() // 1_000_000
         left.sequence = 0
@@ -321,7 +321,7 @@
         left, caller = site.machines
         await site.wait_until_ready()
         site.store.down = True
-        left.node.on_target_left(left.app.target_id)
+        left.node.heartbeats.target_left(left.app.target_id)
         assert not await left.node.confirm_departures()
         assert (await caller.ask("/crew/1")).status == 503
         site.store.down = False
