Share suspected requests with all daemons, also with those that restart

Cause: suspects were told once, in one datagram, to the daemons that run at the crash, and only those of the service kept them. A daemon that starts knows none, and a caller's daemon goes on from those that refuse.

Change: all daemons keep the suspects of all services. They are sent to each incarnation of a member that is heard, and one member a second while there are any, as datagrams may be lost. The caller's daemon refuses such a request itself, with the time until it may return, and takes one refusal as final. As refusals now hold everywhere, a daemon at which a suspect got a complete response tells the others, which drop it.

--- a/src/burdockgap/forward/attempts.py
+++ b/src/burdockgap/forward/attempts.py
@@ -20,6 +20,7 @@
     from burdockgap.fleet.roster import Roster
     from burdockgap.forward.caller_request import CallerRequest
     from burdockgap.forward.chooser import Chooser
+    from burdockgap.forward.crash_watch import CrashWatch
     from burdockgap.forward.member_calls import MemberCalls
     from burdockgap.forward.progress import Progress
     from burdockgap.forward.retry_budgets import RetryBudgets
@@ -49,6 +50,7 @@
     :param roster: the members.
     :param chooser: chooses the targets.
     :param gate: admission control for this daemon's target.
+    :param crashes: knows the requests that crash targets.
     :param member_calls: calls to other daemons.
     :param budgets: bounds the retries.
     :param accounts: admits retries to the quotas of accounts.
@@ -58,6 +60,7 @@
         "_accounts",
         "_budgets",
         "_chooser",
+        "_crashes",
         "_gate",
         "_loop",
         "_member_calls",
@@ -70,6 +73,7 @@
         roster: Roster,
         chooser: Chooser,
         gate: TargetGate,
+        crashes: CrashWatch,
         member_calls: MemberCalls,
         budgets: RetryBudgets,
         accounts: AccountAdmission,
@@ -78,6 +82,7 @@
         self._roster = roster
         self._chooser = chooser
         self._gate = gate
+        self._crashes = crashes
         self._member_calls = member_calls
         self._budgets = budgets
         self._accounts = accounts
@@ -120,6 +125,9 @@
             route=route.name,
             nested=nested,
         )
+        left_s = self._crashes.blocked_for_s(call)
+        if left_s > 0:
+            return self._refuse_quarantined(progress, left_s)
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
         give_up_at = deadline
         if not nested:
@@ -212,17 +220,23 @@
             progress.retry_after_s = min(
                 progress.retry_after_s, outcome.retry_after_s
             )
-        progress.attempts.append(
-            [
-                member.name,
-                outcome.verdict.value,
-                outcome.reason.value if outcome.reason else None,
-                round((self._loop.time() - began) * 1000, 1),
-                round(load_age_s * 1000),
-            ]
+        progress.note_attempt(
+            member.name,
+            outcome,
+            took_s=self._loop.time() - began,
+            load_age_s=load_age_s,
         )
         return outcome
 
+    def _refuse_quarantined(
+        self, progress: Progress, left_s: float
+    ) -> Response:
+        outcome = Outcome(
+            Verdict.NOT_RUN, reason=Reason.QUARANTINED, retry_after_s=left_s
+        )
+        progress.note_attempt(self._roster.own.name, outcome)
+        return failure_response(progress, outcome, left_s)
+
     def _fail(
         self, progress: Progress, last: Outcome, deadline: float
     ) -> Response:
@@ -236,6 +250,9 @@
         progress: Progress,
         give_up_at: float,
     ) -> bool:
+        if outcome.reason is Reason.QUARANTINED:
+            # Another daemon may not know yet that it crashes targets.
+            return False
         if outcome.verdict is Verdict.NOT_RUN:
             if not outcome.sent:
                 return (
--- a/src/burdockgap/forward/crash_watch.py
+++ b/src/burdockgap/forward/crash_watch.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from burdockgap.forward.lost_request import LostRequest
 from burdockgap.forward.lost_requests import LostRequests
+from burdockgap.forward.quarantined import Quarantined
 from burdockgap.gate.fingerprint import fingerprint_of
-from burdockgap.gate.messages.suspect import Suspect
-from burdockgap.gate.messages.suspects import Suspects
-from burdockgap.gate.quarantine import Quarantine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from burdockgap.clock import Clock
     from burdockgap.forward.call import Call
+    from burdockgap.forward.suspect_book import SuspectBook
 
 _MAX_HEARTBEAT_DELAY_S = 0.3
 """A heartbeat may be sent before a crash and arrive this much later."""
@@ -29,18 +28,19 @@
         processes with the same start time.
     :param service: the target's service.
     :param clock: the time source.
-    :param broadcast: sends the suspects, as a list of plain values, to
-        other daemons.
+    :param suspects: the requests suspected of crashing targets.
+    :param on_crash: called after a crash that requests are blamed for.
     :param on_event: logs a crash.
     """
 
     __slots__ = (
-        "_broadcast",
         "_clock",
         "_lost",
         "_name",
+        "_on_crash",
         "_on_event",
-        "_quarantine",
+        "_service",
+        "_suspects",
     )
 
     def __init__(
@@ -49,27 +49,37 @@
         name: str,
         service: str,
         clock: Clock,
-        broadcast: Callable[[list[Any]], None],
+        suspects: SuspectBook,
+        on_crash: Callable[[], None],
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
         self._name = name
         self._clock = clock
-        self._broadcast = broadcast
+        self._service = service
+        self._suspects = suspects
+        self._on_crash = on_crash
         self._on_event = on_event
-        self._quarantine = Quarantine(service=service, clock=clock)
         self._lost = LostRequests()
 
     def check(self, call: Call) -> None:
         """
         Refuse a request that was in flight at two crashes.
 
-        :raises Refusal: with ``not-run``.
+        :raises Quarantined: with ``not-run``.
         """
-        self._quarantine.check(_fingerprint(call))
+        left_s = self.blocked_for_s(call)
+        if left_s > 0:
+            raise Quarantined(left_s)
+
+    def blocked_for_s(self, call: Call) -> float:
+        """Return how long a request is refused from now on, or 0."""
+        if not self._suspects.has_suspects(call.service):
+            return 0.0
+        return self._suspects.blocked_for_s(call.service, _fingerprint(call))
 
     def answered(self, call: Call) -> None:
         """Stop suspecting a request that got a complete response."""
-        self._quarantine.answered(_fingerprint(call))
+        self._suspects.answered(call.service, _fingerprint(call))
 
     def connection_lost(self, call: Call, born: int) -> None:
         """
@@ -121,34 +131,14 @@
             self._on_event("target_ended", fields)
         if not blamed:
             return
-        self._quarantine.crashed(
-            f"{self._name}/{born}", [lost.fingerprint for lost in blamed]
+        self._suspects.crashed(
+            self._service,
+            f"{self._name}/{born}",
+            [lost.fingerprint for lost in blamed],
         )
         ids = [lost.request_id for lost in blamed]
         self._on_event("target_crashed", {"born": born, "in_flight_ids": ids})
-        suspects = self._quarantine.export()
-        self._broadcast(
-            [
-                suspects.service,
-                [
-                    [entry.fingerprint, entry.crashes, entry.age_s]
-                    for entry in suspects.entries
-                ],
-            ]
-        )
-
-    def merge(self, values: list[Any]) -> None:
-        """Merge another daemon's suspects."""
-        service, entries = values
-        self._quarantine.merge(
-            Suspects(
-                service=service,
-                entries=[
-                    Suspect(fingerprint=number, crashes=crashes, age_s=age_s)
-                    for number, crashes, age_s in entries
-                ],
-            )
-        )
+        self._on_crash()
 
 
 def _ages(lost: list[LostRequest], now: float) -> list[list[object]]:
--- a/src/burdockgap/forward/final_responses.py
+++ b/src/burdockgap/forward/final_responses.py
@@ -49,12 +49,19 @@
     if progress.possible_runs:
         status = 504 if last.reason is Reason.DEADLINE else 502
         return Response(status)
+    if last.reason is Reason.QUARANTINED:
+        # Nothing else can serve it earlier.
+        return _unavailable(last.retry_after_s)
     pause_s = max(last.retry_after_s, random.uniform(*RETRY_AFTER_S))
     if math.isfinite(progress.retry_after_s):
         # The target that has room first determines the time.
         pause_s = max(progress.retry_after_s, RETRY_AFTER_S[0])
         pause_s *= random.uniform(*_SPREAD)
     pause_s = max(min(pause_s, left_s * _HONOURED_SHARE), RETRY_AFTER_S[0])
+    return _unavailable(pause_s)
+
+
+def _unavailable(pause_s: float) -> Response:
     return Response(503, [("Retry-After", f"{pause_s:.3f}")])
 
 
--- a/src/burdockgap/forward/forwarder.py
+++ b/src/burdockgap/forward/forwarder.py
@@ -21,6 +21,7 @@
     from burdockgap.clock import Clock
     from burdockgap.fleet.roster import Roster
     from burdockgap.forward.caller_request import CallerRequest
+    from burdockgap.forward.crash_watch import CrashWatch
     from burdockgap.forward.target_gate import TargetGate
     from burdockgap.hop.peer_connections import PeerConnections
     from burdockgap.routing.documents import Documents
@@ -37,6 +38,7 @@
     :param documents: the configuration.
     :param view: owners of keys.
     :param gate: admission control for this daemon's target.
+    :param crashes: knows the requests that crash targets.
     :param peer_connections: connections to other daemons.
     :param accounts: attributes requests to accounts.
     :param clock: keeps counting while the machine is suspended.
@@ -78,6 +80,7 @@
         documents: Documents,
         view: ControlView,
         gate: TargetGate,
+        crashes: CrashWatch,
         peer_connections: PeerConnections,
         accounts: AccountAdmission,
         clock: Clock,
@@ -97,6 +100,7 @@
             roster=roster,
             chooser=Chooser(roster=roster, documents=documents, view=view),
             gate=gate,
+            crashes=crashes,
             member_calls=MemberCalls(
                 roster=roster,
                 peer_connections=peer_connections,
--- a/src/burdockgap/forward/progress.py
+++ b/src/burdockgap/forward/progress.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from burdockgap.forward.outcome import Outcome
     from burdockgap.http1.response import Response
 
 
@@ -42,3 +43,28 @@
         self.possible_runs = 0
         self.retry_after_s = math.inf
         self.error_response: Response | None = None
+
+    def note_attempt(
+        self,
+        member: str,
+        outcome: Outcome,
+        *,
+        took_s: float = 0.0,
+        load_age_s: float = 0.0,
+    ) -> None:
+        """
+        Add an attempt to the log.
+
+        :param took_s: its duration, in seconds.
+        :param load_age_s: age of the load report by which the member
+            was chosen, in seconds.
+        """
+        self.attempts.append(
+            [
+                member,
+                outcome.verdict.value,
+                outcome.reason.value if outcome.reason else None,
+                round(took_s * 1000, 1),
+                round(load_age_s * 1000),
+            ]
+        )
--- a/src/burdockgap/forward/target_queue.py
+++ b/src/burdockgap/forward/target_queue.py
@@ -7,6 +7,7 @@
 
 from burdockgap.forward.no_room import NoRoom
 from burdockgap.forward.outcome import Outcome
+from burdockgap.forward.quarantined import Quarantined
 from burdockgap.forward.slots import Slots
 from burdockgap.scheduling.return_times import ReturnTimes
 from burdockgap.scheduling.service_times import ServiceTimes
@@ -98,6 +99,8 @@
     def refusal_outcome(self, exc: Refusal, call: Call) -> Outcome:
         """Return the outcome of a call that was refused."""
         retry_after_s = _RETRY_AFTER_S
+        if isinstance(exc, Quarantined):
+            retry_after_s = exc.left_s
         if isinstance(exc, NoRoom):
             retry_after_s = max(
                 retry_after_s, self._return_after_s(exc.room_in_s, call)
--- a/src/burdockgap/gate/quarantine.py
+++ b/src/burdockgap/gate/quarantine.py
@@ -83,10 +83,7 @@
         """Record the complete response to a request."""
         if fingerprint in self._crashes:
             self._evict(fingerprint)
-        self._answered_at.pop(fingerprint, None)
-        self._answered_at[fingerprint] = self._clock.now()
-        if len(self._answered_at) > _MAX_ANSWERED:
-            del self._answered_at[next(iter(self._answered_at))]
+        self._note_answered(fingerprint, self._clock.now())
 
     def check(self, fingerprint: int) -> None:
         """
@@ -101,13 +98,25 @@
 
     def blocks(self, fingerprint: int) -> bool:
         """Return whether a fingerprint is quarantined now."""
+        return self.blocked_for_s(fingerprint) > 0
+
+    def blocked_for_s(self, fingerprint: int) -> float:
+        """Return how long a fingerprint is still quarantined, or 0."""
         crashes = self._crashes.get(fingerprint, ())
         if len(crashes) < _CRASHES_TO_QUARANTINE:
-            return False
-        return (
-            self._clock.now()
-            < self._last_crash_at[fingerprint] + _QUARANTINE_S
-        )
+            return 0.0
+        ends_at = self._last_crash_at[fingerprint] + _QUARANTINE_S
+        return max(ends_at - self._clock.now(), 0.0)
+
+    def answered_age_s(self, fingerprint: int) -> float:
+        """Return the time since the last complete response, or inf."""
+        answered_at = self._answered_at.get(fingerprint, -math.inf)
+        return self._clock.now() - answered_at
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any fingerprint is suspected."""
+        return bool(self._crashes)
 
     def export(self) -> Suspects:
         """Return the latest suspects, to be sent to other daemons."""
@@ -122,13 +131,37 @@
             ],
         )
 
-    def merge(self, suspects: Suspects) -> None:
-        """Add another daemon's suspects, in any order or repeatedly."""
+    def merge(self, suspects: Suspects) -> list[int]:
+        """
+        Add another daemon's suspects, in any order or repeatedly.
+
+        :return: those that are no suspects, as they got a complete
+            response here that the other daemon does not know of.
+        """
         if suspects.service != self.service:
-            return
+            return []
+        answered: list[int] = []
         for entry in suspects.entries:
             at = self._clock.now() - max(entry.age_s, 0.0)
-            self._add(entry.fingerprint, entry.crashes, at)
+            if self._was_answered(entry.fingerprint, at):
+                answered.append(entry.fingerprint)
+            else:
+                self._add(entry.fingerprint, entry.crashes, at)
+        return answered
+
+    def clear(self, fingerprint: int, age_s: float) -> None:
+        """
+        Apply a complete response that another daemon received.
+
+        :param age_s: time since the response, in seconds.
+        """
+        answered_at = self._clock.now() - max(age_s, 0.0)
+        if answered_at > self._answered_at.get(fingerprint, -math.inf):
+            self._note_answered(fingerprint, answered_at)
+        if fingerprint in self._crashes and self._was_answered(
+            fingerprint, self._last_crash_at[fingerprint]
+        ):
+            self._evict(fingerprint)
 
     def _entry(self, fingerprint: int) -> Suspect:
         return Suspect(
@@ -140,8 +173,7 @@
     def _add(
         self, fingerprint: int, crashes: Iterable[int], at: float
     ) -> None:
-        answered_at = self._answered_at.get(fingerprint, -math.inf)
-        if at < answered_at + _EXEMPT_AFTER_RESPONSE_S:
+        if self._was_answered(fingerprint, at):
             return
         known = self._crashes.get(fingerprint, set())
         if known.issuperset(crashes):
@@ -158,6 +190,17 @@
                 min(self._last_crash_at, key=self._last_crash_at.__getitem__)
             )
 
+    def _note_answered(self, fingerprint: int, at: float) -> None:
+        self._answered_at.pop(fingerprint, None)
+        self._answered_at[fingerprint] = at
+        if len(self._answered_at) > _MAX_ANSWERED:
+            del self._answered_at[next(iter(self._answered_at))]
+
+    def _was_answered(self, fingerprint: int, crashed_at: float) -> bool:
+        """Return whether a response exempts it from a crash."""
+        answered_at = self._answered_at.get(fingerprint, -math.inf)
+        return crashed_at < answered_at + _EXEMPT_AFTER_RESPONSE_S
+
     def _evict_expired(self) -> None:
         cutoff = self._clock.now() - _SUSPECT_TTL_S
         for fingerprint, at in list(self._last_crash_at.items()):
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -11,12 +11,13 @@
 from burdockgap.accounts.quotas import Quotas
 from burdockgap.clock import BootClock
 from burdockgap.fleet.beacons import Beacons
-from burdockgap.fleet.datagrams import CHANGES, SUSPECTS
+from burdockgap.fleet.datagrams import CHANGES
 from burdockgap.fleet.member import Member
 from burdockgap.fleet.roster import Roster
 from burdockgap.forward.crash_watch import CrashWatch
 from burdockgap.forward.departures import Departures
 from burdockgap.forward.forwarder import Forwarder
+from burdockgap.forward.suspect_book import SuspectBook
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
 from burdockgap.hop.call_kinds import (
@@ -44,6 +45,7 @@
 from burdockgap.sidecar.gauges import add_gauges
 from burdockgap.sidecar.peer_fetcher import PeerFetcher
 from burdockgap.sidecar.supervision import keep_running
+from burdockgap.sidecar.suspect_exchange import SuspectExchange
 from burdockgap.sidecar.target_heartbeats import TargetHeartbeats
 from burdockgap.uplink import Uplink
 
@@ -89,6 +91,8 @@
     :ivar holder: holds the target's keys, ``None`` unless its service
         is known to be keyed.
     :ivar leaving: whether the daemon is shutting down.
+    :ivar suspects: the requests suspected of crashing targets.
+    :ivar suspect_exchange: exchanges them with other daemons.
     :ivar peers_busy: returns whether calls of peers are in progress.
     """
 
@@ -123,6 +127,8 @@
         "reporter",
         "roster",
         "store",
+        "suspect_exchange",
+        "suspects",
         "target",
         "uplink",
         "view",
@@ -169,7 +175,6 @@
         self._add_accounts(datagrams)
         self._add_data_path()
         self._add_control_plane(datagrams)
-        datagrams.handlers[SUSPECTS] = self._merge_suspects
         datagrams.handlers[CHANGES] = self._apply_changes
         self.peer_fetcher = PeerFetcher(
             peer_connections=self.peer_connections,
@@ -217,11 +222,19 @@
 
     def _add_data_path(self) -> None:
         self.protocol = PlatformTargetProtocol()
+        self.suspects = SuspectBook(self.clock)
+        self.suspect_exchange = SuspectExchange(
+            datagrams=self.datagrams,
+            roster=self.roster,
+            suspects=self.suspects,
+            on_event=self.event_log.write,
+        )
         self._crashes = CrashWatch(
             name=self.cfg.name,
             service=self.cfg.service,
             clock=self.clock,
-            broadcast=self._send_suspects,
+            suspects=self.suspects,
+            on_crash=lambda: self.suspect_exchange.announce(self.cfg.service),
             on_event=self.event_log.write,
         )
         self.heartbeats = TargetHeartbeats(
@@ -251,6 +264,7 @@
             documents=self.documents,
             view=self.view,
             gate=self.gate,
+            crashes=self._crashes,
             peer_connections=self.peer_connections,
             accounts=AccountAdmission(
                 self.quotas, on_decision=self.metrics.count_account_decision
@@ -351,6 +365,7 @@
                 self.reporter.run,
                 self.coordinator.run,
                 self.quotas.run,
+                self.suspect_exchange.run,
                 self._run_checks,
                 self._run_holder,
             ):
@@ -399,12 +414,6 @@
             await asyncio.sleep(_CHECK_INTERVAL_S)
         await self.holder.run()
 
-    def _send_suspects(self, values: list[Any]) -> None:
-        self._beacons.broadcast(SUSPECTS, values)
-
-    def _merge_suspects(self, values: list[Any]) -> None:
-        self._crashes.merge(values[0])
-
     def _apply_changes(self, values: list[Any]) -> None:
         changed = ControlChanges.decode(values[0]).apply_to(self.view.state)
         if changed is not None:
@@ -521,6 +530,7 @@
             self.holder.adopt(self.view.state)
 
     def _on_member_heard(self, member: Member) -> None:
+        self.suspect_exchange.member_heard(member)
         self.store.generation.note(member.documents[0])
         self.peer_fetcher.request_control_state(
             member, (member.term, member.revision)
--- a/tests/forward/builders.py
+++ b/tests/forward/builders.py
@@ -6,6 +6,7 @@
 from burdockgap.forward.call import Call
 from burdockgap.forward.crash_watch import CrashWatch
 from burdockgap.forward.departures import Departures
+from burdockgap.forward.suspect_book import SuspectBook
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
 from burdockgap.platform.target_protocol import PlatformTargetProtocol
@@ -45,7 +46,6 @@
 
     def __init__(self, *, drain_s=0.2, cold_rate=20.0, clock=None, name="m1"):
         self.events = []
-        self.suspects = []
         self.out_since = None
         self.cold_rate = cold_rate
         self.state = TargetState(
@@ -55,11 +55,17 @@
             on_change=lambda: self.gate.target_changed(),
             on_event=self._note,
         )
+        clock = clock or BootClock()
+        self.suspects = SuspectBook(clock)
+        self.announced = []
         self.crashes = CrashWatch(
             name=name,
             service=SERVICE,
-            clock=clock or BootClock(),
-            broadcast=self.suspects.append,
+            clock=clock,
+            suspects=self.suspects,
+            on_crash=lambda: self.announced.append(
+                self.suspects.export(SERVICE)
+            ),
             on_event=self._note,
         )
         self.uplink = Uplink(125e6)
--- a/tests/forward/test_crash_watch.py
+++ b/tests/forward/test_crash_watch.py
@@ -36,7 +36,7 @@
     harness, other, call = GateHarness(), GateHarness(), make_call()
     crash(harness, call, 1)
     crash(harness, call, 2)
-    other.crashes.merge(harness.suspects[-1])
+    other.suspects.merge(harness.announced[-1])
     with pytest.raises(Refusal):
         other.crashes.check(call)
 
@@ -54,7 +54,7 @@
     for _ in range(3):
         harness.crashes.connection_lost(call, 1)
     harness.crashes.check(call)
-    assert not harness.suspects
+    assert not harness.announced
 
 
 # BUDGET: an end that was detected late was blamed on nothing.
@@ -110,6 +110,6 @@
     first, second = GateHarness(name="m1"), GateHarness(name="m2")
     for harness in (first, second):
         crash(harness, call, born)
-    first.crashes.merge(second.suspects[-1])
+    first.suspects.merge(second.announced[-1])
     with pytest.raises(Refusal):
         first.crashes.check(call)
