Keep quarantined requests over the loss of all daemons

Cause: the quarantine was in the memory of the daemons only.

Change: a daemon whose target's crash put a request in quarantine writes it to the store, again after the store has returned from an older copy; a daemon that starts reads all records once. Requests with one crash are not stored. The writing of a record, which departures have as well, is a class of its own now.

test_refusal_outlives_the_loss_of_all_daemons failed before the change in both forms and passes with it, with the tests of tests/forward, test_target_notices.py and the rest of the module (140).

--- a/src/burdockgap/forward/suspect_book.py
+++ b/src/burdockgap/forward/suspect_book.py
@@ -4,12 +4,16 @@
 
 from typing import TYPE_CHECKING, Any
 
+import msgpack
+
 from burdockgap.gate.messages.suspect import Suspect
 from burdockgap.gate.messages.suspects import Suspects
 from burdockgap.gate.quarantine import Quarantine
 from burdockgap.wire.checks import check_integer, check_number, check_text
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.clock import Clock
 
 _MAX_SERVICES = 256
@@ -24,13 +28,18 @@
     again.
 
     :param clock: the time source.
+    :ivar on_quarantine: called when a request was quarantined for a
+        crash of this daemon's target, or a further crash is known.
     """
 
-    __slots__ = ("_clock", "_quarantines")
+    __slots__ = ("_clock", "_own", "_quarantines", "on_quarantine")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._quarantines: dict[str, Quarantine] = {}
+        # Crashes at the last call of on_quarantine, by request.
+        self._own: dict[tuple[str, int], int] = {}
+        self.on_quarantine: Callable[[], None] = lambda: None
 
     def blocked_for_s(self, service: str, fingerprint: int) -> float:
         """Return how long a request is still quarantined, or 0."""
@@ -51,6 +60,9 @@
         :param fingerprints: the requests that are blamed for it.
         """
         self._of(service).crashed(crash, fingerprints)
+        for fingerprint in fingerprints:
+            self._own.setdefault((service, fingerprint), 0)
+        self._note_quarantines()
 
     def has_suspects(self, service: str) -> bool:
         """Return whether any request to a service is suspected."""
@@ -96,9 +108,56 @@
         answered_here = quarantine.merge(
             Suspects(service=service, entries=suspects)
         )
+        self._note_quarantines()
         answered_elsewhere = [answer.fingerprint for answer in answers]
         return service, answered_here, answered_elsewhere
 
+    @property
+    def has_own(self) -> bool:
+        """Whether this target's crashes put requests in quarantine."""
+        return any(self._own.values())
+
+    def encode_own(self) -> bytes:
+        """Return these requests as bytes for :meth:`merge_stored`."""
+        now = self._clock.wall()
+        rows: list[list[Any]] = []
+        for service, fingerprint in self._own:
+            entry = self._of(service).find(fingerprint)
+            if entry is not None:
+                at_ms = int((now - entry.age_s) * 1000)
+                rows.append([service, fingerprint, entry.crashes, at_ms])
+        data: bytes = msgpack.packb(rows)
+        return data
+
+    def merge_stored(self, data: bytes) -> None:
+        """
+        Add what a daemon has stored.
+
+        :raises ValueError: if the bytes are malformed.
+        """
+        now = self._clock.wall()
+        try:
+            for service, fingerprint, crashes, at_ms in msgpack.unpackb(data):
+                at_s = check_integer(at_ms, "at_ms") / 1000
+                age_s = max(now - at_s, 0.0)
+                self.merge([service, [[fingerprint, crashes, age_s]]])
+        except (TypeError, ValueError) as exc:
+            raise ValueError(f"malformed suspects: {exc}") from exc
+
+    def _note_quarantines(self) -> None:
+        """Report new quarantines; drop those that have ended."""
+        is_new = False
+        for (service, fingerprint), reported in list(self._own.items()):
+            quarantine = self._of(service)
+            entry = quarantine.find(fingerprint)
+            if entry is None:
+                del self._own[service, fingerprint]
+            elif quarantine.blocks(fingerprint):
+                is_new = is_new or len(entry.crashes) > reported
+                self._own[service, fingerprint] = len(entry.crashes)
+        if is_new:
+            self.on_quarantine()
+
     def _of(self, service: str) -> Quarantine:
         quarantine = self._quarantines.get(service)
         if quarantine is None:
--- a/src/burdockgap/gate/quarantine.py
+++ b/src/burdockgap/gate/quarantine.py
@@ -118,6 +118,12 @@
         """Whether any fingerprint is suspected."""
         return bool(self._crashes)
 
+    def find(self, fingerprint: int) -> Suspect | None:
+        """Return what is known of a fingerprint, if it is suspected."""
+        if fingerprint not in self._crashes:
+            return None
+        return self._entry(fingerprint)
+
     def export(self) -> Suspects:
         """Return the latest suspects, to be sent to other daemons."""
         self._evict_expired()
--- a/src/burdockgap/sidecar/departure_store.py
+++ b/src/burdockgap/sidecar/departure_store.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
-import random
 from typing import TYPE_CHECKING
 
 from burdockgap.metadata.store_error import StoreError
+from burdockgap.sidecar.stored_record import StoredRecord, pause_before_retry
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,7 +14,6 @@
     from burdockgap.metadata.keyed_store import KeyedStore
 
 _TOPIC = "keyed.burdockgap-departures"
-_RETRY_DELAY_S = 0.3
 
 
 class DepartureStore:
@@ -37,15 +35,12 @@
     """
 
     __slots__ = (
-        "_changed",
         "_departures",
         "_knows_peers",
         "_name",
         "_on_event",
         "_on_read",
-        "_rewrites",
-        "_saved",
-        "_saved_revision",
+        "_record",
         "_store",
         "loaded",
     )
@@ -61,28 +56,27 @@
         on_read: Callable[[], None],
     ) -> None:
         self._store = store
-        self._name = name
         self._departures = departures
         self._knows_peers = knows_peers
+        self._name = name
         self._on_event = on_event
         self._on_read = on_read
-        self._changed = asyncio.Event()
-        self._saved = asyncio.Condition()
-        self._saved_revision = 0
-        self._rewrites = 0
+        self._record = StoredRecord(
+            store=store,
+            topic=_TOPIC,
+            name=name,
+            encode=departures.encode,
+            on_failure=lambda why: on_event(
+                "departures_unwritten", {"why": why}
+            ),
+        )
         self.loaded = False
-        departures.on_change = self._changed.set
+        departures.on_change = self._record.changed
 
     async def run(self) -> None:
         """Read earlier departures once, then write each change."""
         await self._load()
-        while True:
-            self._changed.clear()
-            revision = self._departures.revision
-            if self._saved_revision < revision:
-                await self._save(revision)
-            else:
-                await self._changed.wait()
+        await self._record.run()
 
     async def wait_until_saved(self, timeout_s: float) -> bool:
         """
@@ -91,23 +85,12 @@
         :param timeout_s: longest wait, in seconds.
         :return: whether it has them.
         """
-        revision = self._departures.revision
-        try:
-            async with asyncio.timeout(timeout_s), self._saved:
-                await self._saved.wait_for(
-                    lambda: self._saved_revision >= revision
-                )
-        except TimeoutError:
-            return False
-        return True
+        return await self._record.wait_until_saved(timeout_s)
 
     def write_again(self) -> None:
         """Write all departures again after the store has lost some."""
-        if self._departures.is_empty:
-            return
-        self._saved_revision = -1
-        self._rewrites += 1
-        self._changed.set()
+        if not self._departures.is_empty:
+            self._record.write_again()
 
     async def _load(self) -> None:
         while True:
@@ -119,7 +102,7 @@
             if self._knows_peers() and not self.loaded:
                 # Their notices, which come with each call, have to do.
                 self._set_loaded()
-            await asyncio.sleep(_RETRY_DELAY_S * random.uniform(0.5, 1.5))
+            await pause_before_retry()
         stored = newest.values.get(self._name)
         if stored:
             try:
@@ -131,17 +114,3 @@
     def _set_loaded(self) -> None:
         self.loaded = True
         self._on_read()
-
-    async def _save(self, revision: int) -> None:
-        data, rewrites = self._departures.encode(), self._rewrites
-        try:
-            await self._store.put(_TOPIC, self._name, data)
-        except StoreError as exc:
-            self._on_event("departures_unwritten", {"why": str(exc)})
-            await asyncio.sleep(_RETRY_DELAY_S * random.uniform(0.5, 1.5))
-            return
-        if rewrites != self._rewrites:
-            return
-        async with self._saved:
-            self._saved_revision = revision
-            self._saved.notify_all()
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -46,6 +46,7 @@
 from burdockgap.sidecar.peer_fetcher import PeerFetcher
 from burdockgap.sidecar.supervision import keep_running
 from burdockgap.sidecar.suspect_exchange import SuspectExchange
+from burdockgap.sidecar.suspect_store import SuspectStore
 from burdockgap.sidecar.target_heartbeats import TargetHeartbeats
 from burdockgap.uplink import Uplink
 
@@ -102,6 +103,7 @@
         "_departure_store",
         "_is_coordinator",
         "_key_audit",
+        "_suspect_store",
         "buffers",
         "caller_server",
         "cfg",
@@ -229,6 +231,12 @@
             suspects=self.suspects,
             on_event=self.event_log.write,
         )
+        self._suspect_store = SuspectStore(
+            store=self.store,
+            name=self.cfg.name,
+            suspects=self.suspects,
+            on_event=self.event_log.write,
+        )
         self._crashes = CrashWatch(
             name=self.cfg.name,
             service=self.cfg.service,
@@ -366,6 +374,7 @@
                 self.coordinator.run,
                 self.quotas.run,
                 self.suspect_exchange.run,
+                self._suspect_store.run,
                 self._run_checks,
                 self._run_holder,
             ):
@@ -422,6 +431,7 @@
     def _store_restored(self, before: int, after: int) -> None:
         self.follower.refresh()
         self._departure_store.write_again()
+        self._suspect_store.write_again()
         fields: dict[str, object] = {"from": before, "to": after}
         fields["offset"] = self.documents.position[1]
         fields["control"] = list(self.view.version)
--- a/tests/sidecar/test_crashing_requests.py
+++ b/tests/sidecar/test_crashing_requests.py
@@ -80,6 +80,28 @@
         assert (await caller.ask("/crew/1")).status == 200
 
 
+# BUDGET: what was known of the request was lost with all daemons.
+@pytest.mark.parametrize("restored", [False, True])
+async def test_refusal_outlives_the_loss_of_all_daemons(restored):
+    async with open_site("dispatch", "dispatch", "alerts") as site:
+        await site.wait_until_ready()
+        *servers, caller = site.machines
+        crashes = Crashes(servers, down_s=0.5)
+        copy = site.store.copy()
+        assert (await caller.ask(PATH)).status == 502
+        await crashes.wait_restarted()
+        if restored:
+            site.store.restore(copy)
+            await asyncio.gather(
+                *(item.node.store.newest("keyed.op") for item in servers)
+            )
+            await asyncio.sleep(0.5)
+        await restart(site.machines)
+        await site.wait_until(lambda: has_servers(caller, servers))
+        assert (await caller.ask(PATH)).status == 503
+        assert len(crashes.crashed) == 2
+
+
 # BUDGET: the daemon of the caller went on from those that refuse the
 # request to those that did not know it yet.
 async def test_one_refusal_is_final():
