Prolong the quarantine of a request with each further crash

Cause: each crash started the same quarantine of 60 s, and when it ended the request was passed on to as many servers as its route allows.

A complete response from any server ends it, as before. The older path keeps its 60 s.

--- a/src/burdockgap/forward/attempts.py
+++ b/src/burdockgap/forward/attempts.py
@@ -152,20 +152,23 @@
             if is_keyed and _is_final_for_key(last, route):
                 return self._fail(progress, last, deadline)
             if not await self._may_try_again(
-                req, last, route, service, progress, give_up_at
+                req, call, last, route, progress, give_up_at
             ):
                 return self._fail(progress, last, deadline)
 
     async def _may_try_again(
         self,
         req: CallerRequest,
+        call: Call,
         last: Outcome,
         route: Route,
-        service: str,
         progress: Progress,
         give_up_at: float,
     ) -> bool:
         """Return whether there is all that another attempt needs."""
+        if last.sent and not self._crashes.may_retry(call):
+            return False
+        service = call.service
         if not self._may_retry(last, route, service, progress, give_up_at):
             return False
         if not progress.has_token:
--- a/src/burdockgap/forward/crash_watch.py
+++ b/src/burdockgap/forward/crash_watch.py
@@ -77,6 +77,15 @@
             return 0.0
         return self._suspects.blocked_for_s(call.service, _fingerprint(call))
 
+    def may_retry(self, call: Call) -> bool:
+        """Return whether a request may be sent to a second target."""
+        return not (
+            self._suspects.has_suspects(call.service)
+            and self._suspects.was_quarantined(
+                call.service, _fingerprint(call)
+            )
+        )
+
     def answered(self, call: Call) -> None:
         """Stop suspecting a request that got a complete response."""
         self._suspects.answered(call.service, _fingerprint(call))
--- a/src/burdockgap/forward/suspect_book.py
+++ b/src/burdockgap/forward/suspect_book.py
@@ -17,6 +17,8 @@
     from burdockgap.clock import Clock
 
 _MAX_SERVICES = 256
+_GROWTH = 4.0
+"""Factor per further crash, as some callers never stop sending."""
 
 
 class SuspectBook:
@@ -46,6 +48,13 @@
         quarantine = self._quarantines.get(service)
         return quarantine.blocked_for_s(fingerprint) if quarantine else 0.0
 
+    def was_quarantined(self, service: str, fingerprint: int) -> bool:
+        """Return whether a suspect is or has been quarantined."""
+        quarantine = self._quarantines.get(service)
+        return quarantine is not None and quarantine.was_quarantined(
+            fingerprint
+        )
+
     def answered(self, service: str, fingerprint: int) -> None:
         """Record the complete response to a request."""
         self._of(service).answered(fingerprint)
@@ -165,7 +174,9 @@
                 raise ValueError(
                     f"suspects of more than {_MAX_SERVICES} services"
                 )
-            quarantine = Quarantine(service=service, clock=self._clock)
+            quarantine = Quarantine(
+                service=service, clock=self._clock, growth=_GROWTH
+            )
             self._quarantines[service] = quarantine
         return quarantine
 
--- a/src/burdockgap/gate/quarantine.py
+++ b/src/burdockgap/gate/quarantine.py
@@ -18,6 +18,7 @@
     from burdockgap.clock import Clock
 
 _QUARANTINE_S = 60.0
+_MAX_QUARANTINE_S = 24 * 3600.0
 _SUSPECT_TTL_S = 600.0
 _CRASHES_TO_QUARANTINE = 2
 _MAX_CRASHES_PER_SUSPECT = 8
@@ -42,6 +43,8 @@
 
     :param service: the target's service.
     :param clock: the time source.
+    :param growth: factor by which each crash after the second one
+        prolongs the quarantine.
     """
 
     __slots__ = (
@@ -49,12 +52,16 @@
         "_clock",
         "_crash_event",
         "_crashes",
+        "_growth",
         "_last_crash_at",
         "service",
     )
 
-    def __init__(self, *, service: str, clock: Clock) -> None:
+    def __init__(
+        self, *, service: str, clock: Clock, growth: float = 1.0
+    ) -> None:
         self.service = service
+        self._growth = growth
         self._clock = clock
         self._crashes: dict[int, set[int]] = {}
         self._last_crash_at: dict[int, float] = {}
@@ -102,12 +109,18 @@
 
     def blocked_for_s(self, fingerprint: int) -> float:
         """Return how long a fingerprint is still quarantined, or 0."""
-        crashes = self._crashes.get(fingerprint, ())
-        if len(crashes) < _CRASHES_TO_QUARANTINE:
+        if fingerprint not in self._crashes:
             return 0.0
-        ends_at = self._last_crash_at[fingerprint] + _QUARANTINE_S
+        ends_at = self._last_crash_at[fingerprint] + self._quarantine_s(
+            fingerprint
+        )
         return max(ends_at - self._clock.now(), 0.0)
 
+    def was_quarantined(self, fingerprint: int) -> bool:
+        """Return whether a suspect is or has been quarantined."""
+        crashes = self._crashes.get(fingerprint, ())
+        return len(crashes) >= _CRASHES_TO_QUARANTINE
+
     def answered_age_s(self, fingerprint: int) -> float:
         """Return the time since the last complete response, or inf."""
         answered_at = self._answered_at.get(fingerprint, -math.inf)
@@ -207,10 +220,18 @@
         answered_at = self._answered_at.get(fingerprint, -math.inf)
         return crashed_at < answered_at + _EXEMPT_AFTER_RESPONSE_S
 
+    def _quarantine_s(self, fingerprint: int) -> float:
+        more = len(self._crashes[fingerprint]) - _CRASHES_TO_QUARANTINE
+        if more < 0:
+            return 0.0
+        return min(_QUARANTINE_S * self._growth**more, _MAX_QUARANTINE_S)
+
     def _evict_expired(self) -> None:
-        cutoff = self._clock.now() - _SUSPECT_TTL_S
+        now = self._clock.now()
         for fingerprint, at in list(self._last_crash_at.items()):
-            if at < cutoff:
+            # Callers may return when the quarantine ends.
+            kept_s = self._quarantine_s(fingerprint) + _SUSPECT_TTL_S
+            if now - at > kept_s:
                 self._evict(fingerprint)
 
     def _evict(self, fingerprint: int) -> None:
--- a/tests/forward/test_crash_watch.py
+++ b/tests/forward/test_crash_watch.py
@@ -113,3 +113,19 @@
     first.suspects.merge(second.announced[-1])
     with pytest.raises(Refusal):
         first.crashes.check(call)
+
+
+# BUDGET: after its quarantine the request was sent to two servers at
+# once.
+async def test_request_that_was_quarantined_is_not_retried():
+    clock = FakeClock()
+    harness, call = GateHarness(clock=clock), make_call()
+    assert harness.crashes.may_retry(call)
+    crash(harness, call, 1)
+    assert harness.crashes.may_retry(call)
+    crash(harness, call, 2)
+    clock.seconds += 61
+    harness.crashes.check(call)
+    assert not harness.crashes.may_retry(call)
+    harness.crashes.answered(call)
+    assert harness.crashes.may_retry(call)
--- a/tests/gate/test_quarantine.py
+++ b/tests/gate/test_quarantine.py
@@ -120,3 +120,31 @@
     quarantine.answered(CRASHING)
     assert not quarantine.blocks(CRASHING)
     assert not quarantine.export().entries
+
+
+# BUDGET: a request that was sent for minutes crashed two more servers
+# each time its quarantine ended.
+def test_each_further_crash_prolongs_the_quarantine(clock):
+    quarantine = Quarantine(service="records", clock=clock, growth=4.0)
+    quarantine.crashed("boot-1", [CRASHING])
+    began = clock.seconds
+    crashes = 1
+    while clock.seconds < began + 3600:
+        if not quarantine.blocks(CRASHING):
+            crashes += 1
+            quarantine.crashed(f"boot-{crashes}", [CRASHING])
+        quarantine.export()
+        clock.seconds += 5
+    # Two, and then one after 60, 240 and 960 s; the rule allows three
+    # after the third.
+    assert crashes == 5
+
+
+def test_answer_ends_a_long_quarantine(clock):
+    quarantine = Quarantine(service="records", clock=clock, growth=4.0)
+    for boot in range(6):
+        quarantine.crashed(f"boot-{boot}", [CRASHING])
+    clock.seconds += 3600
+    assert quarantine.blocks(CRASHING)
+    quarantine.answered(CRASHING)
+    assert not quarantine.blocks(CRASHING)
