--- a/src/burdockgap/target/http_target.py
+++ b/src/burdockgap/target/http_target.py
@@ -12,6 +12,7 @@
 import httpx
 
 from burdockgap.http.limited_response import read_limited
+from burdockgap.http1.response_head import check_status
 from burdockgap.target import http_headers
 from burdockgap.target.exchange import Exchange
 from burdockgap.target.request_body_error import RequestBodyError
@@ -192,6 +193,7 @@
             except httpx.TransportError as exc:
                 raise _send_failure(exchange, exc) from exc
             async with _closing(resp):
+                _check_status(resp)
                 _raise_if_not_run(resp, exchange)
                 yield TargetReply(
                     status=resp.status_code,
@@ -347,6 +349,16 @@
     return Refusal(Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST, detail)
 
 
+def _check_status(resp: httpx.Response) -> None:
+    try:
+        check_status(resp.status_code, has_body=True)
+    except ValueError as exc:
+        detail = f"The target's answer is not valid HTTP: it {exc}."
+        raise Refusal(
+            Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, detail
+        ) from exc
+
+
 def _raise_if_not_run(resp: httpx.Response, exchange: Exchange) -> None:
     if resp.status_code != _SHED_STATUS:
         return
--- a/tests/target/test_http_target.py
+++ b/tests/target/test_http_target.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import signal
 from contextlib import asynccontextmanager
 
@@ -314,3 +315,25 @@
         assert caught.value.verdict is Verdict.NOT_RUN
 
     anyio.run(run)
+
+
+# MIXED: a status that is none was passed on to the caller.
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+def test_answer_without_a_valid_status_is_refused(status):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: 5\r\n\r\n"
+        writer.write(head.encode() + b"hello")
+        await writer.drain()
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        info = make_target_info(url=f"http://127.0.0.1:{port}")
+        async with server, connected(info) as target:
+            with pytest.raises(Refusal) as caught:
+                await exchange(target, make_target_request("r1"))
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+    anyio.run(run)
