Check again that a queued request is not quarantined when it is sent

Cause: the quarantine was checked when a call arrived, not when it was sent. Change: it is one of the conditions that are checked after a wait.

test_queued_request_that_crashes_servers_is_not_sent failed before the change; all 30 tests of the module pass with it.

--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -274,6 +274,7 @@
 
     def _check_sendable(self, call: Call, deadline: float) -> None:
         """Refuse a call whose conditions changed during a wait."""
+        self._crashes.check(call)
         self._check_open(call)
         if self.holder is not None and call.key is not None:
             self.holder.check(call.key)
--- a/tests/forward/test_target_gate.py
+++ b/tests/forward/test_target_gate.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from burdockgap.gate.fingerprint import fingerprint_of
 from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.server import Server, open_server
 from burdockgap.verdict import Reason, Verdict
@@ -112,6 +113,30 @@
     assert not harness.app.runs
 
 
+# BUDGET: copies of a request that waited in the queue were sent though
+# others of them had crashed two servers meanwhile.
+async def test_queued_request_that_crashes_servers_is_not_sent(harness):
+    harness.app.work_s = 0.1
+    slots = harness.state.info.slots
+    running = [
+        asyncio.create_task(
+            harness.gate.serve(make_call(request_id=f"r{number}"))
+        )
+        for number in range(slots)
+    ]
+    await asyncio.sleep(0.02)
+    call = make_call(request_id="crash", target="/book/crash")
+    queued = asyncio.create_task(harness.gate.serve(call))
+    await asyncio.sleep(0.02)
+    fingerprint = fingerprint_of(call.method, call.target, call.body)
+    for crash in ("m1/1", "m2/1"):
+        harness.suspects.crashed(call.service, crash, [fingerprint])
+    outcome = await queued
+    await asyncio.gather(*running)
+    assert outcome.reason is Reason.QUARANTINED
+    assert len(harness.app.runs) == slots
+
+
 async def test_other_service_is_refused(harness):
     outcome = await harness.gate.serve(make_call(service="records"))
     assert outcome.reason is Reason.UNKNOWN_SERVICE
