Blame requests that were given up at a target that fell silent

Cause: only a closed connection made a request a suspect. Where the target keeps its connections open and answers nothing, the request ends by its deadline or its caller's leave, and was forgotten.

Change: such a request is blamed for the end of its process as well, unless a heartbeat or a response shows that the process lived later than it was sent.

Not tried with real processes.

--- a/src/burdockgap/forward/crash_watch.py
+++ b/src/burdockgap/forward/crash_watch.py
@@ -102,6 +102,24 @@
                 fingerprint=_fingerprint(call),
                 born=born,
                 at=self._clock.now(),
+                closed=True,
+            )
+        )
+
+    def gave_up(self, call: Call, born: int, after_s: float) -> None:
+        """
+        Record a request that was given up before its response.
+
+        :param born: start time of the target process.
+        :param after_s: time since it was sent, in seconds.
+        """
+        self._lost.add(
+            LostRequest(
+                request_id=call.request_id,
+                fingerprint=_fingerprint(call),
+                born=born,
+                at=self._clock.now() - after_s,
+                closed=False,
             )
         )
 
--- a/src/burdockgap/forward/target_exchange.py
+++ b/src/burdockgap/forward/target_exchange.py
@@ -23,6 +23,7 @@
     from burdockgap.forward.target_info import TargetInfo
     from burdockgap.forward.target_protocol import TargetProtocol
     from burdockgap.forward.target_state import TargetState
+    from burdockgap.http1.response import Response
     from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.scheduling.service_times import ServiceTimes
 
@@ -142,25 +143,40 @@
                 )
         except ExchangeError as exc:
             return self._failure_outcome(call, exc, info.born, pool)
-        except TimeoutError:
+        except (TimeoutError, asyncio.CancelledError) as exc:
+            # It may have crashed a target that fell silent.
+            self._crashes.gave_up(call, info.born, self._loop.time() - began)
+            if isinstance(exc, asyncio.CancelledError):
+                raise
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.DEADLINE, sent=True
             )
+        return self._response_outcome(call, response, info.born, began)
+
+    def _response_outcome(
+        self, call: Call, response: Response, born: int, began: float
+    ) -> Outcome:
+        """
+        Return the outcome of a call and learn from its response.
+
+        :param born: start time of the process that was sent it.
+        :param began: when that was, on the event loop's clock.
+        """
         self._state.note_response()
         notice = self._protocol.notice(call, response)
         if notice is not None:
-            self._state.note_notice(notice, info.born)
+            self._state.note_notice(notice, born)
         verdict = self._protocol.verdict(response)
         if verdict is Verdict.NOT_RUN:
             return Outcome(verdict, reason=Reason.TARGET_SHED, sent=True)
-        self._crashes.target_responded(info.born, self._loop.time() - began)
+        took_s = self._loop.time() - began
+        self._crashes.target_responded(born, took_s)
         if not self._protocol.is_complete(response):
             return Outcome(
                 Verdict.MAY_HAVE_RUN, reason=Reason.TRUNCATED, sent=True
             )
         if response.is_success:
             # Errors return too fast to represent the service time.
-            took_s = self._loop.time() - began
             self._service_times.note(call.route, took_s)
             self._state.note_success(took_s, self._protocol.slowness(response))
             if call.large:
--- a/tests/forward/test_crash_watch.py
+++ b/tests/forward/test_crash_watch.py
@@ -129,3 +129,36 @@
     assert not harness.crashes.may_retry(call)
     harness.crashes.answered(call)
     assert harness.crashes.may_retry(call)
+
+
+# BUDGET: a target that a request had crashed and that fell silent was
+# not put down to it.
+async def test_request_given_up_before_a_crash_is_blamed():
+    clock = FakeClock()
+    harness, call = GateHarness(clock=clock), make_call()
+    for born in (1, 2):
+        harness.crashes.target_announced(born)
+        clock.seconds += 1
+        harness.crashes.gave_up(call, born, after_s=0.9)
+        clock.seconds += 4
+        harness.crashes.target_ended(born)
+    with pytest.raises(Refusal):
+        harness.crashes.check(call)
+
+
+# The deadline of a slow request says nothing of the target.
+@pytest.mark.parametrize("sign_first", [False, True])
+async def test_request_given_up_at_a_living_target_is_not_blamed(sign_first):
+    clock = FakeClock()
+    harness, call = GateHarness(clock=clock), make_call()
+    for born in (1, 2):
+        clock.seconds += 1
+        if sign_first:
+            harness.crashes.target_announced(born)
+        harness.crashes.gave_up(call, born, after_s=0.9)
+        if not sign_first:
+            clock.seconds += 0.1
+            harness.crashes.target_announced(born)
+        clock.seconds += 0.1
+        harness.crashes.target_ended(born)
+    harness.crashes.check(call)
