Give the parts that detect crashing requests one owner

On the way: a daemon that starts again keeps the requests of its earlier record in its next one, a record is written again when one of its requests was answered, and only quarantined requests are repeated once a second.

--- a/src/burdockgap/forward/suspect_book.py
+++ b/src/burdockgap/forward/suspect_book.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from burdockgap.forward.merged_suspects import MergedSuspects
 from burdockgap.gate.messages.suspect import Suspect
 from burdockgap.gate.messages.suspects import Suspects
 from burdockgap.gate.quarantine import Quarantine
@@ -30,18 +31,20 @@
     again.
 
     :param clock: the time source.
-    :ivar on_quarantine: called when a request was quarantined for a
-        crash of this daemon's target, or a further crash is known.
+    :ivar on_own_change: called when a request was quarantined for a
+        crash of this daemon's target, a further crash is known, or the
+        request is no suspect any more.
     """
 
-    __slots__ = ("_clock", "_own", "_quarantines", "on_quarantine")
+    __slots__ = ("_clock", "_own", "_quarantines", "on_own_change")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._quarantines: dict[str, Quarantine] = {}
-        # Crashes at the last call of on_quarantine, by request.
+        # Crashes at the last call of on_own_change, by request; 0 while
+        # it is not in quarantine.
         self._own: dict[tuple[str, int], int] = {}
-        self.on_quarantine: Callable[[], None] = lambda: None
+        self.on_own_change: Callable[[], None] = lambda: None
 
     def blocked_for_s(self, service: str, fingerprint: int) -> float:
         """Return how long a request is still quarantined, or 0."""
@@ -58,6 +61,8 @@
     def answered(self, service: str, fingerprint: int) -> None:
         """Record the complete response to a request."""
         self._of(service).answered(fingerprint)
+        if (service, fingerprint) in self._own:
+            self._note_own()
 
     def crashed(
         self, service: str, crash: str, fingerprints: list[int]
@@ -71,7 +76,7 @@
         self._of(service).crashed(crash, fingerprints)
         for fingerprint in fingerprints:
             self._own.setdefault((service, fingerprint), 0)
-        self._note_quarantines()
+        self._note_own()
 
     def has_suspects(self, service: str) -> bool:
         """Return whether any request to a service is suspected."""
@@ -92,34 +97,49 @@
         exports = [self.export(service) for service in self._quarantines]
         return [values for values in exports if values[1]]
 
+    def export_quarantined(self) -> list[list[Any]]:
+        """Return of :meth:`export_all` what is or was quarantined."""
+        exports = [
+            [
+                service,
+                [row for row in rows if self.was_quarantined(service, row[0])],
+            ]
+            for service, rows in self.export_all()
+        ]
+        return [values for values in exports if values[1]]
+
     def export_answer(self, service: str, fingerprint: int) -> list[Any]:
         """Return for :meth:`merge` that a request was answered."""
         age_s = self._of(service).answered_age_s(fingerprint)
         return [service, [[fingerprint, [], age_s]]]
 
-    def merge(self, values: list[Any]) -> tuple[str, list[int], list[int]]:
+    def merge(self, values: list[Any]) -> MergedSuspects:
         """
         Add what another daemon knows.
 
-        :return: the service, the requests that got a complete response
-            here of which the other daemon does not know, and those that
-            got one elsewhere.
         :raises ValueError: if the values are not those of an export.
         """
         service, rows = values
         check_text(service, "service")
         entries = [_decode(row) for row in rows]
         quarantine = self._of(service)
-        answers = [entry for entry in entries if not entry.crashes]
-        for answer in answers:
-            quarantine.clear(answer.fingerprint, answer.age_s)
-        suspects = [entry for entry in entries if entry.crashes]
+        answered_elsewhere: list[int] = []
+        suspects: list[Suspect] = []
+        for entry in entries:
+            if entry.crashes:
+                suspects.append(entry)
+            else:
+                quarantine.clear(entry.fingerprint, entry.age_s)
+                answered_elsewhere.append(entry.fingerprint)
         answered_here = quarantine.merge(
             Suspects(service=service, entries=suspects)
         )
-        self._note_quarantines()
-        answered_elsewhere = [answer.fingerprint for answer in answers]
-        return service, answered_here, answered_elsewhere
+        self._note_own()
+        return MergedSuspects(
+            service=service,
+            answered_here=answered_here,
+            answered_elsewhere=answered_elsewhere,
+        )
 
     @property
     def has_own(self) -> bool:
@@ -130,18 +150,19 @@
         """Return these requests as bytes for :meth:`merge_stored`."""
         now = self._clock.wall()
         rows: list[list[Any]] = []
-        for service, fingerprint in self._own:
+        for (service, fingerprint), crashes in self._own.items():
             entry = self._of(service).find(fingerprint)
-            if entry is not None:
+            if crashes and entry is not None:
                 at_ms = int((now - entry.age_s) * 1000)
                 rows.append([service, fingerprint, entry.crashes, at_ms])
         data: bytes = msgpack.packb(rows)
         return data
 
-    def merge_stored(self, data: bytes) -> None:
+    def merge_stored(self, data: bytes, *, own: bool) -> None:
         """
         Add what a daemon has stored.
 
+        :param own: whether an earlier run of this daemon has.
         :raises ValueError: if the bytes are malformed.
         """
         now = self._clock.wall()
@@ -150,22 +171,25 @@
                 at_s = check_integer(at_ms, "at_ms") / 1000
                 age_s = max(now - at_s, 0.0)
                 self.merge([service, [[fingerprint, crashes, age_s]]])
+                if own:
+                    self._own[service, fingerprint] = len(crashes)
         except (TypeError, ValueError) as exc:
             raise ValueError(f"malformed suspects: {exc}") from exc
 
-    def _note_quarantines(self) -> None:
-        """Report new quarantines; drop those that have ended."""
-        is_new = False
+    def _note_own(self) -> None:
+        """Report changes of what :meth:`encode_own` returns."""
+        has_changed = False
         for (service, fingerprint), reported in list(self._own.items()):
             quarantine = self._of(service)
             entry = quarantine.find(fingerprint)
             if entry is None:
                 del self._own[service, fingerprint]
+                has_changed = has_changed or reported > 0
             elif quarantine.blocks(fingerprint):
-                is_new = is_new or len(entry.crashes) > reported
+                has_changed = has_changed or len(entry.crashes) > reported
                 self._own[service, fingerprint] = len(entry.crashes)
-        if is_new:
-            self.on_quarantine()
+        if has_changed:
+            self.on_own_change()
 
     def _of(self, service: str) -> Quarantine:
         quarantine = self._quarantines.get(service)
--- a/src/burdockgap/gate/messages/suspect.py
+++ b/src/burdockgap/gate/messages/suspect.py
@@ -10,8 +10,10 @@
     The crashes at which one fingerprint was in flight.
 
     :param fingerprint: the request's fingerprint.
-    :param crashes: ids of these crashes.
-    :param age_s: seconds since the latest of these crashes.
+    :param crashes: ids of these crashes; none if the request got a
+        complete response and is no suspect any more.
+    :param age_s: seconds since the latest of these crashes, or since
+        the response.
     """
 
     __slots__ = ("fingerprint", "crashes", "age_s")
--- a/src/burdockgap/sidecar/departure_store.py
+++ b/src/burdockgap/sidecar/departure_store.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from burdockgap.metadata.store_error import StoreError
-from burdockgap.sidecar.stored_record import StoredRecord, pause_before_retry
+from burdockgap.sidecar.stored_record import StoredRecord, read_records
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -93,17 +92,8 @@
             self._record.write_again()
 
     async def _load(self) -> None:
-        while True:
-            try:
-                newest = await self._store.newest(_TOPIC)
-                break
-            except StoreError as exc:
-                self._on_event("departures_unread", {"why": str(exc)})
-            if self._knows_peers() and not self.loaded:
-                # Their notices, which come with each call, have to do.
-                self._set_loaded()
-            await pause_before_retry()
-        stored = newest.values.get(self._name)
+        records = await read_records(self._store, _TOPIC, self._note_unread)
+        stored = records.get(self._name)
         if stored:
             try:
                 self._departures.merge(stored)
@@ -111,6 +101,12 @@
                 self._on_event("departures_unread", {"why": str(exc)})
         self._set_loaded()
 
+    def _note_unread(self, why: str) -> None:
+        self._on_event("departures_unread", {"why": why})
+        if self._knows_peers() and not self.loaded:
+            # Their notices, which come with each call, have to do.
+            self._set_loaded()
+
     def _set_loaded(self) -> None:
         self.loaded = True
         self._on_read()
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -14,10 +14,8 @@
 from burdockgap.fleet.datagrams import CHANGES
 from burdockgap.fleet.member import Member
 from burdockgap.fleet.roster import Roster
-from burdockgap.forward.crash_watch import CrashWatch
 from burdockgap.forward.departures import Departures
 from burdockgap.forward.forwarder import Forwarder
-from burdockgap.forward.suspect_book import SuspectBook
 from burdockgap.forward.target_gate import TargetGate
 from burdockgap.forward.target_state import TargetState
 from burdockgap.hop.call_kinds import (
@@ -40,13 +38,12 @@
 from burdockgap.shards.lease import Lease
 from burdockgap.shards.reporter import Reporter
 from burdockgap.shards.shard_holder import ShardHolder
+from burdockgap.sidecar.crash_detection import CrashDetection
 from burdockgap.sidecar.departure_store import DepartureStore
 from burdockgap.sidecar.discovery import Discovery
 from burdockgap.sidecar.gauges import add_gauges
 from burdockgap.sidecar.peer_fetcher import PeerFetcher
 from burdockgap.sidecar.supervision import keep_running
-from burdockgap.sidecar.suspect_exchange import SuspectExchange
-from burdockgap.sidecar.suspect_store import SuspectStore
 from burdockgap.sidecar.target_heartbeats import TargetHeartbeats
 from burdockgap.uplink import Uplink
 
@@ -84,6 +81,7 @@
     :param datagrams: sends and receives datagrams of other daemons.
     :param event_log: writer of structured log lines.
     :param metrics: the daemon's metrics.
+    :ivar crashes: detects requests that crash targets.
     :ivar datagrams: sends and receives datagrams of other daemons.
     :ivar buffers: limits the bodies and frames of all connections.
     :ivar caller_server: the HTTP server for callers, ``None`` before it
@@ -92,23 +90,20 @@
     :ivar holder: holds the target's keys, ``None`` unless its service
         is known to be keyed.
     :ivar leaving: whether the daemon is shutting down.
-    :ivar suspects: the requests suspected of crashing targets.
-    :ivar suspect_exchange: exchanges them with other daemons.
     :ivar peers_busy: returns whether calls of peers are in progress.
     """
 
     __slots__ = (
         "_beacons",
-        "_crashes",
         "_departure_store",
         "_is_coordinator",
         "_key_audit",
-        "_suspect_store",
         "buffers",
         "caller_server",
         "cfg",
         "clock",
         "coordinator",
+        "crashes",
         "datagrams",
         "discovery",
         "documents",
@@ -129,8 +124,6 @@
         "reporter",
         "roster",
         "store",
-        "suspect_exchange",
-        "suspects",
         "target",
         "uplink",
         "view",
@@ -224,31 +217,18 @@
 
     def _add_data_path(self) -> None:
         self.protocol = PlatformTargetProtocol()
-        self.suspects = SuspectBook(self.clock)
-        self.suspect_exchange = SuspectExchange(
+        self.crashes = CrashDetection(
+            cfg=self.cfg,
+            clock=self.clock,
+            store=self.store,
             datagrams=self.datagrams,
             roster=self.roster,
-            suspects=self.suspects,
-            on_event=self.event_log.write,
-        )
-        self._suspect_store = SuspectStore(
-            store=self.store,
-            name=self.cfg.name,
-            suspects=self.suspects,
-            on_event=self.event_log.write,
-        )
-        self._crashes = CrashWatch(
-            name=self.cfg.name,
-            service=self.cfg.service,
-            clock=self.clock,
-            suspects=self.suspects,
-            on_crash=lambda: self.suspect_exchange.announce(self.cfg.service),
             on_event=self.event_log.write,
         )
         self.heartbeats = TargetHeartbeats(
             service=self.cfg.service,
             target=self.target,
-            crashes=self._crashes,
+            crashes=self.crashes.watch,
             knows_departures=lambda: self._departure_store.loaded,
             on_event=self.event_log.write,
         )
@@ -260,7 +240,7 @@
                 self.cfg.data_centre
             ),
             uplink=self.uplink,
-            crashes=self._crashes,
+            crashes=self.crashes.watch,
             buffers=self.buffers,
             on_event=self.event_log.write,
             on_outcome=self._count_outcome,
@@ -272,7 +252,7 @@
             documents=self.documents,
             view=self.view,
             gate=self.gate,
-            crashes=self._crashes,
+            crashes=self.crashes.watch,
             peer_connections=self.peer_connections,
             accounts=AccountAdmission(
                 self.quotas, on_decision=self.metrics.count_account_decision
@@ -373,8 +353,8 @@
                 self.reporter.run,
                 self.coordinator.run,
                 self.quotas.run,
-                self.suspect_exchange.run,
-                self._suspect_store.run,
+                self.crashes.exchange.run,
+                self.crashes.store.run,
                 self._run_checks,
                 self._run_holder,
             ):
@@ -431,7 +411,7 @@
     def _store_restored(self, before: int, after: int) -> None:
         self.follower.refresh()
         self._departure_store.write_again()
-        self._suspect_store.write_again()
+        self.crashes.store.write_again()
         fields: dict[str, object] = {"from": before, "to": after}
         fields["offset"] = self.documents.position[1]
         fields["control"] = list(self.view.version)
@@ -540,7 +520,7 @@
             self.holder.adopt(self.view.state)
 
     def _on_member_heard(self, member: Member) -> None:
-        self.suspect_exchange.member_heard(member)
+        self.crashes.exchange.member_heard(member)
         self.store.generation.note(member.documents[0])
         self.peer_fetcher.request_control_state(
             member, (member.term, member.revision)
--- a/src/burdockgap/sidecar/stored_record.py
+++ b/src/burdockgap/sidecar/stored_record.py
@@ -1,4 +1,4 @@
-"""One record of this daemon in the platform's store."""
+"""Records of daemons in the platform's store."""
 
 from __future__ import annotations
 
@@ -103,7 +103,7 @@
             await self._store.put(self._topic, self._name, data)
         except StoreError as exc:
             self._on_failure(str(exc))
-            await pause_before_retry()
+            await _pause_before_retry()
             return
         if rewrites != self._rewrites:
             return
@@ -112,6 +112,21 @@
             self._saved.notify_all()
 
 
-async def pause_before_retry() -> None:
-    """Wait before a failed call of the store is repeated."""
+async def read_records(
+    store: KeyedStore, topic: str, on_failure: Callable[[str], None]
+) -> dict[str, bytes]:
+    """
+    Return the records of all daemons, once the store answers.
+
+    :param on_failure: called with the cause of each failed attempt.
+    """
+    while True:
+        try:
+            return (await store.newest(topic)).values
+        except StoreError as exc:
+            on_failure(str(exc))
+        await _pause_before_retry()
+
+
+async def _pause_before_retry() -> None:
     await asyncio.sleep(_RETRY_DELAY_S * random.uniform(0.5, 1.5))
--- a/src/burdockgap/sidecar/suspect_exchange.py
+++ b/src/burdockgap/sidecar/suspect_exchange.py
@@ -26,10 +26,10 @@
     """
     Makes all daemons know the requests that crash targets.
 
-    A crash is announced to all members. Each suspect is also sent to
-    members that start again or return, and to one random member a
-    second, as datagrams may be lost. A daemon that knows that a suspect
-    got a complete response tells the others.
+    A crash is announced to all members, and all suspects are sent to
+    members that start again. Quarantined ones are also sent to one
+    random member a second, as datagrams may be lost. A daemon that
+    knows that a suspect got a complete response tells the others.
 
     :param datagrams: sends and receives the suspects.
     :param roster: the members.
@@ -65,12 +65,13 @@
         datagrams.handlers[SUSPECTS] = self._receive
 
     async def run(self) -> None:
-        """Send suspects to random members until cancelled."""
+        """Send quarantined requests to others until cancelled."""
         while True:
             await asyncio.sleep(_INTERVAL_S * random.uniform(0.9, 1.1))
             others = self._roster.live()[1:]
-            if others:
-                self._send_all(random.choice(others))
+            exports = self._suspects.export_quarantined() if others else []
+            for values in exports:
+                self._send(random.choice(others), values)
 
     def announce(self, service: str) -> None:
         """Send the suspects of a service to all members."""
@@ -80,26 +81,26 @@
         """Send the suspects to a member that was started again."""
         if self._incarnations.get(member.name) != member.incarnation:
             self._incarnations[member.name] = member.incarnation
-            self._send_all(member)
+            for values in self._suspects.export_all():
+                self._send(member, values)
 
-    def _send_all(self, member: Member) -> None:
-        for values in self._suspects.export_all():
-            self._datagrams.send(member.address, SUSPECTS, values)
+    def _send(self, member: Member, values: list[Any]) -> None:
+        self._datagrams.send(member.address, SUSPECTS, values)
 
     def _broadcast(self, values: list[Any]) -> None:
         for entry in self._roster.entries():
             self._datagrams.send(entry.member.address, SUSPECTS, values)
 
     def _receive(self, payload: list[Any]) -> None:
-        service, answered_here, answered_elsewhere = self._suspects.merge(
-            payload[0]
-        )
-        for fingerprint in answered_elsewhere:
-            pending = self._pending_answers.pop((service, fingerprint), None)
+        merged = self._suspects.merge(payload[0])
+        for fingerprint in merged.answered_elsewhere:
+            pending = self._pending_answers.pop(
+                (merged.service, fingerprint), None
+            )
             if pending is not None:
                 pending.cancel()
-        for fingerprint in answered_here:
-            self._tell_later(service, fingerprint)
+        for fingerprint in merged.answered_here:
+            self._tell_later(merged.service, fingerprint)
 
     def _tell_later(self, service: str, fingerprint: int) -> None:
         """Tell of an answer unless another daemon does."""
--- a/src/burdockgap/sidecar/suspect_store.py
+++ b/src/burdockgap/sidecar/suspect_store.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from burdockgap.metadata.store_error import StoreError
-from burdockgap.sidecar.stored_record import StoredRecord, pause_before_retry
+from burdockgap.sidecar.stored_record import StoredRecord, read_records
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,7 +28,7 @@
     :param on_event: logs an event with its fields.
     """
 
-    __slots__ = ("_on_event", "_record", "_store", "_suspects")
+    __slots__ = ("_name", "_on_event", "_record", "_store", "_suspects")
 
     def __init__(
         self,
@@ -40,6 +39,7 @@
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
         self._store = store
+        self._name = name
         self._suspects = suspects
         self._on_event = on_event
         self._record = StoredRecord(
@@ -51,7 +51,7 @@
                 "suspects_unwritten", {"why": why}
             ),
         )
-        suspects.on_quarantine = self._record.changed
+        suspects.on_own_change = self._record.changed
 
     async def run(self) -> None:
         """Read all records once, then write each change."""
@@ -64,17 +64,14 @@
             self._record.write_again()
 
     async def _load(self) -> None:
-        while True:
+        records = await read_records(self._store, _TOPIC, self._note_unread)
+        for name, data in records.items():
             try:
-                newest = await self._store.newest(_TOPIC)
-                break
-            except StoreError as exc:
-                self._on_event("suspects_unread", {"why": str(exc)})
-            await pause_before_retry()
-        for name, value in newest.values.items():
-            try:
-                self._suspects.merge_stored(value)
+                self._suspects.merge_stored(data, own=name == self._name)
             except ValueError as exc:
                 self._on_event(
                     "suspects_unread", {"member": name, "why": str(exc)}
                 )
+
+    def _note_unread(self, why: str) -> None:
+        self._on_event("suspects_unread", {"why": why})
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -262,3 +262,12 @@
                 await machine.kill()
                 await machine.stop_app()
             os.close(site.log_fd)
+
+
+async def restart(machines):
+    """Kill all daemons of some machines and start them again."""
+    for machine in machines:
+        await machine.kill()
+    await asyncio.sleep(0.1)
+    for machine in machines:
+        await machine.start()
--- a/tests/sidecar/test_crashing_requests.py
+++ b/tests/sidecar/test_crashing_requests.py
@@ -8,7 +8,7 @@
 
 from burdockgap.fleet.datagrams import SUSPECTS
 from burdockgap.gate.fingerprint import fingerprint_of
-from tests.sidecar.builders import open_site
+from tests.sidecar.builders import open_site, restart
 from tests.sidecar.crashes import PATH, Crashes
 
 pytestmark = pytest.mark.anyio
@@ -142,25 +142,16 @@
         assert (await caller.ask(path)).status == 200
         suspect(caller, path)
         assert (await caller.ask(path)).status == 503
-        caller.node.suspect_exchange.announce("dispatch")
+        caller.node.crashes.exchange.announce("dispatch")
         await asyncio.sleep(0.6)
         assert (await caller.ask(path)).status == 200
 
 
-async def restart(machines):
-    """Kill daemons and start them again."""
-    for machine in machines:
-        await machine.kill()
-    await asyncio.sleep(0.1)
-    for machine in machines:
-        await machine.start()
-
-
 def suspect(machine, path):
     """Let a daemon know of two crashes that a request was in."""
     fingerprint = fingerprint_of("GET", path, b"")
     for crash in ("m8/1", "m9/1"):
-        machine.node.suspects.crashed("dispatch", crash, [fingerprint])
+        machine.node.crashes.suspects.crashed("dispatch", crash, [fingerprint])
 
 
 def has_servers(caller, servers):
--- a/tests/sidecar/test_target_notices.py
+++ b/tests/sidecar/test_target_notices.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests.sidecar.builders import open_site
+from tests.sidecar.builders import open_site, restart
 
 pytestmark = pytest.mark.anyio
 
@@ -216,15 +216,6 @@
     assert {answer.status for answer in answers} == {503}
 
 
-async def restart(machines):
-    """Kill all daemons of some machines and start them again."""
-    for machine in machines:
-        await machine.kill()
-    await asyncio.sleep(0.1)
-    for machine in machines:
-        await machine.start()
-
-
 async def late_arrivals(left, callers):
     """Return the requests that reach a server after its drain time."""
     began = asyncio.get_running_loop().time()
