Tell other daemons of quarantined requests before newer suspects

Cause: the 16 newest suspects are sent. Each request that was running at a crash is one, so two crashes displace a quarantined request. Change: those in quarantine come first.

test_quarantined_requests_are_told_before_newer_suspects failed before the change; it passes with test_quarantine.py, test_suspect_book.py and test_crashing_requests.py.

--- a/src/burdockgap/gate/quarantine.py
+++ b/src/burdockgap/gate/quarantine.py
@@ -138,15 +138,20 @@
         return self._entry(fingerprint)
 
     def export(self) -> Suspects:
-        """Return the latest suspects, to be sent to other daemons."""
+        """
+        Return suspects, to be sent to other daemons.
+
+        Those in quarantine come first, then the latest ones.
+        """
         self._evict_expired()
-        newest = sorted(
-            self._last_crash_at, key=self._last_crash_at.__getitem__
+        by_rank = sorted(
+            self._last_crash_at,
+            key=lambda fp: (self.was_quarantined(fp), self._last_crash_at[fp]),
         )
         return Suspects(
             service=self.service,
             entries=[
-                self._entry(fp) for fp in newest[-_MAX_EXPORTED_SUSPECTS:]
+                self._entry(fp) for fp in by_rank[-_MAX_EXPORTED_SUSPECTS:]
             ],
         )
 
--- a/tests/gate/test_quarantine.py
+++ b/tests/gate/test_quarantine.py
@@ -148,3 +148,17 @@
     assert quarantine.blocks(CRASHING)
     quarantine.answered(CRASHING)
     assert not quarantine.blocks(CRASHING)
+
+
+# BUDGET: a daemon that started again was told the newest suspects only,
+# so that those of some crashes displaced a quarantined request.
+def test_quarantined_requests_are_told_before_newer_suspects(
+    quarantine, clock
+):
+    quarantine.crashed("boot-1", [CRASHING])
+    quarantine.crashed("boot-2", [CRASHING])
+    clock.seconds += 1
+    quarantine.crashed("boot-3", range(100, 200))
+    other = Quarantine(service="records", clock=clock)
+    other.merge(quarantine.export())
+    assert other.blocks(CRASHING)
