Split the reader of responses by responsibility

No change of behaviour.

tests/http1, platform, forward, and sidecar/test_invalid_statuses.py pass (432).

--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, NoReturn, cast
 
 import httptools
 
-from burdockgap.http1.body_step import body_step
 from burdockgap.http1.encode import first_value
 from burdockgap.http1.exchange_error import ExchangeError
+from burdockgap.http1.read_timeout import ReadTimeout
 from burdockgap.http1.recent_ids import RecentIds
-from burdockgap.http1.response import Response
+from burdockgap.http1.response_body import ResponseBody
 from burdockgap.http1.response_head import (
     check_status,
     is_final,
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockgap.http1.response import Response
+
 # Share of the announced keep-alive timeout in which a connection is
 # used, so that the server does not close it while a request is sent.
 _KEEP_ALIVE_SHARE = 0.8
@@ -53,18 +55,16 @@
         "_body",
         "_bodiless",
         "_bytes_since_body",
-        "_charge",
         "_fut",
         "_headers",
-        "_heard_at",
         "_idle_s",
         "_is_first",
         "_limits",
         "_loop",
         "_parser",
+        "_read_timeout",
         "_received_bytes",
         "_status",
-        "_timer",
         "_transport",
         "_unframed",
         "idle_since",
@@ -89,20 +89,17 @@
         self._fut: asyncio.Future[Response] | None = None
         self._accepts: Callable[[Response], bool] | None = None
         self._headers: list[tuple[str, str]] = []
-        # One object: a list of chunks of a few bytes each would take
-        # ten times their size.
-        self._body = bytearray()
         self._received_bytes = self._bytes_since_body = 0
         self._limits = limits or ResponseLimits()
-        self._charge = self._limits.budget.charge("responses")
+        self._body = ResponseBody(self._limits)
         self._status = 0
-        self._timer: asyncio.TimerHandle | None = None
+        self._read_timeout: ReadTimeout | None = None
         self._bodiless = False
         self._unframed = False
         self._is_first = True
         self.reusable = True
         self.sent_ids = RecentIds()
-        self.idle_since = self._heard_at = loop.time()
+        self.idle_since = loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -157,8 +154,13 @@
             # The transport copies the rest of a byte string.
             self._transport.write(memoryview(body))
         if read_timeout_s is not None:
-            self._heard_at = self._loop.time()
-            self._check_read_timeout(self._fut, read_timeout_s)
+            self._read_timeout = ReadTimeout(
+                self._loop,
+                read_timeout_s,
+                lambda: self._abort_exchange(
+                    f"received nothing for {read_timeout_s} s"
+                ),
+            )
         try:
             return await self._fut
         except BaseException:
@@ -166,12 +168,11 @@
             raise
         finally:
             self._fut = None
-            if self._timer is not None:
-                # It refers to the response.
-                self._timer.cancel()
-                self._timer = None
+            if self._read_timeout is not None:
+                self._read_timeout.cancel()
+                self._read_timeout = None
             self._is_first = False
-            self._discard_body()
+            self._body.discard()
             self.idle_since = self._loop.time()
 
     def close(self) -> None:
@@ -182,7 +183,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close the connection on unexpected bytes."""
-        self._heard_at = self._loop.time()
+        if self._read_timeout is not None:
+            self._read_timeout.note_bytes()
         if self._fut is None or self._fut.done():
             self.on_unexpected("bytes without a request")
             self.close()
@@ -213,7 +215,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self._headers, self._status = [], 0
-        self._discard_body()
+        self._body.discard()
         if self._fut is None or self._fut.done():
             # The rest of it may only arrive after the next request.
             self.reusable = False
@@ -234,31 +236,23 @@
             "content-length",
             "transfer-encoding",
         }
+        length = first_value(self._headers, "content-length")
         try:
             check_status(self._status, has_body=not self._unframed)
+            if length is not None and not self._bodiless:
+                self._body.reserve(int(length))
         except ValueError as exc:
             self._reject(str(exc))
         if self._bodiless and is_final(self._status):
             self.reusable = False
             self._complete()
-            return
-        length = first_value(self._headers, "content-length")
-        if (
-            length is not None
-            and int(length) <= self._limits.body_bytes
-            and not self._charge.grow(int(length))
-        ):
-            self._exceed_memory()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        limits = self._limits
-        if len(self._body) + len(body) > limits.body_bytes:
-            self._reject(f"body exceeds {limits.body_bytes} bytes")
-        self._body += body
-        step = body_step(len(self._body), self._charge.size)
-        if step and not self._charge.grow(step):
-            self._exceed_memory()
+        try:
+            self._body.append(body)
+        except ValueError as exc:
+            self._reject(str(exc))
         self._bytes_since_body = 0
 
     def on_message_complete(self) -> None:
@@ -270,21 +264,6 @@
             self.reusable = False
         self._complete()
 
-    def _check_read_timeout(
-        self, fut: asyncio.Future[Response], read_timeout_s: float
-    ) -> None:
-        """Fail the exchange if the read timeout has expired."""
-        if fut.done():
-            return
-        left_s = self._heard_at + read_timeout_s - self._loop.time()
-        if left_s > 0:
-            self._timer = self._loop.call_later(
-                left_s, self._check_read_timeout, fut, read_timeout_s
-            )
-            return
-        self._fail_exchange(f"received nothing for {read_timeout_s} s")
-        self.close()
-
     def _check_overhead(self) -> None:
         if self._fut is None or self._fut.done():
             return
@@ -294,34 +273,18 @@
             # The parser keeps an unfinished trailer.
             or self._bytes_since_body > self._limits.header_bytes
         ):
-            self._fail_exchange(
+            self._abort_exchange(
                 f"response has {overhead} bytes besides its body; "
                 f"the limit is {self._limits.header_bytes} bytes"
             )
-            self.close()
 
-    def _exceed_memory(self) -> None:
-        self._reject(
-            "does not fit into the memory limit, "
-            f"{self._limits.budget.max_bytes} bytes"
-        )
-
-    def _reject(self, detail: str) -> None:
+    def _reject(self, detail: str) -> NoReturn:
         """Fail the exchange and make the parser stop."""
         self._fail_exchange(f"response {detail}")
         raise httptools.HttpParserError(detail)
 
-    def _discard_body(self) -> None:
-        self._charge.release()
-        self._body = bytearray()
-
     def _complete(self, *, ends_at_close: bool = False) -> None:
-        response = Response(self._status, self._headers, bytes(self._body))
-        response.charge, self._charge = (
-            self._charge,
-            self._limits.budget.charge("responses"),
-        )
-        response.charge.shrink_to(len(response.body))
+        response = self._body.complete(self._status, self._headers)
         response.ends_at_close = ends_at_close
         response.follows_others = not self._is_first
         self._status = 0
@@ -344,6 +307,10 @@
                 timeout_s * _KEEP_ALIVE_SHARE, _MIN_KEEP_ALIVE_S
             )
 
+    def _abort_exchange(self, detail: str) -> None:
+        self._fail_exchange(detail)
+        self.close()
+
     def _fail_exchange(self, detail: str) -> None:
         if self._fut is not None and not self._fut.done():
             self._fut.set_exception(ExchangeError(detail, sent=True))
