Check the newest process after a lost connection

A loss while a check was due left the check with the earlier process; the state ignored its result, as it was that of another start. An answer that is not remembered any more is not told.

--- a/src/burdockgap/forward/attempts.py
+++ b/src/burdockgap/forward/attempts.py
@@ -127,7 +127,7 @@
         )
         left_s = self._crashes.blocked_for_s(call)
         if left_s > 0:
-            return self._refuse_quarantined(progress, left_s)
+            return self._refuse_quarantined(progress, left_s, deadline)
         last = Outcome(Verdict.NOT_RUN, reason=Reason.NO_OWNER)
         give_up_at = deadline
         if not nested:
@@ -232,13 +232,13 @@
         return outcome
 
     def _refuse_quarantined(
-        self, progress: Progress, left_s: float
+        self, progress: Progress, left_s: float, deadline: float
     ) -> Response:
         outcome = Outcome(
             Verdict.NOT_RUN, reason=Reason.QUARANTINED, retry_after_s=left_s
         )
         progress.note_attempt(self._roster.own.name, outcome)
-        return failure_response(progress, outcome, left_s)
+        return self._fail(progress, outcome, deadline)
 
     def _fail(
         self, progress: Progress, last: Outcome, deadline: float
--- a/src/burdockgap/forward/end_detector.py
+++ b/src/burdockgap/forward/end_detector.py
@@ -26,11 +26,11 @@
     :param state: the target's state.
     """
 
-    __slots__ = ("_is_due", "_state", "_task")
+    __slots__ = ("_due", "_state", "_task")
 
     def __init__(self, state: TargetState) -> None:
         self._state = state
-        self._is_due = False
+        self._due: tuple[ClientPool, int] | None = None
         self._task: asyncio.Task[None] | None = None
 
     def connection_lost(self, pool: ClientPool, born: int) -> None:
@@ -40,13 +40,14 @@
         :param pool: connections to the target's address.
         :param born: start time of the process.
         """
-        self._is_due = True
+        self._due = (pool, born)
         if self._task is None or self._task.done():
-            self._task = asyncio.create_task(self._check(pool, born))
+            self._task = asyncio.create_task(self._check())
 
-    async def _check(self, pool: ClientPool, born: int) -> None:
-        while self._is_due:
-            self._is_due = False
+    async def _check(self) -> None:
+        while self._due is not None:
+            pool, born = self._due
+            self._due = None
             await asyncio.sleep(_DELAY_S)
             try:
                 # It stays in the pool for the next request.
--- a/src/burdockgap/forward/suspect_book.py
+++ b/src/burdockgap/forward/suspect_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import msgpack
@@ -108,9 +109,17 @@
         ]
         return [values for values in exports if values[1]]
 
-    def export_answer(self, service: str, fingerprint: int) -> list[Any]:
-        """Return for :meth:`merge` that a request was answered."""
+    def export_answer(
+        self, service: str, fingerprint: int
+    ) -> list[Any] | None:
+        """
+        Return for :meth:`merge` that a request was answered.
+
+        :return: ``None`` if that is not known any more.
+        """
         age_s = self._of(service).answered_age_s(fingerprint)
+        if math.isinf(age_s):
+            return None
         return [service, [[fingerprint, [], age_s]]]
 
     def merge(self, values: list[Any]) -> MergedSuspects:
--- a/src/burdockgap/sidecar/suspect_exchange.py
+++ b/src/burdockgap/sidecar/suspect_exchange.py
@@ -115,7 +115,10 @@
 
     def _tell_answer(self, service: str, fingerprint: int) -> None:
         del self._pending_answers[service, fingerprint]
+        answer = self._suspects.export_answer(service, fingerprint)
+        if answer is None:
+            return
         self._on_event(
             "suspect_cleared", {"service": service, "request": fingerprint}
         )
-        self._broadcast(self._suspects.export_answer(service, fingerprint))
+        self._broadcast(answer)
--- a/tests/forward/test_suspect_book.py
+++ b/tests/forward/test_suspect_book.py
@@ -95,6 +95,10 @@
     assert make_book(clock, crashes=1).export_quarantined() == []
 
 
+def test_unknown_answer_is_not_told(clock):
+    assert make_book(clock).export_answer(SERVICE, REQUEST) is None
+
+
 def test_old_answer_clears_nothing(clock):
     answering = make_book(clock)
     answering.answered(SERVICE, REQUEST)
