Read all records of daemons with one call at their start

Change: they are records beside those of departures, in the same topic, and are read by the same call.

--- a/src/burdockgap/sidecar/departure_store.py
+++ b/src/burdockgap/sidecar/departure_store.py
@@ -12,8 +12,6 @@
     from burdockgap.forward.departures import Departures
     from burdockgap.metadata.keyed_store import KeyedStore
 
-_TOPIC = "keyed.burdockgap-departures"
-
 
 class DepartureStore:
     """
@@ -30,7 +28,8 @@
     :param on_event: logs an event with its fields.
     :param on_read: called when the departures of an earlier run were
         read, or peers have to do in their place.
-    :ivar loaded: whether that was called.
+    :param on_records: called with all records that were read, by key.
+    :ivar loaded: whether ``on_read`` was called.
     """
 
     __slots__ = (
@@ -39,6 +38,7 @@
         "_name",
         "_on_event",
         "_on_read",
+        "_on_records",
         "_record",
         "_store",
         "loaded",
@@ -53,6 +53,7 @@
         knows_peers: Callable[[], bool],
         on_event: Callable[[str, dict[str, object]], None],
         on_read: Callable[[], None],
+        on_records: Callable[[dict[str, bytes]], None],
     ) -> None:
         self._store = store
         self._departures = departures
@@ -60,10 +61,10 @@
         self._name = name
         self._on_event = on_event
         self._on_read = on_read
+        self._on_records = on_records
         self._record = StoredRecord(
             store=store,
-            topic=_TOPIC,
-            name=name,
+            key=name,
             encode=departures.encode,
             on_failure=lambda why: on_event(
                 "departures_unwritten", {"why": why}
@@ -92,7 +93,7 @@
             self._record.write_again()
 
     async def _load(self) -> None:
-        records = await read_records(self._store, _TOPIC, self._note_unread)
+        records = await read_records(self._store, self._note_unread)
         stored = records.get(self._name)
         if stored:
             try:
@@ -100,6 +101,7 @@
             except ValueError as exc:
                 self._on_event("departures_unread", {"why": str(exc)})
         self._set_loaded()
+        self._on_records(records)
 
     def _note_unread(self, why: str) -> None:
         self._on_event("departures_unread", {"why": why})
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -196,6 +196,7 @@
             knows_peers=lambda: len(self.roster.live()) > 1,
             on_event=self.event_log.write,
             on_read=lambda: self.heartbeats.departures_read(),
+            on_records=lambda records: self.crashes.store.adopt(records),
         )
         self.target = TargetState(
             drain_s=self.cfg.drain_s - _DRAIN_MARGIN_S,
--- a/src/burdockgap/sidecar/stored_record.py
+++ b/src/burdockgap/sidecar/stored_record.py
@@ -13,6 +13,8 @@
 
     from burdockgap.metadata.keyed_store import KeyedStore
 
+_TOPIC = "keyed.burdockgap-departures"
+"""All records are in one topic, so that one call reads them."""
 _RETRY_DELAY_S = 0.3
 
 
@@ -21,8 +23,7 @@
     Writes a record each time it has changed, until the store has it.
 
     :param store: the platform's store.
-    :param topic: the topic of the record.
-    :param name: name of this daemon, the record's key.
+    :param key: the record's key.
     :param encode: returns the record as bytes.
     :param on_failure: called with the cause when a write has failed.
     """
@@ -30,28 +31,25 @@
     __slots__ = (
         "_changed",
         "_encode",
-        "_name",
+        "_key",
         "_on_failure",
         "_revision",
         "_rewrites",
         "_saved",
         "_saved_revision",
         "_store",
-        "_topic",
     )
 
     def __init__(
         self,
         *,
         store: KeyedStore,
-        topic: str,
-        name: str,
+        key: str,
         encode: Callable[[], bytes],
         on_failure: Callable[[str], None],
     ) -> None:
         self._store = store
-        self._topic = topic
-        self._name = name
+        self._key = key
         self._encode = encode
         self._on_failure = on_failure
         self._changed = asyncio.Event()
@@ -100,7 +98,7 @@
     async def _save(self, revision: int) -> None:
         data, rewrites = self._encode(), self._rewrites
         try:
-            await self._store.put(self._topic, self._name, data)
+            await self._store.put(_TOPIC, self._key, data)
         except StoreError as exc:
             self._on_failure(str(exc))
             await _pause_before_retry()
@@ -113,16 +111,16 @@
 
 
 async def read_records(
-    store: KeyedStore, topic: str, on_failure: Callable[[str], None]
+    store: KeyedStore, on_failure: Callable[[str], None]
 ) -> dict[str, bytes]:
     """
-    Return the records of all daemons, once the store answers.
+    Return the records of all daemons by key, once the store answers.
 
     :param on_failure: called with the cause of each failed attempt.
     """
     while True:
         try:
-            return (await store.newest(topic)).values
+            return (await store.newest(_TOPIC)).values
         except StoreError as exc:
             on_failure(str(exc))
         await _pause_before_retry()
--- a/src/burdockgap/sidecar/suspect_store.py
+++ b/src/burdockgap/sidecar/suspect_store.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
-from burdockgap.sidecar.stored_record import StoredRecord, read_records
+from burdockgap.sidecar.stored_record import StoredRecord
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -12,7 +13,7 @@
     from burdockgap.forward.suspect_book import SuspectBook
     from burdockgap.metadata.keyed_store import KeyedStore
 
-_TOPIC = "keyed.burdockgap-suspects"
+_KEY_PREFIX = "suspects/"
 
 
 class SuspectStore:
@@ -23,12 +24,12 @@
     suspects are not stored; one more crash makes them known again.
 
     :param store: the platform's store.
-    :param name: name of this daemon, the key of its record.
+    :param name: name of this daemon, part of its record's key.
     :param suspects: the requests suspected of crashing targets.
     :param on_event: logs an event with its fields.
     """
 
-    __slots__ = ("_name", "_on_event", "_record", "_store", "_suspects")
+    __slots__ = ("_key", "_on_event", "_read", "_record", "_suspects")
 
     def __init__(
         self,
@@ -38,14 +39,13 @@
         suspects: SuspectBook,
         on_event: Callable[[str, dict[str, object]], None],
     ) -> None:
-        self._store = store
-        self._name = name
+        self._key = _KEY_PREFIX + name
+        self._read = asyncio.Event()
         self._suspects = suspects
         self._on_event = on_event
         self._record = StoredRecord(
             store=store,
-            topic=_TOPIC,
-            name=name,
+            key=self._key,
             encode=suspects.encode_own,
             on_failure=lambda why: on_event(
                 "suspects_unwritten", {"why": why}
@@ -54,24 +54,24 @@
         suspects.on_own_change = self._record.changed
 
     async def run(self) -> None:
-        """Read all records once, then write each change."""
-        await self._load()
+        """Write each change, once earlier records were read."""
+        await self._read.wait()
         await self._record.run()
 
-    def write_again(self) -> None:
-        """Write the record again after the store has lost writes."""
-        if self._suspects.has_own:
-            self._record.write_again()
-
-    async def _load(self) -> None:
-        records = await read_records(self._store, _TOPIC, self._note_unread)
-        for name, data in records.items():
+    def adopt(self, records: dict[str, bytes]) -> None:
+        """Add the suspects in the records of all daemons, by key."""
+        for key, data in records.items():
+            if not key.startswith(_KEY_PREFIX):
+                continue
             try:
-                self._suspects.merge_stored(data, own=name == self._name)
+                self._suspects.merge_stored(data, own=key == self._key)
             except ValueError as exc:
                 self._on_event(
-                    "suspects_unread", {"member": name, "why": str(exc)}
+                    "suspects_unread", {"key": key, "why": str(exc)}
                 )
+        self._read.set()
 
-    def _note_unread(self, why: str) -> None:
-        self._on_event("suspects_unread", {"why": why})
+    def write_again(self) -> None:
+        """Write the record again after the store has lost writes."""
+        if self._suspects.has_own:
+            self._record.write_again()
