Try requests of the same crashes again soon

Callers: a request that most callers send was refused for 60 s everywhere, with the one that had crashed two servers while it was running there.

Cause: of several requests that were running at the same crashes, each was taken for the one that caused them. Refusals hold at all daemons since, so nothing could show that it is sound.

Change: a request whose crashes another suspect explains as well is first refused for 2 s and then sent to one server. The next response or crash tells them apart: an answered one is cleared, and then the other's quarantine is that of 60 s again. The older path is as before.

The two tests are of the new parameter; test_requests_of_the_same_crashes_ are_tried_again_soon fails with 60 s.

--- a/src/burdockgap/forward/suspect_book.py
+++ b/src/burdockgap/forward/suspect_book.py
@@ -21,6 +21,9 @@
 _MAX_SERVICES = 256
 _GROWTH = 4.0
 """Factor per further crash, as some callers never stop sending."""
+_SHARED_QUARANTINE_S = 2.0
+"""Of several requests that were running at the same crashes, most are
+sound. The next response or crash tells them apart."""
 
 
 class SuspectBook:
@@ -208,7 +211,10 @@
                     f"suspects of more than {_MAX_SERVICES} services"
                 )
             quarantine = Quarantine(
-                service=service, clock=self._clock, growth=_GROWTH
+                service=service,
+                clock=self._clock,
+                growth=_GROWTH,
+                shared_s=_SHARED_QUARANTINE_S,
             )
             self._quarantines[service] = quarantine
         return quarantine
--- a/src/burdockgap/gate/quarantine.py
+++ b/src/burdockgap/gate/quarantine.py
@@ -45,6 +45,8 @@
     :param clock: the time source.
     :param growth: factor by which each crash after the second one
         prolongs the quarantine.
+    :param shared_s: duration of the first quarantine of a fingerprint
+        whose crashes another suspect explains as well, in seconds.
     """
 
     __slots__ = (
@@ -54,14 +56,21 @@
         "_crashes",
         "_growth",
         "_last_crash_at",
+        "_shared_s",
         "service",
     )
 
     def __init__(
-        self, *, service: str, clock: Clock, growth: float = 1.0
+        self,
+        *,
+        service: str,
+        clock: Clock,
+        growth: float = 1.0,
+        shared_s: float = _QUARANTINE_S,
     ) -> None:
         self.service = service
         self._growth = growth
+        self._shared_s = shared_s
         self._clock = clock
         self._crashes: dict[int, set[int]] = {}
         self._last_crash_at: dict[int, float] = {}
@@ -229,7 +238,18 @@
         more = len(self._crashes[fingerprint]) - _CRASHES_TO_QUARANTINE
         if more < 0:
             return 0.0
-        return min(_QUARANTINE_S * self._growth**more, _MAX_QUARANTINE_S)
+        is_shared = self._is_explained_by_another(fingerprint)
+        first_s = self._shared_s if is_shared else _QUARANTINE_S
+        return min(first_s * self._growth**more, _MAX_QUARANTINE_S)
+
+    def _is_explained_by_another(self, fingerprint: int) -> bool:
+        """Return whether another suspect was in flight each time."""
+        crashes = self._crashes[fingerprint]
+        return any(
+            others.issuperset(crashes)
+            for other, others in self._crashes.items()
+            if other != fingerprint
+        )
 
     def _evict_expired(self) -> None:
         now = self._clock.now()
--- a/tests/gate/test_quarantine.py
+++ b/tests/gate/test_quarantine.py
@@ -162,3 +162,34 @@
     other = Quarantine(service="records", clock=clock)
     other.merge(quarantine.export())
     assert other.blocks(CRASHING)
+
+
+# RECOVER: a request that most callers send was running whenever another
+# one crashed a server, and was refused for as long as that one.
+def test_requests_of_the_same_crashes_are_tried_again_soon(clock):
+    quarantine = Quarantine(
+        service="records", clock=clock, growth=4.0, shared_s=2.0
+    )
+    quarantine.crashed("boot-1", [CRASHING, HARMLESS, 3])
+    quarantine.crashed("boot-2", [CRASHING, HARMLESS])
+    assert quarantine.blocks(CRASHING)
+    assert quarantine.blocks(HARMLESS)
+    clock.seconds += 2.1
+    assert not quarantine.blocks(HARMLESS)
+    quarantine.answered(HARMLESS)
+    # No other request explains these crashes any more.
+    assert quarantine.blocks(CRASHING)
+    clock.seconds += 59
+    assert not quarantine.blocks(CRASHING)
+
+
+def test_request_of_all_crashes_is_not_tried_soon(clock):
+    quarantine = Quarantine(
+        service="records", clock=clock, growth=4.0, shared_s=2.0
+    )
+    quarantine.crashed("boot-1", [CRASHING, HARMLESS])
+    quarantine.crashed("boot-2", [CRASHING, HARMLESS])
+    quarantine.crashed("boot-3", [CRASHING])
+    clock.seconds += 2.1
+    assert not quarantine.blocks(HARMLESS)
+    assert quarantine.blocks(CRASHING)
