Add case 11: two servers hold the same keys after a late heartbeat

A heartbeat that a partition held up arrives after its server was replaced and the daemon was killed and started again. The coordinator takes the running server for gone and gives its keys to others, which hold them beside it.

--- /dev/null
+++ b/review/11/__init__.py
@@ -0,0 +1,1 @@
+"""Case 11: two servers hold keys after a late heartbeat."""
