--- a/review/11/__init__.py
+++ b/review/11/__init__.py
@@ -1,1 +1,1 @@
-"""Case 11: two servers hold keys after a late heartbeat."""
+"""Case 11: a new server gets keys with the token of the one before."""
