--- a/review/common3/app_server.py
+++ b/review/common3/app_server.py
@@ -111,6 +111,18 @@
             self.beat_at = time.monotonic()
         return response.status if response is not None else None
 
+    async def deregister(self) -> int | None:
+        """Send a DELETE and no more heartbeats; return the status."""
+        for task in self._tasks:
+            task.cancel()
+        data = encode_request(
+            "DELETE",
+            f"/api/instances/{self.name}",
+            {"Host": self.control[0]},
+        )
+        response = await exchange(*self.control, data, timeout_s=1.0)
+        return response.status if response is not None else None
+
     def make_beat(self) -> bytes:
         """Return the next heartbeat."""
         self.sequence += 1
--- a/review/common3/store.py
+++ b/review/common3/store.py
@@ -16,11 +16,16 @@
 
 
 class Store:
-    """Keyed topics with one partition each; loses nothing."""
+    """
+    Keyed topics with one partition each.
+
+    It loses what it has acknowledged only in :meth:`restore`.
+    """
 
     def __init__(self) -> None:
         self._topics: dict[str, list[tuple[bytes, bytes]]] = {}
         self._changed = asyncio.Event()
+        self._era = 1
 
     async def start(self, host: str, port: int) -> asyncio.Server:
         """Listen at an address."""
@@ -37,6 +42,15 @@
         """Append a record as the operator does."""
         self._append(topic, key.encode(), value)
 
+    def copy(self) -> dict[str, list[tuple[bytes, bytes]]]:
+        """Return a copy of all records."""
+        return {topic: list(rows) for topic, rows in self._topics.items()}
+
+    def restore(self, copy: dict[str, list[tuple[bytes, bytes]]]) -> None:
+        """Return from a copy; what was written since is gone."""
+        self._topics = {topic: list(rows) for topic, rows in copy.items()}
+        self._era += 1
+
     def _append(self, topic: str, key: bytes, value: bytes) -> int:
         rows = self._topics.setdefault(topic, [])
         rows.append((key, value))
@@ -54,13 +68,13 @@
             return self._newest(rows, query.get("after", ""))
         if url.path == "/api/log-read":
             return await self._read(rows, query)
-        return _json(404, {})
+        return self._json(404, {})
 
     def _handle_append(self, query: dict[str, str], body: bytes) -> bytes:
         topic = query["topic"]
         end = len(self._topics[topic])
         if "at" in query and int(query["at"]) != end:
-            return _json(412, {"end-offset": end})
+            return self._json(412, {"end-offset": end})
         at = 0
         while at < len(body):
             (size,) = _LENGTH.unpack_from(body, at)
@@ -68,7 +82,7 @@
             at += _LENGTH.size + size
             key_end = 1 + record[0]
             self._append(topic, record[1:key_end], record[key_end:])
-        return _json(
+        return self._json(
             200, {"offset": end, "end-offset": len(self._topics[topic])}
         )
 
@@ -88,7 +102,7 @@
             "has-more": len(items) > _PAGE_ITEMS,
             "end-offset": len(rows),
         }
-        return _json(200, body)
+        return self._json(200, body)
 
     async def _read(
         self, rows: list[tuple[bytes, bytes]], query: dict[str, str]
@@ -105,9 +119,11 @@
         for key, value in rows[start:]:
             record = bytes([len(key)]) + key + value
             data += _LENGTH.pack(len(record)) + record
-        return encode_response(200, {"Store-Era": "1"}, data)
+        return encode_response(200, {"Store-Era": str(self._era)}, data)
 
-
-def _json(status: int, body: object) -> bytes:
-    headers = {"Content-Type": "application/json", "Store-Era": "1"}
-    return encode_response(status, headers, json.dumps(body).encode())
+    def _json(self, status: int, body: object) -> bytes:
+        headers = {
+            "Content-Type": "application/json",
+            "Store-Era": str(self._era),
+        }
+        return encode_response(status, headers, json.dumps(body).encode())
