--- a/review/common3/site.py
+++ b/review/common3/site.py
@@ -379,16 +379,19 @@
 
 
 def run_case(
-    folder: Path, case: Callable[[Record, bool], Awaitable[int]]
+    folder: Path,
+    case: Callable[[Record, bool], Awaitable[int]],
+    *,
+    trouble: bool,
 ) -> None:
     """
     Run a case and exit with its result.
 
     :param folder: the case's folder, which receives the record.
     :param case: gets the record and whether the disruption is wanted.
+    :param trouble: whether it is.
     """
     record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("case", folder=folder.name, trouble=int(trouble))
     if not (ROOT / "target/deps/burdockgap").is_dir():
         record.write("unable", why="target/deps is missing; build first")
