Log the connections over which a target is watched and granted keys

Adds the events target_connection (opened, replaced, lost) and grant_connection (a grant needs a new connection).

--- a/src/burdockgap/shards/grant_client.py
+++ b/src/burdockgap/shards/grant_client.py
@@ -11,6 +11,8 @@
 from burdockgap.shards.target_watch import TargetWatch
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.forward.target_protocol import TargetProtocol
     from burdockgap.forward.target_state import TargetState
     from burdockgap.shards.shard import Shard
@@ -27,9 +29,11 @@
 
     :param state: state of the target.
     :param protocol: encodes and decodes the target's messages.
+    :param on_event: logs changes of the connections to the target.
     """
 
     __slots__ = (
+        "_on_event",
         "_pool",
         "_protocol",
         "_state",
@@ -37,11 +41,18 @@
     )
 
     def __init__(
-        self, *, state: TargetState, protocol: TargetProtocol
+        self,
+        *,
+        state: TargetState,
+        protocol: TargetProtocol,
+        on_event: Callable[[str, dict[str, object]], None] = (
+            lambda _event, _fields: None
+        ),
     ) -> None:
         self._state = state
         self._protocol = protocol
-        self._watch = TargetWatch(state)
+        self._on_event = on_event
+        self._watch = TargetWatch(state, on_event)
         self._pool: ClientPool | None = None
 
     def may_grant(self) -> bool:
@@ -79,6 +90,11 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 pool = self._target_pool()
+                if not pool.has_idle:
+                    self._on_event(
+                        "grant_connection",
+                        {"fence": shard.fence, "born": shard.born},
+                    )
                 await pool.connect()
                 # A new connection may lead to a new process, which may
                 # have announced itself meanwhile.
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -90,7 +90,9 @@
         self._clock = clock
         self.lease = lease
         self._state = state
-        self._grant_client = GrantClient(state=state, protocol=protocol)
+        self._grant_client = GrantClient(
+            state=state, protocol=protocol, on_event=on_event
+        )
         self._release = release
         self._on_event = on_event
         self._holdings: list[Holding] = []
--- a/src/burdockgap/shards/target_watch.py
+++ b/src/burdockgap/shards/target_watch.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, cast
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.forward.target_state import TargetState
 
 _STEP_INTERVAL_S = 0.1
@@ -66,6 +68,7 @@
     ones.
 
     :param state: state of the target.
+    :param on_event: logs changes of the connection.
     """
 
     __slots__ = (
@@ -73,14 +76,22 @@
         "_conn",
         "_loop",
         "_lost_born",
+        "_on_event",
         "_replace_after_s",
         "_since",
         "_state",
     )
 
-    def __init__(self, state: TargetState) -> None:
+    def __init__(
+        self,
+        state: TargetState,
+        on_event: Callable[[str, dict[str, object]], None] = (
+            lambda _event, _fields: None
+        ),
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = state
+        self._on_event = on_event
         self._address: tuple[str, int] | None = None
         self._conn: _WatchConnection | None = None
         self._lost_born = 0
@@ -126,6 +137,7 @@
         if conn is not None and conn.lost:
             self._lost_born = info.born
             age_s = now - conn.opened_at
+            self._log("lost", age=round(age_s, 3))
             if age_s < _REPLACE_AFTER_S:
                 # The target may close idle connections early.
                 self._replace_after_s = max(age_s / 2, _MIN_REPLACE_AFTER_S)
@@ -145,6 +157,9 @@
         old, self._conn = self._conn, conn
         if old is None or old.lost:
             self._since = opened_at
+            self._log("opened")
+        else:
+            self._log("replaced", age=round(opened_at - old.opened_at, 3))
         if old is not None:
             old.close()
 
@@ -153,3 +168,8 @@
             self._lost_born = self._state.info.born if self._state.info else 0
             self._conn.close()
         self._conn = None
+
+    def _log(self, change: str, **fields: object) -> None:
+        info = self._state.info
+        fields.update(change=change, born=info.born if info else 0)
+        self._on_event("target_connection", fields)
