Send each fencing token to one process of a server

A server goes dark and another process starts at its address. Before its first heartbeat it was granted the keys of the process before with the same fencing token, so that a delayed request or write of that process could not be told from a current one.

Cause: a connection was taken as proof of who is at its end. Grants went over a pool of connections, and an open watched connection counted as proof that the process before still listened. A machine without power closes nothing, so that connection was silent and open while new ones led to the next process. A late heartbeat counted as proof as well.

Change: grants go over two connections of which it is known to which process they lead (burdockgap.incarnations, pure). A connection leads to one process while it is open, a process was alive when it read a request that it answered, and two processes do not listen at one address at the same time; overlapping lives are one process. A token is sent to one process only. If nothing shows that the process is the same, the daemon asks for another token, by the way that rejected tokens took; Report.rejected is now Report.unusable. Keys that a process may have got before it announced itself are released, and its daemon reports its server as unknown until then, so that nobody else gets them.

Two announcements at the usual interval are no longer enough for a used token after lost connections, as both may be late; the tests now demand another token.

--- a/src/burdockgap/forward/target_state.py
+++ b/src/burdockgap/forward/target_state.py
@@ -63,7 +63,7 @@
         "_drain_s",
         "_cold_bucket",
         "_announced_at",
-        "_previous_announced_at",
+        "_first_announced_at",
         "_loop",
         "_on_change",
         "_on_event",
@@ -94,7 +94,7 @@
         self._on_change = on_change
         self._on_event = on_event
         self._announced_at = 0.0
-        self._previous_announced_at = 0.0
+        self._first_announced_at = 0.0
         self._responded_at = 0.0
         self.info: TargetInfo | None = None
         self._drain_s = drain_s
@@ -146,13 +146,9 @@
         return self._announced_at
 
     @property
-    def previous_announced_at(self) -> float:
-        """
-        Time of the announcement before the last, of the same process.
-
-        On the event loop's clock; 0.0 if there was none.
-        """
-        return self._previous_announced_at
+    def first_announced_at(self) -> float:
+        """Time of the first announcement of its process, likewise."""
+        return self._first_announced_at
 
     def admit_request(self) -> bool:
         """
@@ -191,19 +187,11 @@
             changed = changed or info.draining != previous.draining
             info.draining = info.draining or previous.draining
         self.info = info
-        self._previous_announced_at = (
-            0.0 if is_new_process else self._announced_at
-        )
         self._announced_at = now
         self.up = True
         self.ended = False
         if is_new_process:
-            self.left = False
-            self.drain_deadline = math.inf
-            self._cold_bucket, self._cold_until = None, 0.0
-            self.limit.change(None, now)
-            self._has_notice = False
-            self._leaving_at = None
+            self._begin_process(now)
         if is_new_process and self._departures.includes(info):
             # How long ago it said so is not known after a restart.
             self._note_leaving(now - self._drain_s)
@@ -342,6 +330,16 @@
             )
             self._on_change()
 
+    def _begin_process(self, now: float) -> None:
+        """Forget what an earlier process had said."""
+        self._first_announced_at = now
+        self.left = False
+        self.drain_deadline = math.inf
+        self._cold_bucket, self._cold_until = None, 0.0
+        self.limit.change(None, now)
+        self._has_notice = False
+        self._leaving_at = None
+
     def _change_limit(self, rate: float | None) -> None:
         if rate == self.limit.named_rate:
             return
--- /dev/null
+++ b/src/burdockgap/incarnations/__init__.py
@@ -0,0 +1,4 @@
+"""Which process of a target is at the end of a connection.
+
+Pure decisions, without network or clock; times come in as arguments.
+"""
--- a/src/burdockgap/shards/assigner.py
+++ b/src/burdockgap/shards/assigner.py
@@ -124,8 +124,8 @@
         reasons = []
         if self._drop_previous_holders(state, service, now, dropped_names):
             reasons.append("cleared")
-        if self._replace_rejected(state, service):
-            reasons.append("rejected")
+        if self._replace_unusable_tokens(state, service):
+            reasons.append("token")
         return reasons
 
     def _waits_for_servers(
@@ -142,12 +142,14 @@
         }
         return not known <= set(servers) and waited_s < _MAX_TARGET_WAIT_S
 
-    def _replace_rejected(self, state: ControlState, service: str) -> bool:
-        """Replace fencing tokens that a target rejected as too low."""
+    def _replace_unusable_tokens(
+        self, state: ControlState, service: str
+    ) -> bool:
+        """Replace fencing tokens that can't be granted any more."""
         changed = False
         rows: list[Shard] = []
         for shard in state.shards.get(service, []):
-            if self._reports.is_rejected(shard):
+            if self._reports.is_token_unusable(shard):
                 shard = shard.subrange(shard.first, shard.last)
                 shard.fence = state.allocate_fence()
                 changed = True
--- a/src/burdockgap/shards/latest_reports.py
+++ b/src/burdockgap/shards/latest_reports.py
@@ -128,8 +128,8 @@
             for first, last, _fence in report.pending
         )
 
-    def is_rejected(self, shard: Shard) -> bool:
-        """Return whether the owner's target rejected the token."""
+    def is_token_unusable(self, shard: Shard) -> bool:
+        """Return whether the owner needs a higher fencing token."""
         report = self._reports.get(shard.owner)
         if report is None or report.born != shard.born:
             return False
@@ -137,5 +137,5 @@
             fence == shard.fence
             and first <= shard.last
             and shard.first <= last
-            for first, last, fence in report.rejected
+            for first, last, fence in report.unusable
         )
--- a/src/burdockgap/shards/reporter.py
+++ b/src/burdockgap/shards/reporter.py
@@ -195,6 +195,7 @@
             return
         holder = self._holder()
         seen, keys = holder.samples.take() if holder else (0, [])
+        is_awaited = holder is not None and holder.may_be_held_by_successor
         report = Report(
             name=self._roster.own.name,
             incarnation=self._roster.own.incarnation,
@@ -203,11 +204,12 @@
             revision=state.revision if holder else 0,
             sent_at=now,
             echo=self._echo,
-            born=self._reported_born(),
+            born=TARGET_UNKNOWN if is_awaited else self._reported_born(),
             takes_work=self._target.takes_work
-            and not self._roster.own.leaving,
+            and not self._roster.own.leaving
+            and not is_awaited,
             pending=holder.pending if holder else [],
-            rejected=holder.rejected if holder else [],
+            unusable=holder.unusable if holder else [],
             seen=seen,
             keys=keys,
             load=self._load(),
--- a/src/burdockgap/shards/reports.py
+++ b/src/burdockgap/shards/reports.py
@@ -29,8 +29,8 @@
     :param takes_work: whether the target accepts new requests.
     :param pending: ranges that not all earlier holders have released,
         as first key, last key and fencing token.
-    :param rejected: ranges whose fencing token was too low, in the same
-        form.
+    :param unusable: ranges that need a higher fencing token, in the
+        same form.
     :param seen: number of requests with keys since the previous report.
     :param keys: a sample of their keys.
     :param load: the target's load.
@@ -44,7 +44,7 @@
         "load",
         "name",
         "pending",
-        "rejected",
+        "unusable",
         "revision",
         "seen",
         "sent_at",
@@ -64,7 +64,7 @@
         born: int,
         takes_work: bool,
         pending: list[list[int]],
-        rejected: list[list[int]],
+        unusable: list[list[int]],
         seen: int,
         keys: list[int],
         load: Load,
@@ -78,7 +78,7 @@
         self.born = born
         self.takes_work = takes_work
         self.pending = pending
-        self.rejected = rejected
+        self.unusable = unusable
         self.seen = seen
         self.keys = keys
         self.load = load
@@ -95,7 +95,7 @@
             self.born,
             self.takes_work,
             self.pending,
-            self.rejected,
+            self.unusable,
             self.seen,
             self.keys,
             self.load.encode(),
@@ -118,7 +118,7 @@
             born,
             takes_work,
             pending,
-            rejected,
+            unusable,
             seen,
             keys,
             load,
@@ -133,7 +133,7 @@
             born=born,
             takes_work=takes_work,
             pending=pending,
-            rejected=rejected,
+            unusable=unusable,
             seen=seen,
             keys=keys,
             load=Load.decode(load),
--- a/src/burdockgap/shards/shard.py
+++ b/src/burdockgap/shards/shard.py
@@ -44,6 +44,10 @@
         """Number of keys."""
         return self.last - self.first + 1
 
+    def overlaps(self, first: int, last: int) -> bool:
+        """Return whether a range of keys has keys of this one."""
+        return self.first <= last and first <= self.last
+
     def can_merge_with(self, other: Shard) -> bool:
         """
         Return whether two adjacent ranges may be merged.
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -8,9 +8,10 @@
 from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.shards.grant_client import CALL_TIMEOUT_S, GrantClient
-from burdockgap.shards.holding import Holding
+from burdockgap.shards.holding import Holding, carry_over
 from burdockgap.shards.key_samples import KeySamples
 from burdockgap.shards.lease import CLOCK_RATE, LEASE_S, MARGIN_S, Lease
+from burdockgap.shards.revocations import Revocations
 from burdockgap.verdict import Reason, Refusal, Verdict
 
 if TYPE_CHECKING:
@@ -30,7 +31,6 @@
 two retries of a lost renewal."""
 _RELEASE_RETRY_S = 0.15
 _GRANT_POLL_INTERVAL_S = 0.01
-_MAX_REVOCATIONS = 256
 _OK = 200
 _CONFLICT = 409
 
@@ -63,7 +63,7 @@
         "_name",
         "_on_event",
         "_release",
-        "_revoked",
+        "_revocations",
         "_started_at",
         "_state",
         "_tasks",
@@ -97,7 +97,7 @@
         self._on_event = on_event
         self._holdings: list[Holding] = []
         self._former_holdings: list[Holding] = []
-        self._revoked: list[tuple[int, int, int]] = []
+        self._revocations = Revocations()
         self._grant_task: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
         self._started_at = clock.now()
@@ -118,18 +118,31 @@
         ]
 
     @property
-    def rejected(self) -> list[list[int]]:
+    def unusable(self) -> list[list[int]]:
         """
-        Ranges whose fencing token the target rejected as too low.
+        Ranges that need a higher fencing token.
 
-        Each is a list of first key, last key and fencing token.
+        The target rejected theirs as too low, or another process may
+        have had it. Each is a list of first key, last key and fencing
+        token.
         """
         return [
             [holding.shard.first, holding.shard.last, holding.shard.fence]
             for holding in self._holdings
             if holding.rejected
+            or self._grant_client.is_token_used_up(holding.shard.fence)
         ]
 
+    @property
+    def may_be_held_by_successor(self) -> bool:
+        """
+        Whether a new process may hold ranges of the one before it.
+
+        It may have been granted them before it announced itself. Nobody
+        else may be assigned them until these grants have expired.
+        """
+        return bool(self._held_by_successor())
+
     @property
     def held_key_count(self) -> int:
         """Number of keys that the target holds now."""
@@ -148,7 +161,7 @@
         for shard in state.shards.get(self.service, []):
             if shard.owner != self._name or shard.born != born or not born:
                 continue
-            after.append(self._carry_over(shard, before))
+            after.append(carry_over(shard, before))
         kept = {id(holding) for holding in after}
         now = self._clock.now()
         for holding in before:
@@ -156,6 +169,7 @@
                 continue
             if holding.takeover_task is not None:
                 holding.takeover_task.cancel()
+                holding.takeover_task = None
             self._former_holdings.append(holding)
         self._former_holdings = [
             holding
@@ -163,6 +177,16 @@
             if holding.may_be_held(now)
         ]
         self._holdings = after
+        self._grant_client.retain_tokens(
+            [
+                *(
+                    shard.fence
+                    for shard in state.shards.get(self.service, [])
+                    if shard.owner == self._name
+                ),
+                *(holding.shard.fence for holding in self._former_holdings),
+            ]
+        )
         self._notify_waiters()
 
     def check(self, key: int) -> None:
@@ -172,7 +196,9 @@
         :raises Refusal: with ``not-run`` if that is not certain.
         """
         holding = self._find_holding(key)
-        if holding is None or self._is_key_revoked(key, holding.shard.fence):
+        if holding is None or self._revocations.include_key(
+            key, holding.shard.fence
+        ):
             raise Refusal(Verdict.NOT_RUN, Reason.NOT_OWNER)
         if holding.granted and holding.hold_until > self._clock.now():
             return
@@ -212,7 +238,9 @@
         :param fence: the fencing token under which it was held.
         :return: the target's handover, "" if there is none.
         """
-        self._revoke(first, last, fence)
+        self._revocations.add(
+            first, last, fence, [holding.shard for holding in self._holdings]
+        )
         while any(
             holding.granting for holding in self._overlapping(first, last)
         ):
@@ -243,7 +271,7 @@
 
     async def run(self) -> None:
         """Take over, grant and renew ranges until cancelled."""
-        watch = self._loop.create_task(self._grant_client.watch_target())
+        links = self._loop.create_task(self._grant_client.maintain_links())
         try:
             while True:
                 changed = self._changed
@@ -254,14 +282,12 @@
                 except TimeoutError:
                     continue
         finally:
-            watch.cancel()
+            links.cancel()
 
     def _step(self) -> None:
-        for holding in self._holdings:
-            if not holding.cleared and holding.takeover_task is None:
-                holding.takeover_task = self._spawn(self._take_over(holding))
+        self._start_takeovers()
         hold_s = self.lease.hold_s()
-        if hold_s <= MARGIN_S or not self._grant_client.may_grant():
+        if hold_s <= MARGIN_S:
             return
         now = self._clock.now()
         holdings: list[Holding] = []
@@ -273,22 +299,33 @@
                 due
                 and extends
                 and is_idle
-                and not self._is_holding_revoked(holding)
+                and not self._revocations.include(holding.shard)
+                and self._grant_client.may_grant(holding.shard)
             ):
                 holdings.append(holding)
         # Sequential, because a server refuses many connections at once.
         if holdings and (self._grant_task is None or self._grant_task.done()):
             self._grant_task = self._spawn(self._grant_all(holdings))
 
+    def _start_takeovers(self) -> None:
+        for holding in self._holdings:
+            if not holding.cleared and holding.takeover_task is None:
+                holding.takeover_task = self._spawn(self._take_over(holding))
+        for holding in self._held_by_successor():
+            if holding.takeover_task is None:
+                holding.takeover_task = self._spawn(
+                    self._release_from_successor(holding)
+                )
+
     async def _grant_all(self, holdings: list[Holding]) -> None:
         for holding in holdings:
             hold_s = self.lease.hold_s()
-            if not self._grant_client.may_grant():
-                return
-            if hold_s <= MARGIN_S or self._is_holding_revoked(holding):
+            if hold_s <= MARGIN_S or self._revocations.include(holding.shard):
                 continue
             if holding not in self._holdings:
                 continue
+            if not self._grant_client.may_grant(holding.shard):
+                continue
             if not await self._grant(holding, hold_s):
                 return
 
@@ -355,6 +392,24 @@
         holding.cleared = True
         self._notify_waiters()
 
+    def _held_by_successor(self) -> list[Holding]:
+        """Return what a new process may hold in place of another."""
+        now, born = self._clock.now(), self._state.born
+        if not born:
+            return []
+        return [
+            holding
+            for holding in [*self._holdings, *self._former_holdings]
+            if holding.shard.born != born
+            and holding.may_be_held(now)
+            and self._grant_client.may_be_held_by_another(holding.shard)
+        ]
+
+    async def _release_from_successor(self, holding: Holding) -> None:
+        shard = holding.shard
+        await self.release_range(shard.first, shard.last, shard.fence)
+        holding.expire()
+
     async def _request_release(
         self, name: str, shard: Shard, fence: int
     ) -> str | None:
@@ -377,7 +432,7 @@
         return [
             holding
             for holding in [*self._holdings, *self._former_holdings]
-            if _overlaps(holding.shard, first, last)
+            if holding.shard.overlaps(first, last)
         ]
 
     def _unanswered_until(self, first: int, last: int) -> float:
@@ -396,80 +451,12 @@
         ]
         return max([*until, self._started_at + LEASE_S]) + MARGIN_S
 
-    def _carry_over(self, shard: Shard, before: list[Holding]) -> Holding:
-        """
-        Return the holding of an assigned range.
-
-        An unchanged range keeps its holding. A split or merged range
-        inherits the state of the earlier holdings that cover it.
-        """
-        parts = []
-        for holding in before:
-            is_predecessor = (
-                holding.shard.born == shard.born
-                and holding.shard.fence <= shard.fence
-                and _overlaps(holding.shard, shard.first, shard.last)
-            )
-            if not is_predecessor:
-                continue
-            is_equal = (
-                holding.shard.first == shard.first
-                and holding.shard.last == shard.last
-                and holding.shard.fence == shard.fence
-            )
-            if is_equal:
-                holding.shard = shard
-                if not shard.previous and not holding.cleared:
-                    holding.cleared = True
-                return holding
-            parts.append(holding)
-        new_holding = Holding(shard)
-        fences = {part.shard.fence for part in parts}
-        if _covers(parts, shard) and (
-            fences == {shard.fence} or not shard.previous
-        ):
-            new_holding.inherit(parts)
-            new_holding.cleared = new_holding.cleared or not shard.previous
-        return new_holding
-
     def _find_holding(self, key: int) -> Holding | None:
         for holding in self._holdings:
             if holding.shard.first <= key <= holding.shard.last:
                 return holding
         return None
 
-    def _revoke(self, first: int, last: int, fence: int) -> None:
-        """
-        Grant nothing of a range again up to a fencing token.
-
-        One of a current holding is kept also beyond
-        :data:`_MAX_REVOCATIONS`, as a lease may be extended before the
-        assignment that takes the range away is known here.
-        """
-        self._revoked.append((first, last, fence))
-        old = self._revoked[:-_MAX_REVOCATIONS]
-        if old:
-            self._revoked[: len(old)] = [
-                revocation
-                for revocation in old
-                if any(
-                    _is_revoked(holding.shard, *revocation)
-                    for holding in self._holdings
-                )
-            ]
-
-    def _is_holding_revoked(self, holding: Holding) -> bool:
-        return any(
-            _is_revoked(holding.shard, *revocation)
-            for revocation in self._revoked
-        )
-
-    def _is_key_revoked(self, key: int, fence: int) -> bool:
-        return any(
-            first <= key <= last and fence <= token
-            for first, last, token in self._revoked
-        )
-
     def _notify_waiters(self) -> None:
         """Wake all tasks that wait for a change."""
         changed, self._changed = self._changed, asyncio.Event()
@@ -495,21 +482,3 @@
             lease_s=round(self.lease.hold_s(), 3),
         )
         self._on_event(event, fields)
-
-
-def _covers(parts: list[Holding], shard: Shard) -> bool:
-    """Return whether parts sorted by key cover a range without gaps."""
-    key = shard.first
-    for part in parts:
-        if part.shard.first > key:
-            return False
-        key = max(key, part.shard.last + 1)
-    return key > shard.last
-
-
-def _overlaps(shard: Shard, first: int, last: int) -> bool:
-    return shard.first <= last and first <= shard.last
-
-
-def _is_revoked(shard: Shard, first: int, last: int, fence: int) -> bool:
-    return _overlaps(shard, first, last) and shard.fence <= fence
--- a/tests/shards/builders.py
+++ b/tests/shards/builders.py
@@ -36,7 +36,7 @@
         "born": 1,
         "takes_work": True,
         "pending": [],
-        "rejected": [],
+        "unusable": [],
         "seen": 0,
         "keys": [],
         "load": Load(slots=6),
--- a/tests/shards/test_coordinator.py
+++ b/tests/shards/test_coordinator.py
@@ -272,14 +272,14 @@
     rows = harness.view.state.shards[SERVICE]
     low = next(row for row in rows if row.owner == "b")
     highest = max(row.fence for row in rows)
-    harness.report("b", rejected=[[low.first, low.last, low.fence]])
+    harness.report("b", unusable=[[low.first, low.last, low.fence]])
     await harness.coordinator._tick()
     rows = harness.view.state.shards[SERVICE]
     again = next(row for row in rows if row.first == low.first)
     assert (again.owner, again.last) == ("b", low.last)
     assert again.fence > highest
     revision = harness.view.state.revision
-    harness.report("b", rejected=[[low.first, low.last, low.fence]])
+    harness.report("b", unusable=[[low.first, low.last, low.fence]])
     await harness.coordinator._tick()
     assert harness.view.state.revision == revision
 
--- a/tests/shards/test_grant_client.py
+++ b/tests/shards/test_grant_client.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
@@ -13,7 +12,8 @@
 from tests.forward.builders import GateHarness
 from tests.http1.sockets import HOST, open_scripted_server, read_head
 from tests.ports import free_port
-from tests.shards.test_shard_holder import make_shard
+from tests.shards.holder_harness import make_shard
+from tests.shards.watched_target import open_target
 from tests.sidecar.builders import make_info
 
 pytestmark = pytest.mark.anyio
@@ -38,37 +38,23 @@
         state.announced(make_info(address=address, born=7, sequence=1))
         assert await client.release(0, 9, 1) == ""
         state.announced(make_info(address=address, born=7, sequence=2))
-        assert not client.may_grant()
+        assert not client.may_grant(make_shard(born=7))
 
 
 # OWNER: a target that had restarted got keys under the token of its
 # earlier process.
-async def test_grant_is_not_sent_to_a_process_that_started_meanwhile(
-    monkeypatch,
-):
-    grants = []
-
-    async def answer(req):
-        grants.append(req.path)
-        return Response(200)
-
-    address = (HOST, free_port())
-    state = GateHarness().state
-    client = GrantClient(state=state, protocol=PlatformTargetProtocol())
-    connect = ClientPool.connect
-
-    async def connect_while_the_target_restarts(pool):
-        await connect(pool)
-        state.announced(make_info(address=address, born=8, sequence=1))
-
-    monkeypatch.setattr(
-        ClientPool, "connect", connect_while_the_target_restarts
-    )
-    async with open_server(Server(answer), *address):
-        state.announced(make_info(address=address, born=7, sequence=1))
-        with pytest.raises(ExchangeError, match="may have restarted"):
-            await client.grant(make_shard(born=7), 1.0, "")
-    assert grants == []
+async def test_grant_is_not_sent_to_a_process_that_started_meanwhile():
+    async with open_target() as target, target.open_process() as process:
+        target.announce()
+        await target.wait_connected()
+        target.announce()
+        shard = target.make_shard()
+        assert target.client.may_grant(shard)
+        target.born += 1
+        target.announce()
+        with pytest.raises(ExchangeError, match="no connection"):
+            await target.client.grant(shard, 1.0, "")
+        assert process.fences == []
 
 
 GRANTED = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
@@ -87,9 +73,8 @@
     ],
 )
 async def test_second_copy_of_another_response_is_no_release(
-    monkeypatch, copy, is_on_every_connection
+    copy, is_on_every_connection
 ):
-    monkeypatch.setattr(GrantClient, "may_grant", lambda _client: True)
 
     async def script(reader, writer):
         is_first = True
@@ -104,12 +89,13 @@
                 writer.write(RELEASED)
             is_first = False
 
-    async with open_scripted_server(script) as address:
-        state = GateHarness().state
-        client = GrantClient(state=state, protocol=PlatformTargetProtocol())
-        state.announced(make_info(address=address[:2], born=7))
-        assert await client.grant(make_shard(born=7), 1.0, "") == 200
-        assert await client.release(0, 9, 1) == "h"
+    async with open_target() as target, open_scripted_server(script) as addr:
+        target.port = addr[1]
+        target.announce()
+        await target.wait_connected()
+        target.announce()
+        assert await target.grant() == 200
+        assert await target.client.release(0, 9, 1) == "h"
 
 
 def _body_size(head):
--- a/tests/shards/test_reporter.py
+++ b/tests/shards/test_reporter.py
@@ -14,7 +14,7 @@
 from burdockgap.shards.control_view import ControlView
 from burdockgap.shards.lease import AUTHORITY_S, CLOCK_RATE, Lease
 from burdockgap.shards.reporter import Reporter
-from burdockgap.shards.reports import Report
+from burdockgap.shards.reports import TARGET_UNKNOWN, Report
 from tests.forward.builders import GateHarness
 from tests.gate.fakes import FakeClock
 from tests.shards.fakes import FakeDatagrams, FakeStore, make_roster
@@ -33,7 +33,8 @@
 
     def __init__(self):
         self.pending = [[0, 9, 4]]
-        self.rejected = []
+        self.unusable = []
+        self.may_be_held_by_successor = False
         self.samples = self
 
     def take(self):
@@ -84,6 +85,16 @@
     assert (report.revision, report.pending) == (5, [[0, 9, 4]])
 
 
+async def test_target_that_may_hold_keys_of_its_predecessor_is_unknown():
+    """Its keys are awaited and not assigned to others."""
+    holder = FakeHolder()
+    assert sent_report(holder).born == 7
+    holder.may_be_held_by_successor = True
+    report = sent_report(holder)
+    assert report.born == TARGET_UNKNOWN
+    assert not report.takes_work
+
+
 async def test_report_without_configuration_has_revision_zero():
     """Otherwise all its ranges would count as released by others."""
     report = sent_report(None)
--- a/tests/shards/test_shard_holder.py
+++ b/tests/shards/test_shard_holder.py
@@ -3,123 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-import json
-from contextlib import asynccontextmanager
 
 import pytest
 
-from burdockgap.clock import BootClock
-from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
-from burdockgap.platform.target_protocol import PlatformTargetProtocol
-from burdockgap.shards.control_state import ControlState
-from burdockgap.shards.lease import CLOCK_RATE, Lease
-from burdockgap.shards.shard import KEY_COUNT, Shard
-from burdockgap.shards.shard_holder import ShardHolder
-from burdockgap.verdict import Reason, Refusal
-from tests.forward.builders import GateHarness
+from burdockgap.shards.lease import CLOCK_RATE
+from burdockgap.shards.shard import KEY_COUNT
+from burdockgap.verdict import Reason
 from tests.http1.sockets import HOST
 from tests.ports import free_port
-from tests.shards.builders import SERVICE
-from tests.sidecar.builders import make_info
+from tests.shards.holder_harness import (
+    LEASE_S,
+    HolderHarness,
+    make_shard,
+    open_harness,
+)
 
 pytestmark = pytest.mark.anyio
 
-LEASE_S = 0.6
-
 
 @pytest.fixture
 def anyio_backend():
     return "asyncio"
 
 
-class HolderHarness:
-    """A holder with a target whose answers the test controls."""
-
-    def __init__(self, port):
-        self.grants, self.releases = [], []
-        self.answers_grants = True
-        self.clock = BootClock()
-        self.lease = Lease(self.clock)
-        gate = GateHarness()
-        self.state = gate.state
-        self.port, self.sequence = port, 0
-        self.announce()
-        self.handover = "h-1"
-        self.holder = ShardHolder(
-            service=SERVICE,
-            name="a",
-            clock=self.clock,
-            lease=self.lease,
-            state=self.state,
-            protocol=PlatformTargetProtocol(),
-            release=self._release,
-            on_event=lambda _event, _fields: None,
-        )
-        # Grants of an earlier daemon process have expired.
-        self.holder._started_at -= 60
-
-    async def answer(self, req):
-        body = json.loads(req.body)
-        if req.path == "/api/release":
-            self.releases.append((body["from"], body["to"], body["fence"]))
-            return Response(200, [("Handover", "h-9")])
-        self.grants.append((body["from"], body["to"], body["fence"]))
-        if not self.answers_grants:
-            await asyncio.sleep(60)
-        self.last_handover = body.get("handover")
-        return Response(200)
-
-    def announce(self):
-        self.sequence += 1
-        address = (HOST, self.port)
-        self.state.announced(
-            make_info(address=address, born=7, sequence=self.sequence)
-        )
-
-    async def _release(self, _name, _shard, _fence):
-        return self.handover
-
-    def assign(self, *shards: Shard):
-        self.holder.adopt(ControlState(shards={SERVICE: list(shards)}))
-
-    def extend(self, seconds=LEASE_S):
-        self.lease.extend(self.clock.now(), seconds)
-
-    def reason(self, key):
-        try:
-            self.holder.check(key)
-        except Refusal as exc:
-            return exc.reason
-        return None
-
-    async def wait_until(self, condition):
-        async with asyncio.timeout(3):
-            while not condition():
-                await asyncio.sleep(0.01)
-
-
-@asynccontextmanager
-async def open_harness(*, is_announced_again=True):
-    port = free_port()
-    harness = HolderHarness(port)
-    async with open_server(Server(harness.answer), HOST, port):
-        task = asyncio.create_task(harness.holder.run())
-        await asyncio.sleep(0.05)
-        if is_announced_again:
-            harness.announce()
-        try:
-            yield harness
-        finally:
-            task.cancel()
-            harness.holder.cancel()
-
-
-def make_shard(first=0, last=KEY_COUNT - 1, **fields):
-    defaults = {"owner": "a", "born": 7, "fence": 3}
-    return Shard(first, last, **{**defaults, **fields})
-
-
 async def test_owned_range_is_granted_and_renewed():
     async with open_harness() as harness:
         harness.assign(make_shard())
@@ -244,7 +151,7 @@
             assert await harness.holder.release_range(0, 99, 3) == ""
 
 
-async def test_grant_after_a_closed_connection_waits_for_announcements():
+async def test_grant_after_closed_connections_needs_a_new_token():
     """The server may have restarted at the same address."""
     port = free_port()
     harness = HolderHarness(port)
@@ -257,14 +164,17 @@
         await harness.wait_until(lambda: harness.grants)
     harness.grants.clear()
     async with open_server(Server(harness.answer), HOST, port):
-        for _ in range(2):
+        for _ in range(3):
             for _ in range(5):
                 harness.extend()
                 await asyncio.sleep(0.1)
             assert harness.grants == []
             harness.announce()
+        assert harness.holder.unusable == [[0, KEY_COUNT - 1, 3]]
         harness.extend()
+        harness.assign(make_shard(fence=4))
         await harness.wait_until(lambda: harness.grants)
+        assert set(harness.grants) == {(0, KEY_COUNT - 1, 4)}
     task.cancel()
     harness.holder.cancel()
 
