End the process that refused a release, not the newest one

A connection for a release that is refused marked the process as ended that was known when the refusal arrived. One that announced itself meanwhile lost its keys to other servers until its next heartbeat.

Change: the process that was known when the release began is marked.

--- a/src/burdockgap/shards/grant_client.py
+++ b/src/burdockgap/shards/grant_client.py
@@ -153,6 +153,7 @@
         :return: the target's handover, "" if it gave none or no longer
             runs, ``None`` if it did not answer.
         """
+        born = self._state.born
         data = self._protocol.encode_release(
             first=first, last=last, fence=fence
         )
@@ -170,7 +171,7 @@
             return None
         except ExchangeError as exc:
             if exc.refused:
-                self._state.refused_connection(self._state.born)
+                self._state.refused_connection(born)
                 return ""
             return None
         return self._protocol.handover(response)
--- a/tests/shards/test_grant_client.py
+++ b/tests/shards/test_grant_client.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from burdockgap.http1.client_pool import ClientPool
 from burdockgap.http1.exchange_error import ExchangeError
 from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
@@ -57,6 +58,25 @@
         assert process.fences == []
 
 
+# A server that had just started was taken for ended, as its predecessor
+# had refused a connection.
+async def test_refused_release_does_not_end_a_later_process(monkeypatch):
+    async with open_target() as target:
+        target.announce()
+        exchange = ClientPool.exchange
+
+        async def announce_next(pool, *args: object, **options: object):
+            try:
+                return await exchange(pool, *args, **options)
+            finally:
+                target.born += 1
+                target.announce()
+
+        monkeypatch.setattr(ClientPool, "exchange", announce_next)
+        assert await target.client.release(0, 9, 1) == ""
+        assert target.state.up
+
+
 GRANTED = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 ANSWERED = b"HTTP/1.1 200 OK\r\nattempt-id: r1\r\ncontent-length: 0\r\n\r\n"
 RELEASED = b"HTTP/1.1 200 OK\r\nhandover: h\r\ncontent-length: 0\r\n\r\n"
