Let servers go dark and be replaced in the soak

Now some fall silent, with all connections open, and start anew at the same address, heard up to 2.5 s later; a heartbeat of the process before may arrive meanwhile.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from soak.dark_servers import DarkServers
 from soak.departures import Departures
 from soak.restored_store import RestoredStore
 from soak.target_notices import TargetNotices
@@ -42,6 +43,7 @@
     :param notice_rng: the same for servers that name a limit or their
         stop in their responses.
     :param departure_rng: the same for servers that deregister.
+    :param dark_rng: the same for servers that go dark.
     :param log: called with a description when a fault begins.
     """
 
@@ -54,6 +56,7 @@
         store_rng: random.Random,
         notice_rng: random.Random,
         departure_rng: random.Random,
+        dark_rng: random.Random,
         log: Callable[[str], None],
     ) -> None:
         self._site = site
@@ -62,6 +65,7 @@
         self._restored_store = RestoredStore(site, store_rng, log)
         self._target_notices = TargetNotices(site, notice_rng, log)
         self._departures = Departures(site, departure_rng, log)
+        self._dark_servers = DarkServers(site, dark_rng, log)
         self._evacuates = False
         self._log = log
         self._tasks: set[asyncio.Task[None]] = set()
@@ -95,7 +99,8 @@
         restores = loop.create_task(self._restored_store.run(deadline))
         notices = loop.create_task(self._target_notices.run(deadline))
         departures = loop.create_task(self._departures.run(deadline))
-        self._tasks |= {endless, restores, notices, departures}
+        dark = loop.create_task(self._dark_servers.run(deadline))
+        self._tasks |= {endless, restores, notices, departures, dark}
         while loop.time() < deadline:
             _, fault = self._rng.choices(self._weighted_faults, weights)[0]
             task = loop.create_task(fault())
--- a/soak/run.py
+++ b/soak/run.py
@@ -81,6 +81,7 @@
             store_rng=random.Random(f"{seed} restored"),
             notice_rng=random.Random(f"{seed} notices"),
             departure_rng=random.Random(f"{seed} departures"),
+            dark_rng=random.Random(f"{seed} dark"),
             log=log,
         )
         async with asyncio.TaskGroup() as tasks:
--- a/soak/server.py
+++ b/soak/server.py
@@ -6,6 +6,7 @@
 import json
 import time
 from contextlib import AsyncExitStack, suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 from burdockgap.http1.client_pool import ClientPool
@@ -21,6 +22,7 @@
     from collections.abc import Callable
 
     from burdockgap.http1.request import Request
+    from burdockgap.http1.server_connection import ServerConnection
     from soak.invariants import InvariantChecker
 
 PORT = 8301
@@ -91,6 +93,9 @@
         self.limit: float | None = None
         self.says_leaving = False
         self._is_endless = False
+        self._heartbeats_from = 0.0
+        self._silent_connections: list[ServerConnection] = []
+        self._http: Server | None = None
         self.is_up = False
         self.on_crash: Callable[[], None] = lambda: None
 
@@ -119,11 +124,50 @@
         self._leaving_since = self._limit_since = None
         self.says_leaving = False
         self._grants = []
+        self._http = Server(partial(self._answer_as, self._start_count))
         await self._stack.enter_async_context(
-            open_server(Server(self._answer), self._host, PORT)
+            open_server(self._http, self._host, PORT)
         )
         self.is_up = True
 
+    def go_dark(self) -> None:
+        """
+        End as a machine without power: no connection is closed.
+
+        New connections are accepted and silent as well.
+        """
+        self.is_up = False
+        self._checker.record_end(self.incarnation, self._loop.time())
+
+    async def return_from_dark(
+        self, *, heartbeat_after_s: float, late_heartbeat: bool
+    ) -> None:
+        """
+        Start as a new incarnation; earlier connections stay silent.
+
+        :param heartbeat_after_s: time until its first heartbeat.
+        :param late_heartbeat: whether one of the incarnation before
+            arrives half-way until then.
+        """
+        late = self._encode_heartbeat(draining=False)
+        if self._http is not None:
+            self._silent_connections += self._http.connections
+            self._http.connections.clear()
+        await self._stack.aclose()
+        self._heartbeats_from = self._loop.time() + heartbeat_after_s
+        await self.start()
+        if late_heartbeat:
+            await asyncio.sleep(heartbeat_after_s / 2)
+            pool = self._control_pool()
+            await self._is_acknowledged(pool, late)
+            pool.close()
+
+    def close_silent_connections(self) -> None:
+        """Close the connections to incarnations that went dark."""
+        for conn in self._silent_connections:
+            conn.close()
+        self._silent_connections.clear()
+
     async def stop(self) -> None:
         """Stop without a drain or a release, as in a crash."""
         self.is_up = False
@@ -147,12 +191,12 @@
 
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the daemon until cancelled."""
-        pool = ClientPool(
-            (self._control, CONTROL_PORT), connect_timeout_s=0.5, idle_s=5.0
-        )
+        pool = self._control_pool()
         draining = False
         while True:
             is_running = self.is_up or self._is_endless
+            if self._loop.time() < self._heartbeats_from:
+                is_running = False
             if is_running and not self.deregisters:
                 draining, incarnation = self.draining, self.incarnation
                 acked = await self._send_heartbeat(pool, draining=draining)
@@ -176,9 +220,7 @@
         """
         self.deregisters = True
         incarnation = self.incarnation
-        pool = ClientPool(
-            (self._control, CONTROL_PORT), connect_timeout_s=0.5, idle_s=5.0
-        )
+        pool = self._control_pool()
         data = encode_request(
             "DELETE",
             f"/api/instances/{self._name}",
@@ -196,15 +238,22 @@
 
     async def send_late_heartbeat(self) -> None:
         """Send a heartbeat as those before the server left."""
-        pool = ClientPool(
-            (self._control, CONTROL_PORT), connect_timeout_s=0.5, idle_s=5.0
-        )
+        pool = self._control_pool()
         await self._send_heartbeat(pool, draining=False)
         pool.close()
 
+    def _control_pool(self) -> ClientPool:
+        return ClientPool(
+            (self._control, CONTROL_PORT), connect_timeout_s=0.5, idle_s=5.0
+        )
+
     async def _send_heartbeat(
         self, pool: ClientPool, *, draining: bool
     ) -> bool:
+        data = self._encode_heartbeat(draining=draining)
+        return await self._is_acknowledged(pool, data)
+
+    def _encode_heartbeat(self, *, draining: bool) -> bytes:
         self._sequence += 1
         body = {
             "service": self.service,
@@ -217,13 +266,12 @@
             "sequence": self._sequence,
             "born": self._born,
         }
-        data = encode_request(
+        return encode_request(
             "PUT",
             f"/api/instances/{self._name}",
             [("host", self._control)],
             json.dumps(body).encode(),
         )
-        return await self._is_acknowledged(pool, data)
 
     async def _is_acknowledged(self, pool: ClientPool, data: bytes) -> bool:
         with suppress(ExchangeError, TimeoutError):
@@ -231,6 +279,11 @@
                 return (await pool.exchange(data)).is_success
         return False
 
+    async def _answer_as(self, start_count: int, req: Request) -> Response:
+        if not self.is_up or start_count != self._start_count:
+            await self._loop.create_future()
+        return await self._answer(req)
+
     async def _answer(self, req: Request) -> Response:
         if req.path == "/api/grant":
             return self._grant(json.loads(req.body))
