Forget processes without references, and rerun failed link upkeep

The evidence kept a process for each connection until the next change of the assignment, so that it grew by 17 a minute at an idle server in calm. It holds weak references now. Found by reading.

--- a/src/burdockgap/incarnations/process_evidence.py
+++ b/src/burdockgap/incarnations/process_evidence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from weakref import WeakSet
+
 from burdockgap.incarnations.target_process import TargetProcess
 
 MAX_ANNOUNCEMENT_DELAY_S = 5.0
@@ -26,6 +28,8 @@
     *presumed* to be if an announcement arrived after the connection was
     opened, after an idle one was that it replaces, or after all earlier
     ones were lost.
+
+    Processes are forgotten once no connection or token refers to them.
     """
 
     __slots__ = ("_born", "_first_heard_at", "_heard_at", "_processes")
@@ -34,7 +38,7 @@
         self._born = 0
         self._first_heard_at = 0.0
         self._heard_at = 0.0
-        self._processes: list[TargetProcess] = []
+        self._processes: WeakSet[TargetProcess] = WeakSet()
 
     def announced(
         self, born: int, first_heard_at: float, heard_at: float
@@ -64,7 +68,7 @@
         process = TargetProcess(now)
         if expected_since is not None:
             process.expected_since = expected_since
-        self._processes.append(process)
+        self._processes.add(process)
         return process
 
     def answered(self, process: TargetProcess, sent_at: float) -> None:
@@ -80,7 +84,7 @@
                 other.since, other.until
             ):
                 process.unite(other)
-                self._processes.remove(other)
+                self._processes.discard(other)
         self._identify(process)
 
     def is_proven(self, process: TargetProcess) -> bool:
@@ -94,13 +98,6 @@
             return process.born == self._born
         return self._born != 0 and self._heard_at > process.expected_since
 
-    def forget_others(self, kept: set[TargetProcess]) -> None:
-        """Forget the processes that nothing refers to any more."""
-        resolved = {process.resolved for process in kept}
-        self._processes = [
-            process for process in self._processes if process in resolved
-        ]
-
     def _identify(self, process: TargetProcess) -> None:
         # It had started when its first announcement arrived, and was
         # alive when it sent the last one.
--- a/src/burdockgap/incarnations/target_process.py
+++ b/src/burdockgap/incarnations/target_process.py
@@ -19,7 +19,14 @@
         certain which announcements are its own.
     """
 
-    __slots__ = ("_same_as", "born", "expected_since", "since", "until")
+    __slots__ = (
+        "__weakref__",
+        "_same_as",
+        "born",
+        "expected_since",
+        "since",
+        "until",
+    )
 
     def __init__(self, since: float) -> None:
         self.since = since
--- a/src/burdockgap/incarnations/token_ledger.py
+++ b/src/burdockgap/incarnations/token_ledger.py
@@ -23,11 +23,6 @@
     def __init__(self) -> None:
         self._processes: dict[int, TargetProcess] = {}
 
-    @property
-    def processes(self) -> set[TargetProcess]:
-        """The processes that the known tokens were sent to."""
-        return set(self._processes.values())
-
     def note_sent(self, fence: int, process: TargetProcess) -> None:
         """Note that a token is sent to a process."""
         self._processes.setdefault(fence, process)
--- a/src/burdockgap/shards/grant_client.py
+++ b/src/burdockgap/shards/grant_client.py
@@ -104,8 +104,6 @@
     def retain_tokens(self, fences: Iterable[int]) -> None:
         """Forget the recipients of all fencing tokens but these."""
         self._tokens.retain(fences)
-        links = {link.process for link in self._links.usable()}
-        self._evidence.forget_others(links | self._tokens.processes)
 
     async def maintain_links(self) -> None:
         """Keep connections to the target open until cancelled."""
--- a/src/burdockgap/shards/shard_holder.py
+++ b/src/burdockgap/shards/shard_holder.py
@@ -271,18 +271,19 @@
 
     async def run(self) -> None:
         """Take over, grant and renew ranges until cancelled."""
-        links = self._loop.create_task(self._grant_client.maintain_links())
-        try:
-            while True:
-                changed = self._changed
-                self._step()
-                try:
-                    async with asyncio.timeout(_STEP_INTERVAL_S):
-                        await changed.wait()
-                except TimeoutError:
-                    continue
-        finally:
-            links.cancel()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._grant_client.maintain_links())
+            tasks.create_task(self._run_steps())
+
+    async def _run_steps(self) -> None:
+        while True:
+            changed = self._changed
+            self._step()
+            try:
+                async with asyncio.timeout(_STEP_INTERVAL_S):
+                    await changed.wait()
+            except TimeoutError:
+                continue
 
     def _step(self) -> None:
         self._start_takeovers()
--- a/src/burdockgap/shards/target_links.py
+++ b/src/burdockgap/shards/target_links.py
@@ -91,7 +91,7 @@
             return
         if info.address != self._address:
             self._close()
-            self._address = info.address
+            self._address, self._lost_at = info.address, None
         if info.born != self._born:
             self._born = info.born
             self._replace_after_s = _REPLACE_AFTER_S
@@ -106,11 +106,17 @@
             )
             return
         oldest = min(self._links, key=lambda link: link.conn.idle_since)
-        if self._is_due(oldest) and await self._open(
-            info.address, oldest.process.resolved.expected_since
-        ):
-            self._links.remove(oldest)
-            oldest.conn.close()
+        if self._is_due(oldest):
+            await self._replace(oldest, info.address)
+
+    async def _replace(
+        self, link: TargetLink, address: tuple[str, int]
+    ) -> None:
+        expected_since = link.process.resolved.expected_since
+        is_open = await self._open(address, expected_since)
+        if is_open and not link.is_busy:
+            self._links.remove(link)
+            link.conn.close()
 
     def _is_due(self, link: TargetLink) -> bool:
         now = self._loop.time()
--- a/tests/incarnations/test_process_evidence.py
+++ b/tests/incarnations/test_process_evidence.py
@@ -153,6 +153,6 @@
     for fence in range(100):
         address.tokens.note_sent(fence, address.connect().process)
     address.tokens.retain([99])
-    address.evidence.forget_others(address.tokens.processes)
     assert address.tokens.recipient(98) is None
+    address.connections.clear()
     assert len(address.evidence._processes) == 1
