Let departures of the soak end with their server

Soak (three machines) showed RECOVER: no key is served. By its faults and m1's log the server was started anew by another fault while its daemon was killed before its departure; the departure then went on with the new process, which sent a DELETE nobody acknowledged and no heartbeats from then on. That is the soak's fault. A departure now ends with its server.

Also: the replacement of an idle connection to the server is not logged, only opened and lost ones are.

--- a/soak/departures.py
+++ b/soak/departures.py
@@ -73,6 +73,8 @@
         server.deregisters = True
         if kills_before:
             await self._restart([machine], delay_s)
+        if server.incarnation != incarnation:
+            return
         await server.deregister()
         if kills_all_after:
             alive = [one for one in self._site.machines if not one.is_faulty]
--- a/src/burdockgap/shards/target_links.py
+++ b/src/burdockgap/shards/target_links.py
@@ -101,9 +101,9 @@
         if not self._state.up:
             return
         if len(self._links) < _LINK_COUNT:
-            await self._open(
-                info.address, None if self._links else self._lost_at
-            )
+            expected_since = None if self._links else self._lost_at
+            if await self._open(info.address, expected_since):
+                self._log("opened")
             return
         oldest = min(self._links, key=lambda link: link.conn.idle_since)
         if self._is_due(oldest):
@@ -153,7 +153,6 @@
             return False
         process = self._evidence.connected(self._loop.time(), expected_since)
         self._links.append(TargetLink(conn, process))
-        self._log("opened")
         return True
 
     def _close(self) -> None:
