Tell cut connections to a server from idle timeouts

A daemon whose connections to its server were cut while the store was away did not get its keys back: its new connections were replaced every 0.6 s, so that none lived for the 5 s after which a heartbeat proves where it leads.

Cause: a connection that was lost after 1.2 s without use taught the daemon that the server closes idle connections after that time. Connections that are lost together after different times without use were not closed for that; and the interval grows again with each connection that is replaced.

--- a/src/burdockgap/shards/target_links.py
+++ b/src/burdockgap/shards/target_links.py
@@ -24,6 +24,10 @@
 _MIN_IDLE_TIMEOUT_S = 1.0
 """Shortest time after which a target closes idle connections; they name
 it in whole seconds."""
+_MAX_IDLE_SPREAD_S = 0.3
+"""Connections that are lost together after different times without use
+were not closed for that."""
+_REPLACE_GROWTH = 1.5
 
 
 class TargetLinks:
@@ -117,6 +121,10 @@
         if is_open and not link.is_busy:
             self._links.remove(link)
             link.conn.close()
+            # Earlier ones may have been lost for another reason.
+            self._replace_after_s = min(
+                self._replace_after_s * _REPLACE_GROWTH, _REPLACE_AFTER_S
+            )
 
     def _is_due(self, link: TargetLink) -> bool:
         now = self._loop.time()
@@ -126,15 +134,19 @@
         )
 
     def _drop_closed(self) -> None:
-        now = self._loop.time()
-        for link in [link for link in self._links if not link.is_open]:
+        closed = [link for link in self._links if not link.is_open]
+        if not closed:
+            return
+        self._lost_at = now = self._loop.time()
+        idle_times_s = [link.idle_s(now) for link in closed]
+        for link, idle_s in zip(closed, idle_times_s, strict=True):
             self._links.remove(link)
-            self._lost_at = now
-            idle_s = link.idle_s(now)
             self._log("lost", idle=round(idle_s, 3))
-            if idle_s >= _MIN_IDLE_TIMEOUT_S:
-                # The target may close idle connections early.
-                self._replace_after_s = min(self._replace_after_s, idle_s / 2)
+        shortest_s, longest_s = min(idle_times_s), max(idle_times_s)
+        is_idle_timeout = longest_s - shortest_s < _MAX_IDLE_SPREAD_S
+        if is_idle_timeout and shortest_s >= _MIN_IDLE_TIMEOUT_S:
+            # The target may close idle connections early.
+            self._replace_after_s = min(self._replace_after_s, shortest_s / 2)
 
     async def _open(
         self, address: tuple[str, int], expected_since: float | None
--- a/tests/sidecar/test_replaced_targets.py
+++ b/tests/sidecar/test_replaced_targets.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from burdockgap.incarnations.process_evidence import MAX_ANNOUNCEMENT_DELAY_S
 from standins.sidecar.app_server import AppServer
 from tests.sidecar.builders import open_site
 
@@ -71,3 +72,24 @@
         assert not tokens_of(machine) & {
             token for *_, token in earlier.accepted
         }
+
+
+# Without the store no range can get another token.
+async def test_server_keeps_its_token_while_the_store_is_away():
+    async with open_site("records", "records") as site:
+        await site.wait_until_ready()
+        machine = site.machines[0]
+        # Time in which the process is proven to be the announced one.
+        await asyncio.sleep(MAX_ANNOUNCEMENT_DELAY_S + 1.0)
+        tokens = tokens_of(machine)
+        site.store.down = True
+        machine.cut_app_connections()
+        cut_at = asyncio.get_running_loop().time()
+        granted_again_at = None
+        async with asyncio.timeout(MAX_ANNOUNCEMENT_DELAY_S + 2.0):
+            while granted_again_at is None:
+                await asyncio.sleep(0.05)
+                times = [at for at, *_ in machine.app.accepted if at > cut_at]
+                granted_again_at = min(times, default=None)
+        assert granted_again_at - cut_at > MAX_ANNOUNCEMENT_DELAY_S
+        assert tokens_of(machine) == tokens
