Measure the network link, openings of connections and the event loop

The daemon counts payload by kind of traffic, times each attempt to open a connection to a peer or the store, and writes a link line when a direction becomes full or has room again. No decision depends on it.

--- a/src/burdockgap/fleet/datagrams.py
+++ b/src/burdockgap/fleet/datagrams.py
@@ -9,6 +9,8 @@
 import msgpack
 from loguru import logger
 
+from burdockgap.resources.byte_counter import ByteCounter
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -47,15 +49,17 @@
 
     :ivar handlers: callback for the values of a message, by its kind.
     :ivar bad: number of malformed datagrams received.
+    :ivar counter: counts the bytes of all kinds.
     :ivar sent_bytes: bytes of payload sent so far, by kind.
     """
 
-    __slots__ = ("_transport", "bad", "handlers", "sent_bytes")
+    __slots__ = ("_transport", "bad", "counter", "handlers", "sent_bytes")
 
     def __init__(self) -> None:
         self._transport: asyncio.DatagramTransport | None = None
         self.handlers: dict[int, Callable[[list[Any]], None]] = {}
         self.bad = 0
+        self.counter = ByteCounter()
         self.sent_bytes = dict.fromkeys(KIND_NAMES, 0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -64,6 +68,7 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:  # noqa: ARG002
         """Pass a message to the handler of its kind."""
+        self.counter.received += len(data)
         try:
             kind, *values = msgpack.unpackb(data)
             self.handlers[kind](values)
@@ -79,6 +84,7 @@
         if self._transport is not None:
             data = msgpack.packb([kind, *values])
             self.sent_bytes[kind] += len(data)
+            self.counter.sent += len(data)
             self._transport.sendto(data, address)
 
     def error_received(self, exc: Exception) -> None:
--- a/src/burdockgap/hop/listener.py
+++ b/src/burdockgap/hop/listener.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from burdockgap.resources.byte_counter import ByteCounter
     from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.uplink import Uplink
 
@@ -48,11 +49,14 @@
     :param budget: bounds the frames of all connections.
     :param refusals: by kind of call, returns the payload of the reply
         to a call for which there is no memory.
+    :param counter: counts the bytes of all connections, ``None`` not to
+        count them.
     """
 
     __slots__ = (
         "_budget",
         "_buffer",
+        "_counter",
         "_gate",
         "_handlers",
         "_loop",
@@ -71,7 +75,9 @@
         uplink: Uplink | None,
         budget: MemoryBudget | None,
         refusals: dict[int, Callable[[], Any]],
+        counter: ByteCounter | None,
     ) -> None:
+        self._counter = counter
         self._budget = budget
         self._refusals = refusals
         self._gate = WriteGate()
@@ -117,6 +123,8 @@
         self._gate.resume()
 
     def data_received(self, data: bytes) -> None:
+        if self._counter is not None:
+            self._counter.received += len(data)
         try:
             for frame in self._buffer.feed(data):
                 self._handle_frame(frame)
@@ -194,19 +202,24 @@
                 if uplink is not None:
                     uplink.count(size)
                 for piece in pieces:
-                    # The transport copies the rest of a byte string.
-                    transport.write(memoryview(piece))
+                    self._write(transport, piece)
             else:
                 for piece in pieces:
                     await uplink.send_in_parts(
                         piece,
-                        lambda part: transport.write(
-                            encode_frame(PART, call_id, part)
+                        lambda part: self._write(
+                            transport, encode_frame(PART, call_id, part)
                         ),
                         self._gate,
                     )
             await self._gate.wait()
 
+    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+        if self._counter is not None:
+            self._counter.sent += len(data)
+        # The transport copies the rest of a byte string.
+        transport.write(memoryview(data))
+
     def close(self) -> None:
         if self._transport is not None:
             self._transport.abort()
@@ -221,6 +234,7 @@
     uplink: Uplink | None = None,
     budget: MemoryBudget | None = None,
     refusals: dict[int, Callable[[], Any]] | None = None,
+    counter: ByteCounter | None = None,
 ) -> AsyncIterator[Callable[[], bool]]:
     """
     Serve calls of peers at an address until the context exits.
@@ -241,12 +255,14 @@
     :param refusals: by kind of call, returns the payload of the reply
         to a call for which there is no memory. The connection is closed
         after one of another kind.
+    :param counter: counts the bytes of all connections, ``None`` not to
+        count them.
     """
     loop = asyncio.get_running_loop()
     connections: set[_PeerSession] = set()
     listener = await loop.create_server(
         lambda: _PeerSession(
-            handlers, connections, uplink, budget, refusals or {}
+            handlers, connections, uplink, budget, refusals or {}, counter
         ),
         host,
         port,
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from burdockgap.hop.reply_progress import ReplyProgress
+    from burdockgap.resources.byte_counter import ByteCounter
     from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.uplink import Uplink
 
@@ -47,6 +48,7 @@
         ``None`` where its bandwidth is not a limit.
     :param budget: bounds the incomplete frames of all connections,
         ``None`` for no bound.
+    :param counter: counts the bytes, ``None`` not to count them.
     :ivar lost: whether the connection is closed or has failed.
     :ivar progress: notes what arrives of a reply, if set; for a
         connection of a single call.
@@ -57,6 +59,7 @@
         "_buffer",
         "_calls",
         "_checker",
+        "_counter",
         "_gate",
         "_heard_at",
         "_loop",
@@ -73,7 +76,9 @@
         loop: asyncio.AbstractEventLoop,
         uplink: Uplink | None = None,
         budget: MemoryBudget | None = None,
+        counter: ByteCounter | None = None,
     ) -> None:
+        self._counter = counter
         self._loop = loop
         self._uplink = uplink
         self._budget = budget
@@ -111,6 +116,8 @@
     def data_received(self, data: bytes) -> None:
         """Deliver received replies to the pending calls."""
         self._heard_at = self._loop.time()
+        if self._counter is not None:
+            self._counter.received += len(data)
         if self.progress is not None and data != _PONG_FRAME:
             self.progress.note()
         try:
@@ -176,15 +183,18 @@
             self._heard_at = self._loop.time()
         fut: asyncio.Future[Any] = self._loop.create_future()
         self._calls[call_id] = fut
-        sending = self._send(
-            call_id, encode_pieces(CALL, call_id, kind, payload)
-        )
+        pieces = encode_pieces(CALL, call_id, kind, payload)
+        size = sum(len(piece) for piece in pieces)
+        sending = self._send(call_id, pieces, size)
+        del pieces
         self._schedule_check()
         try:
             return await fut
         finally:
             # An early reply, which refuses the call, ends it as well.
             is_incomplete = sending is not None and sending.cancel()
+            if self._counter is not None and not _has_result(fut):
+                self._counter.abandoned += size
             if (is_incomplete or fut.cancelled()) and not self.lost:
                 self._transport.write(encode_frame(CANCEL, call_id))
             self._calls.pop(call_id, None)
@@ -193,7 +203,7 @@
                 parts.close()
 
     def _send(
-        self, call_id: int, pieces: list[bytes]
+        self, call_id: int, pieces: list[bytes], size: int
     ) -> asyncio.Task[None] | None:
         """
         Send a call, at once if it is short.
@@ -201,7 +211,6 @@
         :return: the task that sends a long one in parts, so that the
             rest stays unsent if the call is cancelled.
         """
-        size = sum(len(piece) for piece in pieces)
         uplink, transport = self._uplink, self._transport
         if transport is None:
             return None
@@ -209,8 +218,7 @@
             if uplink is not None:
                 uplink.count(size)
             for piece in pieces:
-                # The transport copies the rest of a byte string.
-                transport.write(memoryview(piece))
+                self._write(transport, piece)
             return None
         return self._loop.create_task(
             self._send_in_parts(call_id, pieces, uplink, transport)
@@ -226,12 +234,18 @@
         for piece in pieces:
             await uplink.send_in_parts(
                 piece,
-                lambda part: transport.write(
-                    encode_frame(PART, call_id, part)
+                lambda part: self._write(
+                    transport, encode_frame(PART, call_id, part)
                 ),
                 self._gate,
             )
 
+    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+        if self._counter is not None:
+            self._counter.sent += len(data)
+        # The transport copies the rest of a byte string.
+        transport.write(memoryview(data))
+
     def close(self) -> None:
         """Abort the connection and fail all pending calls."""
         self._abort("connection to the peer was closed locally")
@@ -264,3 +278,7 @@
         for fut in calls.values():
             if not fut.done():
                 fut.set_exception(PeerCallError(detail, sent=True))
+
+
+def _has_result(fut: asyncio.Future[Any]) -> bool:
+    return fut.done() and not fut.cancelled() and fut.exception() is None
--- a/src/burdockgap/hop/peer_connections.py
+++ b/src/burdockgap/hop/peer_connections.py
@@ -9,7 +9,10 @@
 from burdockgap.hop.peer_connection import PeerConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.hop.reply_progress import ReplyProgress
+    from burdockgap.resources.byte_counter import ByteCounter
     from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.uplink import Uplink
 
@@ -25,13 +28,19 @@
         ``None`` where its bandwidth is not a limit.
     :param budget: bounds the incomplete frames of all connections,
         ``None`` for no bound.
+    :param counter: counts the bytes of all connections, ``None`` not to
+        count them.
+    :param on_opened: called with the seconds that a connection took to
+        open, and whether it did.
     """
 
     __slots__ = (
         "_budget",
         "_connect_locks",
         "_connections",
+        "_counter",
         "_loop",
+        "_on_opened",
         "_uplink",
     )
 
@@ -39,7 +48,11 @@
         self,
         uplink: Uplink | None = None,
         budget: MemoryBudget | None = None,
+        counter: ByteCounter | None = None,
+        on_opened: Callable[[float, bool], None] = lambda *_: None,
     ) -> None:
+        self._counter = counter
+        self._on_opened = on_opened
         self._budget = budget
         self._loop = asyncio.get_running_loop()
         self._uplink = uplink
@@ -102,15 +115,20 @@
             return conn
 
     async def _connect(self, address: tuple[str, int]) -> PeerConnection:
+        began = self._loop.time()
+        is_open = False
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, conn = await self._loop.create_connection(
                     lambda: PeerConnection(
-                        self._loop, self._uplink, self._budget
+                        self._loop, self._uplink, self._budget, self._counter
                     ),
                     *address,
                 )
+            is_open = True
         except (OSError, TimeoutError) as exc:
             detail = f"connecting to the peer failed: {exc!r}"
             raise PeerCallError(detail, sent=False) from exc
+        finally:
+            self._on_opened(self._loop.time() - began, is_open)
         return conn
--- a/src/burdockgap/http1/client_connection.py
+++ b/src/burdockgap/http1/client_connection.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from burdockgap.http1.response import Response
+    from burdockgap.resources.byte_counter import ByteCounter
 
 # Share of the announced keep-alive timeout in which a connection is
 # used, so that the server does not close it while a request is sent.
@@ -44,6 +45,7 @@
         response that no pending request asked for.
     :param limits: limits of a response, defaults of
         :class:`ResponseLimits` if ``None``.
+    :param counter: counts the bytes, ``None`` not to count them.
     :ivar reusable: whether another request may be sent.
     :ivar sent_ids: ids of the requests that were sent lately.
     :ivar idle_since: when the last exchange ended, in seconds of the
@@ -56,6 +58,7 @@
         "_bodiless",
         "_bytes_since_body",
         "_connected_at",
+        "_counter",
         "_fut",
         "_headers",
         "_idle_s",
@@ -81,7 +84,9 @@
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
         limits: ResponseLimits | None = None,
+        counter: ByteCounter | None = None,
     ) -> None:
+        self._counter = counter
         self._loop = loop
         self._idle_s = idle_s
         self.on_unexpected = on_unexpected
@@ -149,6 +154,8 @@
         self._fut = self._loop.create_future()
         if request_id is not None:
             self.sent_ids.add(request_id, self._loop.time())
+        if self._counter is not None:
+            self._counter.sent += len(data) + len(body)
         if len(body) <= _JOINED_BYTES:
             self._transport.write(data + body)
         else:
@@ -185,6 +192,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close the connection on unexpected bytes."""
+        if self._counter is not None:
+            self._counter.received += len(data)
         if self._read_timeout is not None:
             self._read_timeout.note_bytes()
         if self._fut is None or self._fut.done():
--- a/src/burdockgap/http1/client_pool.py
+++ b/src/burdockgap/http1/client_pool.py
@@ -13,6 +13,7 @@
 
     from burdockgap.http1.response import Response
     from burdockgap.http1.response_limits import ResponseLimits
+    from burdockgap.resources.byte_counter import ByteCounter
 
 
 class ClientPool:
@@ -27,15 +28,21 @@
     :param limits: limits of a response, defaults of
         :class:`~burdockgap.http1.response_limits.ResponseLimits` if
         ``None``.
+    :param counter: counts the bytes of all connections, ``None`` not to
+        count them.
+    :param on_opened: called with the seconds that a connection took to
+        open, and whether it did.
     :ivar opened: connection attempts so far.
     """
 
     __slots__ = (
         "_connect_timeout_s",
+        "_counter",
         "_idle",
         "_idle_s",
         "_limits",
         "_loop",
+        "_on_opened",
         "_on_unexpected",
         "address",
         "opened",
@@ -49,7 +56,11 @@
         idle_s: float,
         on_unexpected: Callable[[str], None] = lambda _what: None,
         limits: ResponseLimits | None = None,
+        counter: ByteCounter | None = None,
+        on_opened: Callable[[float, bool], None] = lambda *_: None,
     ) -> None:
+        self._counter = counter
+        self._on_opened = on_opened
         self._limits = limits
         self.address = address
         self._connect_timeout_s = connect_timeout_s
@@ -164,6 +175,8 @@
 
     async def _connect(self) -> ClientConnection:
         self.opened += 1
+        began = self._loop.time()
+        is_open = False
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, conn = await self._loop.create_connection(
@@ -172,9 +185,11 @@
                         idle_s=self._idle_s,
                         on_unexpected=self._on_unexpected,
                         limits=self._limits,
+                        counter=self._counter,
                     ),
                     *self.address,
                 )
+            is_open = True
         except TimeoutError as exc:
             raise ExchangeError(
                 "connection attempt timed out", sent=False
@@ -185,4 +200,6 @@
                 sent=False,
                 refused=isinstance(exc, ConnectionRefusedError),
             ) from exc
+        finally:
+            self._on_opened(self._loop.time() - began, is_open)
         return conn
--- a/src/burdockgap/http1/response_writer.py
+++ b/src/burdockgap/http1/response_writer.py
@@ -116,5 +116,7 @@
 
     def _write_to_transport(self, data: bytes | memoryview) -> None:
         self._written_bytes += len(data)
+        if self._server.counter is not None:
+            self._server.counter.sent += len(data)
         # The transport copies the rest of a byte string.
         self._transport.write(memoryview(data))
--- a/src/burdockgap/http1/server.py
+++ b/src/burdockgap/http1/server.py
@@ -18,6 +18,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from burdockgap.http1.request import Request
+    from burdockgap.resources.byte_counter import ByteCounter
     from burdockgap.resources.charge import Charge
     from burdockgap.uplink import Uplink
 
@@ -52,6 +53,8 @@
         ``None`` for no limit.
     :param on_shed: called with the reason, the caller's address and the
         bytes held of each connection that is closed for the limits.
+    :param counter: counts the bytes of all connections, ``None`` where
+        they do not cross the machine's network link.
     :param may_overlap: returns whether a request may run beside others
         that its connection sent before and after it.
     :ivar limits: limits in force, replaced when they change.
@@ -69,6 +72,7 @@
         "_on_shed",
         "budget",
         "connections",
+        "counter",
         "leaving",
         "limits",
         "loop",
@@ -85,6 +89,7 @@
         limits: ConnectionLimits | None = None,
         uplink: Uplink | None = None,
         budget: MemoryBudget | None = None,
+        counter: ByteCounter | None = None,
         may_overlap: Callable[[Request], bool] = lambda _req: False,
         is_control: bool = False,
         max_connections: int | None = None,
@@ -101,6 +106,7 @@
         self.loop = asyncio.get_running_loop()
         self.connections: set[ServerConnection] = set()
         self.leaving = False
+        self.counter = counter
         self.budget = budget or MemoryBudget(_DEFAULT_BUDGET_BYTES)
         self.may_overlap = may_overlap
 
--- a/src/burdockgap/http1/server_connection.py
+++ b/src/burdockgap/http1/server_connection.py
@@ -135,6 +135,8 @@
     def data_received(self, data: bytes) -> None:
         """Feed the reader."""
         self._received_bytes += len(data)
+        if self._server.counter is not None:
+            self._server.counter.received += len(data)
         self._reader.feed(data)
 
     def pause_writing(self) -> None:
--- a/src/burdockgap/platform/store_client.py
+++ b/src/burdockgap/platform/store_client.py
@@ -27,7 +27,10 @@
 from burdockgap.platform.names import STORE_GENERATION
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from burdockgap.http1.response import Response
+    from burdockgap.resources.byte_counter import ByteCounter
 
 _CONNECT_TIMEOUT_S = 0.5
 _READ_TIMEOUT_S = 1.0
@@ -53,19 +56,31 @@
     Client of the store. All keys of a topic are in partition 0.
 
     :param address: host and port of the store.
+    :param counter: counts the bytes of all calls, ``None`` not to count
+        them.
+    :param on_opened: called with the seconds that a connection took to
+        open, and whether it did.
     :ivar calls: calls made so far.
     :ivar generation: the store's generation from its responses.
     """
 
     __slots__ = ("_host", "_pool", "calls", "generation")
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        *,
+        counter: ByteCounter | None = None,
+        on_opened: Callable[[float, bool], None] = lambda *_: None,
+    ) -> None:
         self._host = f"{address[0]}:{address[1]}"
         self._pool = ClientPool(
             address,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
             idle_s=_IDLE_S,
             limits=ResponseLimits(body_bytes=_MAX_RESPONSE_BYTES),
+            counter=counter,
+            on_opened=on_opened,
         )
         self.calls = 0
         self.generation = StoreGeneration()
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -90,6 +90,32 @@
             f"Bytes sent in datagrams of the kind {name}.",
             partial(node.datagrams.sent_bytes.get, kind, 0),
         )
+    for traffic, counter in node.link.counters.items():
+        gauge(
+            f"link_{traffic}_received_bytes",
+            f"Bytes of payload received over the link: {traffic}.",
+            partial(getattr, counter, "received"),
+        )
+        gauge(
+            f"link_{traffic}_sent_bytes",
+            f"Bytes of payload passed to sockets: {traffic}.",
+            partial(getattr, counter, "sent"),
+        )
+    gauge(
+        "link_received_share",
+        "Share of the link that payload received in the last second used.",
+        lambda: node.link.received_share,
+    )
+    gauge(
+        "link_sent_share",
+        "Share of the link that payload sent in the last second used.",
+        lambda: node.link.sent_share,
+    )
+    gauge(
+        "calls_abandoned_bytes",
+        "Bytes of calls to other daemons that ended without a reply.",
+        lambda: node.link.counters["peers"].abandoned,
+    )
     gauge(
         "target_rate_limit",
         "Requests per second that the target named as its limit, 0 if none.",
--- a/src/burdockgap/sidecar/metrics.py
+++ b/src/burdockgap/sidecar/metrics.py
@@ -19,6 +19,8 @@
         the time in its queue.
     :ivar account_decisions: callers' requests by the result of the
         check of their account, if the configuration has accounts.
+    :ivar openings: seconds to open a connection or to give up, by kind
+        of traffic and result.
     :ivar nested_outcomes: the outcomes of calls that running requests
         made.
     :ivar predicted_wait: seconds in the target's queue as predicted,
@@ -32,6 +34,7 @@
         "events",
         "latency",
         "nested_outcomes",
+        "openings",
         "outcomes",
         "predicted_wait",
         "queue_wait",
@@ -97,6 +100,13 @@
             ["event"],
             registry=self.registry,
         )
+        self.openings = Histogram(
+            "burdockgap_sidecar_opening_seconds",
+            "Time to open a connection or to give up, by kind of traffic.",
+            ["kind", "result"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
         self.account_decisions = Counter(
             "burdockgap_sidecar_account_decisions",
             "Callers' requests by the check of their account.",
@@ -104,6 +114,13 @@
             registry=self.registry,
         )
 
+    def observe_opening(
+        self, kind: str, seconds: float, is_open: bool
+    ) -> None:
+        """Count an attempt to open a connection."""
+        result = "opened" if is_open else "failed"
+        self.openings.labels(kind, result).observe(seconds)
+
     def count_account_decision(self, decision: str) -> None:
         """Count the result of the check of a request's account."""
         self.account_decisions.labels(decision).inc()
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from burdockgap.accounts.admission import AccountAdmission
@@ -56,6 +57,7 @@
     from burdockgap.http1.server import Server
     from burdockgap.logs.line_writer import LineWriter
     from burdockgap.platform.store_client import StoreClient
+    from burdockgap.resources.link_usage import LinkUsage
     from burdockgap.shards.shard import Shard
     from burdockgap.sidecar.metrics import SidecarMetrics
     from burdockgap.sidecar.sidecar_settings import SidecarSettings
@@ -78,6 +80,7 @@
 
     :param cfg: the daemon's settings.
     :param store: client of the platform's store.
+    :param link: measures the use of the machine's network link.
     :param datagrams: sends and receives datagrams of other daemons.
     :param event_log: writer of structured log lines.
     :param metrics: the daemon's metrics.
@@ -114,6 +117,7 @@
         "holder",
         "leaving",
         "lease",
+        "link",
         "event_log",
         "peer_connections",
         "peers_busy",
@@ -134,6 +138,7 @@
         *,
         cfg: SidecarSettings,
         store: StoreClient,
+        link: LinkUsage,
         datagrams: Datagrams,
         event_log: LineWriter,
         metrics: SidecarMetrics,
@@ -150,7 +155,14 @@
             cfg.buffer_bytes, reserve_share=_BUFFER_RESERVE_SHARE
         )
         self.buffers.on_full = self._free_memory
-        self.peer_connections = PeerConnections(self.uplink, self.buffers)
+        self.link = link
+        datagrams.counter = link.counters["datagrams"]
+        self.peer_connections = PeerConnections(
+            self.uplink,
+            self.buffers,
+            counter=link.counters["peers"],
+            on_opened=partial(link.note_opening, "peers"),
+        )
         self.peers_busy: Callable[[], bool] = lambda: False
         self._is_coordinator = False
         self.leaving = False
@@ -394,8 +406,11 @@
         return caller_requests + self.gate.in_flight + self.peers_busy()
 
     async def _run_checks(self) -> None:
+        now = asyncio.get_running_loop().time
         while True:
+            due = now() + _CHECK_INTERVAL_S
             await asyncio.sleep(_CHECK_INTERVAL_S)
+            self.link.check(now(), loop_delay_s=now() - due)
             self.target.check_silence(self.gate.in_flight)
             self.event_log.flush()
 
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from contextlib import AsyncExitStack
+from functools import partial
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -21,6 +22,7 @@
 from burdockgap.platform.store_client import StoreClient
 from burdockgap.resources.allocator import return_freed_memory
 from burdockgap.resources.descriptor_limit import DescriptorLimit
+from burdockgap.resources.link_usage import LinkUsage
 from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
 from burdockgap.sidecar.peer_call_handlers import PeerCallHandlers
@@ -78,9 +80,17 @@
         datagrams = await stack.enter_async_context(
             open_datagrams(cfg.peer_host, cfg.peer_port)
         )
+        link = LinkUsage(
+            cfg.link_bytes_per_s, event_log.write, metrics.observe_opening
+        )
         node = Node(
             cfg=cfg,
-            store=StoreClient(cfg.store),
+            link=link,
+            store=StoreClient(
+                cfg.store,
+                counter=link.counters["store"],
+                on_opened=partial(link.note_opening, "store"),
+            ),
             datagrams=datagrams,
             event_log=event_log,
             metrics=metrics,
@@ -116,6 +126,7 @@
             ),
             uplink=node.uplink,
             budget=node.buffers,
+            counter=link.counters["callers"],
             may_overlap=node.may_overlap,
             max_connections=DescriptorLimit(cfg.descriptors).connections,
             on_shed=node.note_shed,
@@ -129,6 +140,7 @@
                 uplink=node.uplink,
                 budget=node.buffers,
                 refusals=peer_calls.refusals(),
+                counter=link.counters["peers"],
             )
         )
 
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -14,6 +14,7 @@
 from burdockgap.http1.server import Server, open_server
 from burdockgap.logs.line_writer import LineWriter
 from burdockgap.platform.store_client import StoreClient
+from burdockgap.resources.link_usage import LinkUsage
 from burdockgap.sidecar.metrics import SidecarMetrics
 from burdockgap.sidecar.node import Node
 from burdockgap.sidecar.peer_call_handlers import PeerCallHandlers
@@ -105,6 +106,7 @@
         self.node = Node(
             cfg=cfg,
             store=StoreClient(cfg.store),
+            link=LinkUsage(cfg.link_bytes_per_s, event_log.write),
             datagrams=datagrams,
             event_log=event_log,
             metrics=metrics,
