Add a failing test of a configuration that waits behind bodies

Members send bodies to one machine at three times the rate of its link; the stand-in for the link delivers in order, whatever connection it is.

--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -21,9 +21,14 @@
 from burdockgap.sidecar.sidecar_settings import SidecarSettings
 from standins.sidecar.app_server import AppServer
 from standins.sidecar.documents import make_site_config
+from standins.sidecar.downlink import Downlink
 from standins.sidecar.keyed_topics import KeyedTopics
 from tests.ports import HOST, free_port
 
+FAST_LINK_BYTES_PER_S = 125e6
+BEHIND_LINK_HOST = "127.0.0.2"
+"""Where a machine listens whose receiving link is slow."""
+
 
 def make_info(**fields):
     """Return a heartbeat, with defaults for the missing fields."""
@@ -42,9 +47,16 @@
 
 
 class Machine:
-    """One daemon and its server."""
+    """
+    One daemon and its server.
+
+    :param link_bytes_per_s: rate of the receiving direction of its
+        link, ``None`` for a fast one.
+    """
 
-    def __init__(self, site, index, service):
+    def __init__(self, site, index, service, link_bytes_per_s=None):
+        self.link_bytes_per_s = link_bytes_per_s
+        self.downlink = None
         self.site = site
         self.name = f"m{index}"
         self.service = service
@@ -75,23 +87,43 @@
     async def stop_app(self):
         await self._app_stack.aclose()
 
+    async def _open_downlink(self):
+        """Let peers and the store send over the slow link."""
+        self.downlink = Downlink(self.link_bytes_per_s)
+        address = (HOST, self.peer_port)
+        target = (BEHIND_LINK_HOST, self.peer_port)
+        store_port = free_port()
+        for port in (
+            self.downlink.open_port(address, target),
+            self.downlink.open_datagram_port(address, target),
+            self.downlink.open_port(
+                (HOST, store_port), (HOST, self.site.store_port), replies=True
+            ),
+        ):
+            await self._stack.enter_async_context(port)
+        return store_port
+
     async def start(self):
+        peer_host, store_port = HOST, self.site.store_port
+        if self.link_bytes_per_s is not None:
+            peer_host = BEHIND_LINK_HOST
+            store_port = await self._open_downlink()
         cfg = SidecarSettings(
             name=self.name,
             data_centre="dc1",
             region="r1",
             service=self.service,
             ip=HOST,
-            peer_host=HOST,
+            peer_host=peer_host,
             peer_port=self.peer_port,
             callers=(HOST, self.callers_port),
             readiness=(HOST, 0),
             control=(HOST, 0),
-            store=(HOST, self.site.store_port),
+            store=(HOST, store_port),
             budget_ratio=0.2,
             budget_extra=60.0,
             budget_window_s=10.0,
-            link_bytes_per_s=125e6,
+            link_bytes_per_s=self.link_bytes_per_s or FAST_LINK_BYTES_PER_S,
             drain_s=2.0,
             grace_s=6.0,
             buffer_bytes=50_000_000,
@@ -101,7 +133,7 @@
             fd=self.site.log_fd, name=self.name, count=metrics.count
         )
         datagrams = await self._stack.enter_async_context(
-            open_datagrams(HOST, self.peer_port)
+            open_datagrams(peer_host, self.peer_port)
         )
         self.node = Node(
             cfg=cfg,
@@ -113,7 +145,10 @@
         )
         await self._stack.enter_async_context(
             open_listener(
-                PeerCallHandlers(self.node).handlers(), HOST, self.peer_port
+                PeerCallHandlers(self.node).handlers(),
+                peer_host,
+                self.peer_port,
+                uplink=self.node.uplink,
             )
         )
         self.node.caller_server = Server(
@@ -181,13 +216,13 @@
 class Site:
     """A store and several machines."""
 
-    def __init__(self, services):
+    def __init__(self, services, link_rates):
         self.store = KeyedTopics()
         self.store_port = free_port()
         self.log_fd = os.open(os.devnull, os.O_WRONLY)
         self.last_request_id = 0
         self.machines = [
-            Machine(self, index, service)
+            Machine(self, index, service, link_rates.get(index))
             for index, service in enumerate(services, start=1)
         ]
 
@@ -249,9 +284,16 @@
 
 
 @asynccontextmanager
-async def open_site(*services: str):
-    """Start a site with one machine for each given service."""
-    site = Site(services)
+async def open_site(
+    *services: str, link_rates: dict[int, float] | None = None
+):
+    """
+    Start a site with one machine for each given service.
+
+    :param link_rates: rates of the slow links by number of the machine,
+        from 1 on, in bytes per second.
+    """
+    site = Site(services, link_rates or {})
     site.store.put("keyed.op", "config", make_site_config())
     async with open_server(Server(site.store.answer), HOST, site.store_port):
         for machine in site.machines:
