Let the receiver grant long messages of other daemons

Cause: each sender paces its own link, and nothing bounded what all of them had under way to one machine. Bodies queued up before it for a second or more; the store's answers, new connections (given up after 0.5 s) and pings (0.9 s) waited behind them. Connections that were given up lost their bodies, which were then sent again elsewhere.

A call that would wait longer than its patience is refused as not run before its body is sent.

--- a/src/burdockgap/forward/member_calls.py
+++ b/src/burdockgap/forward/member_calls.py
@@ -72,7 +72,9 @@
             )
         if outcome.notice is not None:
             self._roster.note_notice(member.name, outcome.notice)
-        if outcome.reason in NO_ROOM_REASONS:
+        # A full link has room for requests without long bodies.
+        is_full = outcome.reason is not Reason.LINK_FULL
+        if is_full and outcome.reason in NO_ROOM_REASONS:
             self._roster.note_refusal(member.name)
         return outcome
 
@@ -83,7 +85,10 @@
         try:
             async with asyncio.timeout_at(reply_deadline):
                 reply = await self._peer_connections.call(
-                    member.address, FORWARD, call.encode()
+                    member.address,
+                    FORWARD,
+                    call.encode(),
+                    max_wait_s=call.patience_s,
                 )
             return Outcome.decode(reply)
         except TimeoutError:
--- a/src/burdockgap/forward/no_room_reasons.py
+++ b/src/burdockgap/forward/no_room_reasons.py
@@ -3,7 +3,12 @@
 from burdockgap.verdict import Reason
 
 NO_ROOM_REASONS = frozenset(
-    {Reason.QUEUE_FULL, Reason.QUEUE_TIMEOUT, Reason.RATE_LIMITED}
+    {
+        Reason.LINK_FULL,
+        Reason.QUEUE_FULL,
+        Reason.QUEUE_TIMEOUT,
+        Reason.RATE_LIMITED,
+    }
 )
 """The target has no room. Not retried for a key: it has one owner, so
 no other target can serve it."""
--- a/src/burdockgap/forward/single_runs.py
+++ b/src/burdockgap/forward/single_runs.py
@@ -8,7 +8,7 @@
 
 from burdockgap.forward.dedup_cache import DedupCache
 from burdockgap.forward.outcome import Outcome
-from burdockgap.hop.listener import CALLER_CONNECTION_LOST
+from burdockgap.hop.peer_session import CALLER_CONNECTION_LOST
 from burdockgap.resources.charge import Charge
 from burdockgap.resources.charge_share import ChargeShare
 from burdockgap.verdict import Reason, Verdict
--- a/src/burdockgap/hop/frames.py
+++ b/src/burdockgap/hop/frames.py
@@ -18,7 +18,15 @@
 PING = 3
 PONG = 4
 PART = 5
-"""Part of a long REPLY frame; shorter frames may be sent in between."""
+"""Part of a long CALL or REPLY; short frames may be sent in between."""
+
+OFFER = 7
+"""A long CALL or REPLY that the sender wants to send in parts."""
+
+GRANT = 8
+"""How many further bytes of an offered message may be sent."""
+
+LONG_MESSAGE_KINDS = frozenset({GRANT, OFFER, PART})
 
 REFUSED = 6
 """Never sent; stands for a frame for which there was no memory."""
--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -8,6 +8,8 @@
 from burdockgap.hop.frames import (
     CALL,
     CANCEL,
+    GRANT,
+    OFFER,
     PART,
     PING,
     PONG,
@@ -18,10 +20,12 @@
     encode_frame,
     encode_pieces,
 )
+from burdockgap.hop.long_messages import LongMessages
 from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.resources.write_gate import WriteGate
 
 if TYPE_CHECKING:
+    from burdockgap.downlink import Downlink
     from burdockgap.hop.reply_progress import ReplyProgress
     from burdockgap.resources.byte_counter import ByteCounter
     from burdockgap.resources.memory_budget import MemoryBudget
@@ -49,7 +53,10 @@
     :param budget: bounds the incomplete frames of all connections,
         ``None`` for no bound.
     :param counter: counts the bytes, ``None`` not to count them.
+    :param downlink: paces what peers send, ``None`` where the bandwidth
+        of the machine's link is not a limit.
     :ivar lost: whether the connection is closed or has failed.
+    :ivar rtt_s: round-trip time to the peer, in seconds.
     :ivar progress: notes what arrives of a reply, if set; for a
         connection of a single call.
     """
@@ -62,13 +69,14 @@
         "_counter",
         "_gate",
         "_heard_at",
+        "_long_messages",
         "_loop",
         "_next_id",
         "_parts",
         "_transport",
-        "_uplink",
         "lost",
         "progress",
+        "rtt_s",
     )
 
     def __init__(
@@ -77,12 +85,19 @@
         uplink: Uplink | None = None,
         budget: MemoryBudget | None = None,
         counter: ByteCounter | None = None,
+        downlink: Downlink | None = None,
     ) -> None:
         self._counter = counter
         self._loop = loop
-        self._uplink = uplink
         self._budget = budget
         self._gate = WriteGate()
+        self._long_messages = LongMessages(
+            uplink=uplink,
+            downlink=downlink,
+            gate=self._gate,
+            write=self._write,
+        )
+        self.rtt_s = 0.0
         self._parts: dict[int, FrameBuffer] = {}
         self._buffer = FrameBuffer(budget)
         self._calls: dict[int, asyncio.Future[Any]] = {}
@@ -133,12 +148,20 @@
         if frame[0] == REFUSED:
             # Its call's number stands in the place of the payload.
             self._fail_reply(payload, "does not fit into the memory limit")
+        elif frame[0] == GRANT:
+            self._long_messages.add_grant(call_id, payload)
+        elif call_id not in self._calls:
             return
-        if call_id not in self._calls:
-            return
-        if frame[0] == PART:
+        else:
+            self._handle_reply(frame[0], call_id, payload)
+
+    def _handle_reply(self, kind: int, call_id: int, payload: Any) -> None:
+        if kind == OFFER:
+            self._long_messages.add_offer(call_id, payload, self.rtt_s)
+        elif kind == PART:
+            self._long_messages.note_part(call_id, len(payload))
             self._add_part(call_id, payload)
-        elif frame[0] == REPLY:
+        elif kind == REPLY:
             fut = self._calls.pop(call_id)
             if not fut.done():
                 fut.set_result(payload)
@@ -164,7 +187,9 @@
                 )
             )
 
-    async def call(self, kind: int, payload: Any) -> Any:
+    async def call(
+        self, kind: int, payload: Any, max_wait_s: float | None = None
+    ) -> Any:
         """
         Send a call and return the reply's payload.
 
@@ -172,6 +197,8 @@
 
         :param kind: a number of :mod:`burdockgap.hop.call_kinds`.
         :param payload: any value that msgpack can encode.
+        :param max_wait_s: how long a long call may wait for the peer's
+            link, in seconds; ``None`` for no limit.
         :raises PeerCallError: if the connection is closed, fails, or
             receives nothing for too long.
         """
@@ -185,7 +212,15 @@
         self._calls[call_id] = fut
         pieces = encode_pieces(CALL, call_id, kind, payload)
         size = sum(len(piece) for piece in pieces)
-        sending = self._send(call_id, pieces, size)
+        sending: asyncio.Task[None] | None = None
+        if self._long_messages.needs_offer(size):
+            sending = self._loop.create_task(
+                self._long_messages.send_long(
+                    call_id, pieces, size, self.rtt_s, kind, max_wait_s
+                )
+            )
+        else:
+            self._long_messages.send_short(pieces, size)
         del pieces
         self._schedule_check()
         try:
@@ -196,55 +231,20 @@
             if self._counter is not None and not _has_result(fut):
                 self._counter.abandoned += size
             if (is_incomplete or fut.cancelled()) and not self.lost:
-                self._transport.write(encode_frame(CANCEL, call_id))
+                self._write(encode_frame(CANCEL, call_id))
             self._calls.pop(call_id, None)
+            self._long_messages.end_receiving(call_id)
             parts = self._parts.pop(call_id, None)
             if parts is not None:
                 parts.close()
 
-    def _send(
-        self, call_id: int, pieces: list[bytes], size: int
-    ) -> asyncio.Task[None] | None:
-        """
-        Send a call, at once if it is short.
-
-        :return: the task that sends a long one in parts, so that the
-            rest stays unsent if the call is cancelled.
-        """
-        uplink, transport = self._uplink, self._transport
-        if transport is None:
-            return None
-        if uplink is None or size <= uplink.part_bytes:
-            if uplink is not None:
-                uplink.count(size)
-            for piece in pieces:
-                self._write(transport, piece)
-            return None
-        return self._loop.create_task(
-            self._send_in_parts(call_id, pieces, uplink, transport)
-        )
-
-    async def _send_in_parts(
-        self,
-        call_id: int,
-        pieces: list[bytes],
-        uplink: Uplink,
-        transport: asyncio.Transport,
-    ) -> None:
-        for piece in pieces:
-            await uplink.send_in_parts(
-                piece,
-                lambda part: self._write(
-                    transport, encode_frame(PART, call_id, part)
-                ),
-                self._gate,
-            )
-
-    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+    def _write(self, data: bytes) -> None:
+        if self.lost or self._transport is None:
+            return
         if self._counter is not None:
             self._counter.sent += len(data)
         # The transport copies the rest of a byte string.
-        transport.write(memoryview(data))
+        self._transport.write(memoryview(data))
 
     def close(self) -> None:
         """Abort the connection and fail all pending calls."""
@@ -264,8 +264,8 @@
         if silence_s > _SILENCE_TIMEOUT_S:
             self._abort("the peer sent nothing, not even replies to pings")
             return
-        if silence_s > _PING_AFTER_SILENCE_S and self._transport is not None:
-            self._transport.write(encode_frame(PING))
+        if silence_s > _PING_AFTER_SILENCE_S:
+            self._write(encode_frame(PING))
         self._schedule_check()
 
     def _abort(self, detail: str) -> None:
--- a/src/burdockgap/hop/peer_connections.py
+++ b/src/burdockgap/hop/peer_connections.py
@@ -11,11 +11,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockgap.downlink import Downlink
     from burdockgap.hop.reply_progress import ReplyProgress
     from burdockgap.resources.byte_counter import ByteCounter
     from burdockgap.resources.memory_budget import MemoryBudget
     from burdockgap.uplink import Uplink
 
+    _Address = tuple[str, int]
+
 _CONNECT_TIMEOUT_S = 0.5
 """Allows for a 40 ms round trip between regions and a lost packet."""
 
@@ -30,6 +33,8 @@
         ``None`` for no bound.
     :param counter: counts the bytes of all connections, ``None`` not to
         count them.
+    :param downlink: paces what peers send, ``None`` where the bandwidth
+        of the machine's link is not a limit.
     :param on_opened: called with the seconds that a connection took to
         open, and whether it did.
     """
@@ -39,8 +44,10 @@
         "_connect_locks",
         "_connections",
         "_counter",
+        "_downlink",
         "_loop",
         "_on_opened",
+        "_rtts_s",
         "_uplink",
     )
 
@@ -49,10 +56,13 @@
         uplink: Uplink | None = None,
         budget: MemoryBudget | None = None,
         counter: ByteCounter | None = None,
+        downlink: Downlink | None = None,
         on_opened: Callable[[float, bool], None] = lambda *_: None,
     ) -> None:
         self._counter = counter
+        self._downlink = downlink
         self._on_opened = on_opened
+        self._rtts_s: dict[_Address, float] = {}
         self._budget = budget
         self._loop = asyncio.get_running_loop()
         self._uplink = uplink
@@ -60,7 +70,12 @@
         self._connect_locks: dict[tuple[str, int], asyncio.Lock] = {}
 
     async def call(
-        self, address: tuple[str, int], kind: int, payload: Any
+        self,
+        address: tuple[str, int],
+        kind: int,
+        payload: Any,
+        *,
+        max_wait_s: float | None = None,
     ) -> Any:
         """
         Call a peer and return the payload of its reply.
@@ -68,12 +83,14 @@
         :param address: the peer's host and port.
         :param kind: a number of :mod:`burdockgap.hop.call_kinds`.
         :param payload: any value that msgpack can encode.
+        :param max_wait_s: how long a long call may wait for the peer's
+            link, in seconds; ``None`` for no limit.
         :raises PeerCallError: if no reply is received.
         """
         conn = self._connections.get(address)
         if conn is None or conn.lost:
             conn = await self._open(address)
-        return await conn.call(kind, payload)
+        return await conn.call(kind, payload, max_wait_s)
 
     async def call_once(
         self,
@@ -121,11 +138,19 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, conn = await self._loop.create_connection(
                     lambda: PeerConnection(
-                        self._loop, self._uplink, self._budget, self._counter
+                        self._loop,
+                        self._uplink,
+                        self._budget,
+                        self._counter,
+                        self._downlink,
                     ),
                     *address,
                 )
             is_open = True
+            took_s = self._loop.time() - began
+            # A longer opening includes waits in queues.
+            conn.rtt_s = min(took_s, self._rtts_s.get(address, took_s))
+            self._rtts_s[address] = conn.rtt_s
         except (OSError, TimeoutError) as exc:
             detail = f"connecting to the peer failed: {exc!r}"
             raise PeerCallError(detail, sent=False) from exc
--- a/src/burdockgap/sidecar/gauges.py
+++ b/src/burdockgap/sidecar/gauges.py
@@ -111,6 +111,16 @@
         "Share of the link that payload sent in the last second used.",
         lambda: node.link.sent_share,
     )
+    gauge(
+        "link_granted_bytes",
+        "Bytes of long messages that peers may have under way.",
+        lambda: node.downlink.under_way_bytes,
+    )
+    gauge(
+        "link_backlog_seconds",
+        "Time that the link takes for the long messages peers offer.",
+        lambda: node.downlink.backlog_s,
+    )
     gauge(
         "calls_abandoned_bytes",
         "Bytes of calls to other daemons that ended without a reply.",
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -11,6 +11,7 @@
 from burdockgap.accounts.key_audit import KeyAudit
 from burdockgap.accounts.quotas import Quotas
 from burdockgap.clock import BootClock
+from burdockgap.downlink import Downlink
 from burdockgap.fleet.beacons import Beacons
 from burdockgap.fleet.datagrams import CHANGES
 from burdockgap.fleet.member import Member
@@ -109,6 +110,7 @@
         "crashes",
         "datagrams",
         "discovery",
+        "downlink",
         "documents",
         "follower",
         "forwarder",
@@ -151,6 +153,7 @@
         self.metrics = metrics
         self.clock = BootClock()
         self.uplink = Uplink(cfg.link_bytes_per_s)
+        self.downlink = Downlink(cfg.link_bytes_per_s)
         self.buffers = MemoryBudget(
             cfg.buffer_bytes, reserve_share=_BUFFER_RESERVE_SHARE
         )
@@ -161,6 +164,7 @@
             self.uplink,
             self.buffers,
             counter=link.counters["peers"],
+            downlink=self.downlink,
             on_opened=partial(link.note_opening, "peers"),
         )
         self.peers_busy: Callable[[], bool] = lambda: False
--- a/src/burdockgap/sidecar/peer_call_handlers.py
+++ b/src/burdockgap/sidecar/peer_call_handlers.py
@@ -61,6 +61,22 @@
         )
         return outcome.encode()
 
+    def link_refusals(self) -> dict[int, Any]:
+        """Return the replies to calls that wait too long, by kind."""
+        return {FORWARD: self._refuse_for_link}
+
+    def _refuse_for_link(self, backlog_s: float) -> Any:
+        self._node.metrics.outcomes.labels(
+            Verdict.NOT_RUN.value, Reason.LINK_FULL.value
+        ).inc()
+        outcome = Outcome(
+            Verdict.NOT_RUN,
+            reason=Reason.LINK_FULL,
+            retry_after_s=backlog_s,
+            load=self._node.gate.load,
+        )
+        return outcome.encode()
+
     async def _forward(self, payload: Any) -> Any:
         call = Call.decode(payload)
         charge = self._node.buffers.charge("calls")
--- a/src/burdockgap/sidecar/run.py
+++ b/src/burdockgap/sidecar/run.py
@@ -140,7 +140,9 @@
                 uplink=node.uplink,
                 budget=node.buffers,
                 refusals=peer_calls.refusals(),
+                link_refusals=peer_calls.link_refusals(),
                 counter=link.counters["peers"],
+                downlink=node.downlink,
             )
         )
 
--- a/src/burdockgap/uplink.py
+++ b/src/burdockgap/uplink.py
@@ -88,7 +88,7 @@
 
     async def send_in_parts(
         self,
-        data: bytes,
+        data: bytes | memoryview,
         write: Callable[[bytes | memoryview], None],
         gate: WriteGate | None = None,
     ) -> None:
--- a/src/burdockgap/verdict/reason.py
+++ b/src/burdockgap/verdict/reason.py
@@ -19,6 +19,7 @@
     DATA_CENTRE_OUT = "data-centre-out"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate-limited"
+    LINK_FULL = "link-full"
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
     TARGET_DOWN = "target-down"
--- a/tests/forward/test_dedup_cache.py
+++ b/tests/forward/test_dedup_cache.py
@@ -9,7 +9,7 @@
 from burdockgap.forward import dedup_cache
 from burdockgap.forward.dedup_cache import DedupCache
 from burdockgap.forward.outcome import Outcome
-from burdockgap.hop.listener import CALLER_CONNECTION_LOST
+from burdockgap.hop.peer_session import CALLER_CONNECTION_LOST
 from burdockgap.http1.response import Response
 from burdockgap.http1.server import Server, open_server
 from burdockgap.verdict import Reason, Verdict
--- a/tests/hop/test_peer_connection.py
+++ b/tests/hop/test_peer_connection.py
@@ -16,9 +16,10 @@
     FrameError,
     encode_frame,
 )
-from burdockgap.hop.listener import CALLER_CONNECTION_LOST, open_listener
+from burdockgap.hop.listener import open_listener
 from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.hop.peer_connections import PeerConnections
+from burdockgap.hop.peer_session import CALLER_CONNECTION_LOST
 from burdockgap.resources.memory_budget import MemoryBudget
 from tests.http1.sockets import HOST, open_scripted_server
 from tests.ports import free_port
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -143,12 +143,15 @@
             event_log=event_log,
             metrics=metrics,
         )
+        peer_calls = PeerCallHandlers(self.node)
         await self._stack.enter_async_context(
             open_listener(
-                PeerCallHandlers(self.node).handlers(),
+                peer_calls.handlers(),
                 peer_host,
                 self.peer_port,
                 uplink=self.node.uplink,
+                link_refusals=peer_calls.link_refusals(),
+                downlink=self.node.downlink,
             )
         )
         self.node.caller_server = Server(
