Let the time to open a connection for a fetch follow the delay

What callers saw: a machine whose link was full kept an older configuration, though it knew of the newer one and asked member after member for it.

Bodies that callers send to the machine itself can still fill its link.

After an attempt that timed out the next one has three times as long, up to 2 s, and answers to pings on it as long; an opening in time resets both. A second member is still asked after 0.7 s without a byte. Calls of requests keep 0.5 s, as another target may serve them.

--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -57,6 +57,8 @@
         of the machine's link is not a limit.
     :ivar lost: whether the connection is closed or has failed.
     :ivar rtt_s: round-trip time to the peer, in seconds.
+    :ivar silence_timeout_s: seconds without a received byte after which
+        pending calls fail.
     :ivar progress: notes what arrives of a reply, if set; for a
         connection of a single call.
     """
@@ -77,6 +79,7 @@
         "lost",
         "progress",
         "rtt_s",
+        "silence_timeout_s",
     )
 
     def __init__(
@@ -98,6 +101,7 @@
             write=self._write,
         )
         self.rtt_s = 0.0
+        self.silence_timeout_s = _SILENCE_TIMEOUT_S
         self._parts: dict[int, FrameBuffer] = {}
         self._buffer = FrameBuffer(budget)
         self._calls: dict[int, asyncio.Future[Any]] = {}
@@ -261,7 +265,7 @@
         if not self._calls or self.lost:
             return
         silence_s = self._loop.time() - self._heard_at
-        if silence_s > _SILENCE_TIMEOUT_S:
+        if silence_s > self.silence_timeout_s:
             self._abort("the peer sent nothing, not even replies to pings")
             return
         if silence_s > _PING_AFTER_SILENCE_S:
--- a/src/burdockgap/hop/peer_connections.py
+++ b/src/burdockgap/hop/peer_connections.py
@@ -7,6 +7,7 @@
 
 from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.hop.peer_connection import PeerConnection
+from burdockgap.scheduling.opening_timeout import OpeningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,7 +21,8 @@
     _Address = tuple[str, int]
 
 _CONNECT_TIMEOUT_S = 0.5
-"""Allows for a 40 ms round trip between regions and a lost packet."""
+"""For requests, which another peer may still serve in time; allows for
+a 40 ms round trip between regions and a lost packet."""
 
 
 class PeerConnections:
@@ -47,6 +49,7 @@
         "_downlink",
         "_loop",
         "_on_opened",
+        "_opening_timeout",
         "_rtts_s",
         "_uplink",
     )
@@ -62,6 +65,7 @@
         self._counter = counter
         self._downlink = downlink
         self._on_opened = on_opened
+        self._opening_timeout = OpeningTimeout()
         self._rtts_s: dict[_Address, float] = {}
         self._budget = budget
         self._loop = asyncio.get_running_loop()
@@ -109,7 +113,7 @@
 
         :param progress: notes when bytes of the reply arrive.
         """
-        conn = await self._connect(address)
+        conn = await self._connect_patiently(address)
         conn.progress = progress
         try:
             return await conn.call(kind, payload)
@@ -127,15 +131,33 @@
             conn = self._connections.get(address)
             if conn is not None and not conn.lost:
                 return conn
-            conn = await self._connect(address)
+            conn = await self._connect(address, _CONNECT_TIMEOUT_S)
             self._connections[address] = conn
             return conn
 
-    async def _connect(self, address: tuple[str, int]) -> PeerConnection:
+    async def _connect_patiently(
+        self, address: tuple[str, int]
+    ) -> PeerConnection:
+        """Open a connection, if need be one that takes long to open."""
+        timeout = self._opening_timeout
+        began = self._loop.time()
+        try:
+            conn = await self._connect(address, timeout.seconds)
+        except PeerCallError as exc:
+            if isinstance(exc.__cause__, TimeoutError):
+                timeout.expired()
+            raise
+        timeout.opened(self._loop.time() - began)
+        conn.silence_timeout_s = max(conn.silence_timeout_s, timeout.seconds)
+        return conn
+
+    async def _connect(
+        self, address: tuple[str, int], timeout_s: float
+    ) -> PeerConnection:
         began = self._loop.time()
         is_open = False
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 _, conn = await self._loop.create_connection(
                     lambda: PeerConnection(
                         self._loop,
--- a/tests/hop/test_peer_connection.py
+++ b/tests/hop/test_peer_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import suppress
 
 import pytest
@@ -123,6 +124,40 @@
         peer_connections.close()
 
 
+def open_full_listener():
+    """Return a socket that completes no further connection for now."""
+    sock = socket.create_server((HOST, free_port()), backlog=0)
+    sock.setblocking(False)
+    return sock
+
+
+# CONFIG: each fetch of a configuration over a full link was given up
+# after 0.5 s, and the next one began anew.
+async def test_rare_call_waits_longer_after_an_opening_timed_out():
+    frames = FrameBuffer()
+    with open_full_listener() as sock, socket.socket() as other:
+        address = sock.getsockname()
+        other.connect(address)
+        peer_connections = PeerConnections()
+        with pytest.raises(PeerCallError):
+            await peer_connections.call_once(address, 1, None)
+        call = asyncio.create_task(
+            peer_connections.call_once(address, 1, None)
+        )
+        await asyncio.sleep(0.7)
+        sock.accept()[0].close()
+        sock.listen(10)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(2.0):
+            conn, _ = await loop.sock_accept(sock)
+            data = await loop.sock_recv(conn, 1000)
+            for frame in frames.feed(data):
+                reply = encode_frame(REPLY, frame[1], "late")
+                await loop.sock_sendall(conn, reply)
+            assert await call == "late"
+        conn.close()
+
+
 async def test_refused_connection_is_reported_as_not_sent():
     with pytest.raises(PeerCallError) as caught:
         await PeerConnections().call((HOST, free_port()), 1, None)
