--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -283,6 +283,10 @@
                 now, f"CONFIG {process} does not know {version}"
             )
 
+    def record_changed_body(self, where: str, now: float) -> None:
+        """Record a body that differs from the one that was sent."""
+        self._add_violation(now, f"UNASKED body changed at {where}")
+
     def record_not_recovered(self, description: str, now: float) -> None:
         """Record what is not served after all faults have ended."""
         self._add_violation(now, f"RECOVER {description}")
--- a/soak/server.py
+++ b/soak/server.py
@@ -16,6 +16,7 @@
 from burdockgap.http1.server import Server, open_server
 from soak.endless_target import open_endless_target
 from soak.invariants import DRAIN_S, EVACUATION_S, UNDISTURBED_S
+from soak.long_body import is_intact
 
 if TYPE_CHECKING:
     import random
@@ -359,6 +360,8 @@
             key=key,
             now=now,
         )
+        if not is_intact(req.body, request_id):
+            self._checker.record_changed_body(incarnation, now)
         if req.path == CRASH_PATH:
             self.on_crash()
         self._in_flight += 1
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -10,6 +10,7 @@
 from burdockgap.http1.encode import encode_request
 from burdockgap.http1.exchange_error import ExchangeError
 from soak.invariants import APPLY_S, UNDISTURBED_S
+from soak.long_body import make_long_body
 from soak.machine import CALLERS_PORT, READY_PORT
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
 _REQUEST_INTERVAL_S = 0.03
 _PROBE_INTERVAL_S = 0.4
 _WORKERS = 2
+_LONG_INTERVAL = 4
+"""Every so many bookings, one has a long body."""
 _RECOVERY_TIMEOUT_S = 15.0
 _RECOVERY_POLL_S = 0.25
 
@@ -135,7 +138,11 @@
         key: int | None,
     ) -> int:
         """Send a request; return its status, 0 if it had no answer."""
-        request_id = f"r{next(self._request_numbers)}"
+        number = next(self._request_numbers)
+        request_id = f"r{number}"
+        body = b""
+        if method == "POST" and number % _LONG_INTERVAL == 0:
+            body = make_long_body(request_id)
         headers = [
             ("Host", "a.example"),
             ("Attempt-Id", request_id),
@@ -143,7 +150,7 @@
         ]
         if key is not None:
             headers.append(("Shard-Key", str(key)))
-        data = encode_request(method, path, headers)
+        data = encode_request(method, path, headers, body)
         status = 0
         try:
             async with asyncio.timeout(_REQUEST_TIMEOUT_S):
