Send pieces of earlier messages first, and count what waits for a grant

Cause: a message that is granted piece by piece waited for its turn at the sender's link behind all others with each piece, so that all of them were complete late instead of one after the other. And the backlog, by which large responses are refused in time, had only the granted pieces.

Messages keep their rank until they are sent, and count as queued from their offer on. A grant is at least half of a message's share, which takes fewer frames.

--- a/src/burdockgap/hop/long_messages.py
+++ b/src/burdockgap/hop/long_messages.py
@@ -20,7 +20,7 @@
     from burdockgap.resources.write_gate import WriteGate
     from burdockgap.uplink import Uplink
 
-_MAX_SHORT_BYTES = 16 * 1024
+MAX_SHORT_BYTES = 16 * 1024
 """Messages up to this size are sent without an offer."""
 
 
@@ -58,7 +58,7 @@
 
     def needs_offer(self, size: int) -> bool:
         """Return whether a message of some bytes has to be offered."""
-        return self._uplink is not None and size > _MAX_SHORT_BYTES
+        return self._uplink is not None and size > MAX_SHORT_BYTES
 
     def send_short(self, pieces: Sequence[bytes], size: int) -> None:
         """Send a message that needs no offer."""
@@ -82,18 +82,20 @@
         credit = self._credits[call_id] = SendCredit()
         self._write(encode_frame(OFFER, call_id, size, *details))
         try:
-            for piece in pieces:
-                view = memoryview(piece)
-                while view:
-                    granted = await credit.take(len(view))
-                    await uplink.send_in_parts(
-                        view[:granted],
-                        lambda part: self._write(
-                            encode_frame(PART, call_id, part)
-                        ),
-                        self._gate,
-                    )
-                    view = view[granted:]
+            with uplink.queue_message(size) as message:
+                for piece in pieces:
+                    view = memoryview(piece)
+                    while view:
+                        granted = await credit.take(len(view))
+                        await uplink.send_piece(
+                            message,
+                            view[:granted],
+                            lambda part: self._write(
+                                encode_frame(PART, call_id, part)
+                            ),
+                            self._gate,
+                        )
+                        view = view[granted:]
         finally:
             self._credits.pop(call_id, None)
 
--- a/src/burdockgap/scheduling/receive_grants.py
+++ b/src/burdockgap/scheduling/receive_grants.py
@@ -24,7 +24,7 @@
 _SENDERS = 2
 """Messages that share the window, so that the link is not idle while
 one sender is slow."""
-_MIN_GRANT_SHARE = 0.25
+_MIN_GRANT_SHARE = 0.5
 """Part of a message's share below which no grant is worth a frame."""
 _EXPIRES_AFTER_S = 0.2
 """Time without a byte after which the next message is granted what a
--- a/src/burdockgap/uplink.py
+++ b/src/burdockgap/uplink.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
-from contextlib import asynccontextmanager
+import itertools
+from contextlib import asynccontextmanager, contextmanager
+from heapq import heappop, heappush
 from typing import TYPE_CHECKING
 
+from burdockgap.queued_message import QueuedMessage
+
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from burdockgap.resources.write_gate import WriteGate
 
@@ -42,9 +45,12 @@
     __slots__ = (
         "_bytes_per_s",
         "_free_at",
+        "_is_sending",
         "_loop",
-        "_turns",
+        "_message_count",
         "_queued_bytes",
+        "_turn_numbers",
+        "_turns",
         "part_bytes",
     )
 
@@ -52,7 +58,10 @@
         self._loop = asyncio.get_running_loop()
         self._bytes_per_s = bytes_per_s * _COUNTED_SHARE
         self._free_at = 0.0
-        self._turns: deque[asyncio.Future[None]] = deque()
+        self._is_sending = False
+        self._turns: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._turn_numbers = itertools.count()
+        self._message_count = 0
         self._queued_bytes = 0
         self.part_bytes = max(
             _MIN_PART_BYTES, int(bytes_per_s * _PART_DURATION_S)
@@ -88,7 +97,7 @@
 
     async def send_in_parts(
         self,
-        data: bytes | memoryview,
+        data: bytes,
         write: Callable[[bytes | memoryview], None],
         gate: WriteGate | None = None,
     ) -> None:
@@ -104,38 +113,76 @@
         :param gate: whether the connection has sent what was written,
             ``None`` to write without regard to it.
         """
-        view = memoryview(data)
-        unsent = len(view)
-        self._queued_bytes += unsent
+        with self.queue_message(len(data)) as message:
+            await self.send_piece(message, memoryview(data), write, gate)
+
+    @contextmanager
+    def queue_message(self, size: int) -> Iterator[QueuedMessage]:
+        """Count a message as queued until the context exits."""
+        self._message_count += 1
+        message = QueuedMessage(self._message_count, size)
+        self._queued_bytes += size
         try:
-            while unsent:
-                if gate is not None:
-                    await gate.wait()
-                async with self._turn():
-                    while unsent and (gate is None or gate.is_open):
-                        await self._wait_until_ready()
-                        start = len(view) - unsent
-                        part = view[start : start + self.part_bytes]
-                        write(part)
-                        self.count(len(part))
-                        self._queued_bytes -= len(part)
-                        unsent -= len(part)
+            yield message
         finally:
-            self._queued_bytes -= unsent
+            self._queued_bytes -= message.unsent
+
+    async def send_piece(
+        self,
+        message: QueuedMessage,
+        view: memoryview,
+        write: Callable[[bytes | memoryview], None],
+        gate: WriteGate | None = None,
+    ) -> None:
+        """
+        Send a piece of a queued message in parts.
+
+        Pieces of earlier messages go first, also if they become ready
+        later. The other parameters are those of :meth:`send_in_parts`.
+
+        :param view: the piece.
+        """
+        while view:
+            if gate is not None:
+                await gate.wait()
+            async with self._turn(message.order):
+                while view and (gate is None or gate.is_open):
+                    await self._wait_until_ready()
+                    part, view = (
+                        view[: self.part_bytes],
+                        view[self.part_bytes :],
+                    )
+                    write(part)
+                    self.count(len(part))
+                    self._queued_bytes -= len(part)
+                    message.unsent -= len(part)
 
     @asynccontextmanager
-    async def _turn(self) -> AsyncIterator[None]:
+    async def _turn(self, order: int) -> AsyncIterator[None]:
         """Wait for those before; keep others waiting until it exits."""
-        turn: asyncio.Future[None] = self._loop.create_future()
-        self._turns.append(turn)
-        try:
-            if self._turns[0] is not turn:
+        if self._is_sending:
+            turn: asyncio.Future[None] = self._loop.create_future()
+            heappush(self._turns, (order, next(self._turn_numbers), turn))
+            try:
                 await turn
+            except asyncio.CancelledError:
+                if turn.done() and not turn.cancelled():
+                    self._pass_turn()
+                raise
+        self._is_sending = True
+        try:
             yield
         finally:
-            self._turns.remove(turn)
-            if self._turns and not self._turns[0].done():
-                self._turns[0].set_result(None)
+            self._pass_turn()
+
+    def _pass_turn(self) -> None:
+        while self._turns:
+            *_, turn = heappop(self._turns)
+            if not turn.done():
+                # Nobody else may begin before it does.
+                turn.set_result(None)
+                return
+        self._is_sending = False
 
     async def _wait_until_ready(self) -> None:
         while True:
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -75,3 +75,30 @@
         assert not first.done()
         assert await first == large
         peer_connections.close()
+
+
+# A reply whose receiver grants it piece by piece took turns with all
+# later ones, so that every one of them was late.
+async def test_later_piece_of_an_earlier_message_goes_first():
+    uplink = Uplink(SLOW_LINK_BYTES_PER_S)
+    sent = []
+
+    async def send(message, size, name):
+        await uplink.send_piece(
+            message, memoryview(bytes(size)), lambda _: sent.append(name)
+        )
+
+    with (
+        uplink.queue_message(40_000) as first,
+        uplink.queue_message(40_000) as second,
+    ):
+        # What waits for its receiver is queued as well.
+        assert uplink.backlog_s == pytest.approx(0.24, abs=0.02)
+        await send(first, 16_384, "first")
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(send(second, 16_384, "second"))
+            await asyncio.sleep(0)
+            tasks.create_task(send(second, 16_384, "second"))
+            tasks.create_task(send(first, 16_384, "first"))
+    assert sent == ["first", "second", "first", "second"]
+    assert uplink.backlog_s < 0.2
