Place requests with long bodies by the receiving links

A request with a body was sent to a machine whose link had no room for it, refused there and sent to the next. Members tell the time that their receiving link needs for what is offered, with their load; it counts for bodies above 16 KB at other machines, as part of the cost of a target. The load has one value more, so that daemons of builds before and after refuse each other's loads.

--- a/src/burdockgap/forward/attempts.py
+++ b/src/burdockgap/forward/attempts.py
@@ -188,7 +188,7 @@
         while len(progress.attempts) < max_tries:
             if call.key is None:
                 member = self._chooser.best(
-                    call.service, route, progress.tried
+                    call.service, route, progress.tried, len(call.body)
                 )
             else:
                 if progress.attempts:
--- a/src/burdockgap/forward/chooser.py
+++ b/src/burdockgap/forward/chooser.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from burdockgap.hop.long_messages import MAX_SHORT_BYTES
 from burdockgap.scheduling import placement
 
 if TYPE_CHECKING:
@@ -53,12 +54,17 @@
         self._view = view
 
     def best(
-        self, service: str, route: Route, tried: set[str]
+        self,
+        service: str,
+        route: Route,
+        tried: set[str],
+        body_bytes: int = 0,
     ) -> Member | None:
         """
         Return the member whose target has the lowest expected cost.
 
         :param tried: names of members to skip.
+        :param body_bytes: size of the request's body.
         """
         servers = {
             member.name: member
@@ -68,7 +74,7 @@
         if not tried and len(members) > _SAMPLE_SIZE:
             members = self._rng.sample(members, _SAMPLE_SIZE)
         choice = placement.choose(
-            [self._candidate(member, route) for member in members],
+            [self._candidate(member, route, body_bytes) for member in members],
             self._rng,
             retry=bool(tried),
         )
@@ -97,8 +103,13 @@
             return None
         return self._roster.member(shard.owner)
 
-    def _candidate(self, member: Member, route: Route) -> Candidate:
+    def _candidate(
+        self, member: Member, route: Route, body_bytes: int
+    ) -> Candidate:
         candidate = self._roster.candidate(member)
+        is_own = member.name == self._roster.own.name
+        if body_bytes > MAX_SHORT_BYTES and not is_own:
+            candidate.downlink_s = self._roster.load(member).downlink_s
         if route.large:
             candidate.uplink_s = self._roster.load(member).uplink_s
         if member.data_centre != self._roster.own.data_centre:
--- a/src/burdockgap/forward/load.py
+++ b/src/burdockgap/forward/load.py
@@ -25,6 +25,8 @@
         average, as reported by the target.
     :param uplink_s: time until the machine's link has sent all queued
         and expected data, in seconds.
+    :param downlink_s: time until the machine's link has received all
+        long messages that other daemons offer, in seconds.
     :param rate_limit: requests per second that the target takes from
         all daemons together, ``None`` if it names no limit.
     :param rate_wait_s: time until that limit admits another request, in
@@ -32,6 +34,7 @@
     """
 
     __slots__ = (
+        "downlink_s",
         "in_flight",
         "rate_limit",
         "rate_wait_s",
@@ -51,10 +54,12 @@
         service_s: float = 0.0,
         slowness: float = 1.0,
         uplink_s: float = 0.0,
+        downlink_s: float = 0.0,
         rate_limit: float | None = None,
         rate_wait_s: float = 0.0,
     ) -> None:
         self.uplink_s = uplink_s
+        self.downlink_s = downlink_s
         self.in_flight = in_flight
         self.waiting = waiting
         self.slots = slots
@@ -72,6 +77,7 @@
             self.service_s,
             self.slowness,
             self.uplink_s,
+            self.downlink_s,
             self.rate_limit,
             self.rate_wait_s,
         ]
@@ -100,6 +106,7 @@
             service_s,
             slowness,
             uplink_s,
+            downlink_s,
             rate_limit,
             rate_wait_s,
         ) = values
@@ -110,6 +117,7 @@
             service_s=_check_seconds(service_s, "service time"),
             slowness=check_number(slowness, "slowness"),
             uplink_s=_check_seconds(uplink_s, "uplink time"),
+            downlink_s=_check_seconds(downlink_s, "downlink time"),
             rate_limit=None
             if rate_limit is None
             else check_number(rate_limit, "rate limit"),
--- a/src/burdockgap/forward/target_gate.py
+++ b/src/burdockgap/forward/target_gate.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from burdockgap.downlink import Downlink
     from burdockgap.forward.call import Call
     from burdockgap.forward.crash_watch import CrashWatch
     from burdockgap.forward.outcome import Outcome
@@ -44,6 +45,7 @@
     :param out_since: returns when operators took the data centre out
         of service, on the event loop's clock; ``None`` if they did not.
     :param uplink: the machine's outbound link.
+    :param downlink: the machine's inbound link.
     :param crashes: detects requests that crash targets.
     :param buffers: bounds requests and responses.
     :param on_event: logs a decision.
@@ -62,6 +64,7 @@
 
     __slots__ = (
         "_crashes",
+        "_downlink",
         "_exchange",
         "_large_responses",
         "_log",
@@ -90,6 +93,7 @@
         protocol: TargetProtocol,
         out_since: Callable[[], float | None],
         uplink: Uplink,
+        downlink: Downlink,
         crashes: CrashWatch,
         buffers: MemoryBudget,
         on_event: Callable[[str, dict[str, object]], None],
@@ -105,6 +109,7 @@
         self._out_since = out_since
         self._queue = TargetQueue(state, on_wait)
         self._slots = self._queue.slots
+        self._downlink = downlink
         self._large_responses = LargeResponses(uplink)
         self._exchange = TargetExchange(
             state=state,
@@ -140,6 +145,7 @@
             service_s=self._state.service_s,
             slowness=self._state.slowness * self.slowdown,
             uplink_s=self._large_responses.uplink_s,
+            downlink_s=self._downlink.backlog_s,
             rate_limit=self._state.limit.rate,
             rate_wait_s=self._state.limit.wait_s(
                 self._loop.time(), self._slots.waiting
--- a/src/burdockgap/scheduling/candidate.py
+++ b/src/burdockgap/scheduling/candidate.py
@@ -27,12 +27,15 @@
         request, in seconds.
     :param uplink_s: time until its link has sent what is queued, in
         seconds.
+    :param downlink_s: time until its link has received what waits, in
+        seconds; 0 for a request without a long body.
     :param distance_s: cost of the way to the server, in seconds.
     """
 
     __slots__ = (
         "age_s",
         "distance_s",
+        "downlink_s",
         "full_s",
         "mean_work",
         "name",
@@ -59,6 +62,7 @@
         full_s: float = 0.0,
         rate_wait_s: float = 0.0,
         uplink_s: float = 0.0,
+        downlink_s: float = 0.0,
         distance_s: float = 0.0,
     ) -> None:
         self.name = name
@@ -72,4 +76,5 @@
         self.full_s = full_s
         self.rate_wait_s = rate_wait_s
         self.uplink_s = uplink_s
+        self.downlink_s = downlink_s
         self.distance_s = distance_s
--- a/src/burdockgap/scheduling/placement.py
+++ b/src/burdockgap/scheduling/placement.py
@@ -122,6 +122,7 @@
         + _CONTENTION_SHARE * busy * mean_s
         + candidate.distance_s
         + candidate.uplink_s
+        + candidate.downlink_s
         + candidate.full_s
     )
 
--- a/src/burdockgap/sidecar/node.py
+++ b/src/burdockgap/sidecar/node.py
@@ -257,6 +257,7 @@
                 self.cfg.data_centre
             ),
             uplink=self.uplink,
+            downlink=self.downlink,
             crashes=self.crashes.watch,
             buffers=self.buffers,
             on_event=self.event_log.write,
--- a/tests/forward/builders.py
+++ b/tests/forward/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from burdockgap.clock import BootClock
+from burdockgap.downlink import Downlink
 from burdockgap.forward.call import Call
 from burdockgap.forward.crash_watch import CrashWatch
 from burdockgap.forward.departures import Departures
@@ -75,6 +76,7 @@
             protocol=PlatformTargetProtocol(),
             out_since=lambda: self.out_since,
             uplink=self.uplink,
+            downlink=Downlink(125e6),
             crashes=self.crashes,
             buffers=MemoryBudget(50_000_000),
             on_event=self._note,
