--- a/src/burdockgap/hop/long_messages.py
+++ b/src/burdockgap/hop/long_messages.py
@@ -77,28 +77,32 @@
 
         :param details: what the offer says besides its number and size.
         """
-        uplink = self._uplink
-        assert uplink is not None
-        credit = self._credits[call_id] = SendCredit()
+        assert self._uplink is not None
+        self._credits[call_id] = SendCredit()
         self._write(encode_frame(OFFER, call_id, size, *details))
         try:
-            with uplink.queue_message(size) as message:
-                for piece in pieces:
-                    view = memoryview(piece)
-                    while view:
-                        granted = await credit.take(len(view))
-                        await uplink.send_piece(
-                            message,
-                            view[:granted],
-                            lambda part: self._write(
-                                encode_frame(PART, call_id, part)
-                            ),
-                            self._gate,
-                        )
-                        view = view[granted:]
+            await self._send_granted(call_id, pieces, size, self._uplink)
         finally:
             self._credits.pop(call_id, None)
 
+    async def _send_granted(
+        self, call_id: int, pieces: Sequence[bytes], size: int, uplink: Uplink
+    ) -> None:
+        credit = self._credits[call_id]
+
+        def write_part(part: bytes | memoryview) -> None:
+            self._write(encode_frame(PART, call_id, part))
+
+        with uplink.queue_message(size) as message:
+            for piece in pieces:
+                view = memoryview(piece)
+                while view:
+                    granted = await credit.take(len(view))
+                    await uplink.send_piece(
+                        message, view[:granted], write_part, self._gate
+                    )
+                    view = view[granted:]
+
     def add_grant(self, call_id: int, size: int) -> None:
         """Process a grant for a message that this side offered."""
         credit = self._credits.get(call_id)
--- a/src/burdockgap/resources/link_usage.py
+++ b/src/burdockgap/resources/link_usage.py
@@ -93,8 +93,11 @@
             self._window_from = now
             return
         window_s = now - self._window_from
-        if window_s < _WINDOW_S:
-            return
+        if window_s >= _WINDOW_S:
+            self._complete_window(window_s)
+            self._window_from = now
+
+    def _complete_window(self, window_s: float) -> None:
         marks, self._marks = self._marks, self._read_counters()
         received, sent = (
             {
@@ -116,7 +119,6 @@
         )
         self._update("sent", self.sent_share, False, sent, fields)
         self._opening_s = self._loop_delay_s = 0.0
-        self._window_from = now
 
     def _read_counters(self) -> dict[str, tuple[int, int]]:
         return {
--- a/src/burdockgap/scheduling/receive_grants.py
+++ b/src/burdockgap/scheduling/receive_grants.py
@@ -128,26 +128,12 @@
 
     def issue(self, now: float) -> list[tuple[Hashable, int]]:
         """Return new grants as keys of messages and sizes in bytes."""
-        for item in self._messages.values():
-            if item.expires_at <= now:
-                item.under_way = 0
-                item.expires_at = math.inf
+        self._expire(now)
         under_way = self.under_way_bytes
         grants: list[tuple[Hashable, int]] = []
         for key, item in self._messages.items():
-            if not item.ungranted:
-                continue
-            window_bytes = self._window_bytes + int(
-                self._bytes_per_s * item.rtt_s
-            )
-            share_bytes = window_bytes // _SENDERS
-            free = min(
-                window_bytes - under_way, share_bytes - item.unused_bytes
-            )
-            size = min(free, item.ungranted)
-            if size < min(item.ungranted, share_bytes * _MIN_GRANT_SHARE):
-                if window_bytes - under_way <= 0:
-                    break
+            size = self._grant_size(item, under_way)
+            if not size:
                 continue
             item.ungranted -= size
             item.under_way += size
@@ -155,3 +141,29 @@
             under_way += size
             grants.append((key, size))
         return grants
+
+    def _expire(self, now: float) -> None:
+        """Leave what senders have not used in time to others."""
+        for item in self._messages.values():
+            if item.expires_at <= now:
+                item.under_way = 0
+                item.expires_at = math.inf
+
+    def _grant_size(self, item: _Message, under_way: int) -> int:
+        """
+        Return how much more of a message may be sent now.
+
+        :param under_way: bytes under way of all messages.
+        """
+        rtt_bytes = int(self._bytes_per_s * item.rtt_s)
+        window_bytes = self._window_bytes + rtt_bytes
+        share_bytes = window_bytes // _SENDERS
+        size = min(
+            item.ungranted,
+            window_bytes - under_way,
+            share_bytes - item.unused_bytes,
+        )
+        is_worth_a_frame = size >= min(
+            item.ungranted, share_bytes * _MIN_GRANT_SHARE
+        )
+        return size if is_worth_a_frame else 0
