Give up long messages of callers that are gone

A caller that lost power while it offered bodies left its offers in the receiver's backlog for good, so that each further long call was refused as link-full; one that was gone before it granted a reply, or had no memory for it, left the reply's task, bytes and the listener's activity, for which a stopping daemon waits until the end of its grace period.

A session on which a message is awaited closes after 3 s without a byte; a live caller with a pending call pings several times a second. A caller also cancels a call whose reply has failed.

--- a/src/burdockgap/hop/peer_connection.py
+++ b/src/burdockgap/hop/peer_connection.py
@@ -232,9 +232,11 @@
         finally:
             # An early reply, which refuses the call, ends it as well.
             is_incomplete = sending is not None and sending.cancel()
-            if self._counter is not None and not _has_result(fut):
+            has_failed = not _has_result(fut)
+            if self._counter is not None and has_failed:
                 self._counter.abandoned += size
-            if (is_incomplete or fut.cancelled()) and not self.lost:
+            # The peer may be waiting to send a reply that does not fit.
+            if is_incomplete or has_failed:
                 self._write(encode_frame(CANCEL, call_id))
             self._calls.pop(call_id, None)
             self._long_messages.end_receiving(call_id)
--- a/src/burdockgap/hop/peer_session.py
+++ b/src/burdockgap/hop/peer_session.py
@@ -24,6 +24,7 @@
     encode_pieces,
 )
 from burdockgap.hop.long_messages import LongMessages
+from burdockgap.hop.silence_watch import SilenceWatch
 from burdockgap.resources.write_gate import WriteGate
 
 if TYPE_CHECKING:
@@ -71,12 +72,14 @@
         "_handlers",
         "_link_refusals",
         "_long_messages",
+        "_long_replies",
         "_loop",
         "_others",
         "_parts",
         "_refusals",
         "_tasks",
         "_transport",
+        "_watch",
     )
 
     def __init__(
@@ -110,6 +113,12 @@
         self._parts: dict[int, FrameBuffer] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._transport: asyncio.Transport | None = None
+        self._long_replies = 0
+        self._watch = SilenceWatch(
+            self._loop,
+            lambda: bool(self._parts or self._long_replies),
+            self.close,
+        )
 
     @property
     def busy(self) -> bool:
@@ -140,16 +149,19 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Cancel the calls of the connection."""
         self._others.discard(self)
+        self._watch.stop()
         self._buffer.close()
         for call_id, buffer in self._parts.items():
             self._long_messages.end_receiving(call_id)
             buffer.close()
+        self._parts.clear()
         for task in list(self._tasks.values()):
             task.cancel(CALLER_CONNECTION_LOST)
         self._gate.resume()
 
     def data_received(self, data: bytes) -> None:
         """Process the complete frames."""
+        self._watch.note_received()
         if self._counter is not None:
             self._counter.received += len(data)
         try:
@@ -215,6 +227,7 @@
         if call_id in self._parts:
             raise FrameError("a call is offered twice")
         self._parts[call_id] = FrameBuffer(self._budget)
+        self._watch.start()
         self._long_messages.add_offer(call_id, size, rtt_s)
 
     def _add_part(self, call_id: int, part: bytes) -> None:
@@ -222,6 +235,7 @@
         buffer = self._parts.get(call_id)
         if buffer is None:
             buffer = self._parts[call_id] = FrameBuffer(self._budget)
+            self._watch.start()
         for frame in buffer.feed(part):
             if frame[0] == CALL:
                 self._long_messages.end_receiving(call_id)
@@ -256,11 +270,17 @@
             if self._budget is not None:
                 stack.enter_context(self._budget.hold(size, "replies"))
             if self._long_messages.needs_offer(size):
+                self._long_replies += 1
+                stack.callback(self._end_long_reply)
+                self._watch.start()
                 await self._long_messages.send_long(call_id, pieces, size)
             else:
                 self._long_messages.send_short(pieces, size)
             await self._gate.wait()
 
+    def _end_long_reply(self) -> None:
+        self._long_replies -= 1
+
     def _write(self, data: bytes) -> None:
         if self._transport is None:
             return
--- a/tests/hop/test_granted_messages.py
+++ b/tests/hop/test_granted_messages.py
@@ -8,9 +8,19 @@
 import pytest
 
 from burdockgap.downlink import Downlink
-from burdockgap.hop.frames import OFFER, REPLY, FrameBuffer, encode_frame
+from burdockgap.hop.frames import (
+    CALL,
+    GRANT,
+    OFFER,
+    PING,
+    REPLY,
+    FrameBuffer,
+    encode_frame,
+)
 from burdockgap.hop.listener import open_listener
+from burdockgap.hop.peer_call_error import PeerCallError
 from burdockgap.hop.peer_connections import PeerConnections
+from burdockgap.resources.memory_budget import MemoryBudget
 from burdockgap.uplink import Uplink
 from standins.sidecar.downlink import Downlink as SlowLink
 from tests.http1.sockets import HOST
@@ -22,6 +32,7 @@
 FAST_BYTES_PER_S = 125e6
 BODY = b"x" * 100_000
 SENDERS = 12
+BUDGET_BYTES = 1_000_000
 
 
 @pytest.fixture
@@ -184,3 +195,77 @@
         assert REPLY not in [frame[0] for frame in frames]
         assert frames[0][2] > len(BODY)
         writer.close()
+
+
+@asynccontextmanager
+async def open_replier():
+    """Serve long replies; yield the address and a test for activity."""
+    port = free_port()
+
+    async def reply(_payload):
+        return BODY
+
+    async with open_listener(
+        {1: reply}, HOST, port, uplink=Uplink(FAST_BYTES_PER_S)
+    ) as is_busy:
+        yield (HOST, port), is_busy
+
+
+# Bodies of a sender that was gone counted as backlog for good, so that
+# all others were refused.
+async def test_offers_of_a_silent_caller_are_given_up():
+    async with open_receiver() as receiver:
+        reader, writer = await asyncio.open_connection(*receiver.address)
+        writer.write(encode_frame(OFFER, 1, 10**6, 0.0, 1, None))
+        assert await reader.read(100)
+        assert receiver.downlink.backlog_s > 0.9
+        async with asyncio.timeout(4.5):
+            assert await reader.read() == b""
+        assert receiver.downlink.backlog_s == 0
+        writer.close()
+
+
+# A stopping daemon waited for replies that nobody would ever grant.
+async def test_reply_to_a_silent_caller_is_given_up():
+    async with open_replier() as (address, is_busy):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(encode_frame(CALL, 1, 1, None))
+        assert await reader.read(100)
+        assert is_busy()
+        async with asyncio.timeout(4.5):
+            assert await reader.read() == b""
+        await asyncio.sleep(0.1)
+        assert not is_busy()
+        writer.close()
+
+
+async def test_reply_waits_for_a_caller_that_pings():
+    async with open_replier() as (address, is_busy):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(encode_frame(CALL, 1, 1, None))
+        for _ in range(10):
+            await asyncio.sleep(0.4)
+            writer.write(encode_frame(PING))
+        assert is_busy()
+        writer.write(encode_frame(GRANT, 1, 10**6))
+        data = b""
+        async with asyncio.timeout(1.0):
+            while len(data) < len(BODY):
+                data += await reader.read(10**6)
+        await asyncio.sleep(0.1)
+        assert not is_busy()
+        writer.close()
+
+
+async def test_reply_that_does_not_fit_is_given_up():
+    budget = MemoryBudget(BUDGET_BYTES)
+    async with open_replier() as (address, is_busy):
+        with budget.hold(BUDGET_BYTES, "other"):
+            caller = PeerConnections(
+                budget=budget, downlink=Downlink(LINK_BYTES_PER_S)
+            )
+            with pytest.raises(PeerCallError):
+                await caller.call(address, 1, None)
+        await asyncio.sleep(0.1)
+        assert not is_busy()
+        caller.close()
